--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# The way in. Every target does its own set-up on a fresh machine.
+#
+#   make            build everything into build/
+#   make demo       run the whole system on this machine (KEEP=1 leaves it up)
+#   make test       run every test
+#   make lint       formatter, linters and a build with warnings as errors
+#   make measure    print the figures (not part of the tests)
+#   make install    install under PREFIX (and DESTDIR)
+
+BUILD ?= build
+PREFIX ?= /usr/local
+DESTDIR ?=
+JOBS ?= 8
+
+.PHONY: all setup configure demo test lint format measure install clean
+
+all: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+setup:
+	@sh tools/setup.sh
+
+configure: setup
+	@cmake -S . -B $(BUILD) -DCMAKE_INSTALL_PREFIX=$(PREFIX) \
+	    -DCMAKE_EXPORT_COMPILE_COMMANDS=ON > $(BUILD).log 2>&1 \
+	    || { cat $(BUILD).log; exit 1; }
+	@rm -f $(BUILD).log
+
+demo: all
+	@BUILD=$(BUILD) KEEP=$(KEEP) bash tests/demo.sh
+
+test: all
+	@BUILD=$(BUILD) sh tests/run-tests.sh
+
+lint: all
+	@BUILD=$(BUILD) JOBS=$(JOBS) sh tools/lint.sh
+
+format:
+	@git ls-files '*.[ch]' | xargs clang-format -i
+
+measure: all
+	@BUILD=$(BUILD) bash tests/measure/run.sh
+
+install: all
+	DESTDIR=$(DESTDIR) cmake --install $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/lib/common/rp_log.c
@@ -0,0 +1,158 @@
+#include "rp_log.h"
+
+#include <stdarg.h>
+
+/* How often one event was written in the current window. */
+struct event_rate {
+    int64_t window_end; /* monotonic microseconds */
+    uint64_t written;
+    uint64_t suppressed;
+};
+
+struct rp_log {
+    FILE *out;
+    enum rp_log_level level;
+    GString *prefix;
+    GHashTable *rates; /* event name -> struct event_rate */
+};
+
+static const char *const level_names[RP_LOG_LEVEL_COUNT] = {
+    [RP_LOG_DEBUG] = "debug",
+    [RP_LOG_INFO] = "info",
+    [RP_LOG_WARN] = "warn",
+    [RP_LOG_ERROR] = "error",
+};
+
+struct rp_log *
+RpLog_Create(FILE *out, enum rp_log_level level, const char *role,
+             const char *name)
+{
+    struct rp_log *log = g_new0(struct rp_log, 1);
+
+    log->out = out;
+    log->level = level;
+    log->prefix = g_string_new("role=");
+    RpLog_Quote(log->prefix, RpStr_FromC(role));
+    g_string_append(log->prefix, " name=");
+    RpLog_Quote(log->prefix, RpStr_FromC(name));
+    log->rates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                       g_free);
+    return log;
+}
+
+void
+RpLog_Free(struct rp_log *log)
+{
+    if (!log) {
+        return;
+    }
+    g_hash_table_destroy(log->rates);
+    g_string_free(log->prefix, TRUE);
+    g_free(log);
+}
+
+/* Whether the event may write a line now; `*suppressed` gets how many lines
+ * the window before held back. */
+static bool
+take_turn(struct rp_log *log, const char *event, uint64_t *suppressed)
+{
+    int64_t now = g_get_monotonic_time();
+    struct event_rate *rate = g_hash_table_lookup(log->rates, event);
+
+    *suppressed = 0;
+    if (!rate) {
+        rate = g_new0(struct event_rate, 1);
+        g_hash_table_insert(log->rates, g_strdup(event), rate);
+    }
+    if (now >= rate->window_end) {
+        *suppressed = rate->suppressed;
+        *rate = (struct event_rate){.window_end = now + RP_LOG_WINDOW_US};
+    }
+    if (rate->written >= RP_LOG_BURST) {
+        rate->suppressed++;
+        return false;
+    }
+    rate->written++;
+    return true;
+}
+
+void
+RpLog_Event(struct rp_log *log, enum rp_log_level level, const char *event,
+            const char *format, ...)
+{
+    uint64_t suppressed;
+
+    if (!log || level < log->level || !take_turn(log, event, &suppressed)) {
+        return;
+    }
+    GDateTime *now = g_date_time_new_now_utc();
+    gchar *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+    GString *line = g_string_new(NULL);
+    g_string_append_printf(line, "time=%s.%03dZ level=%s %s event=%s", stamp,
+                           g_date_time_get_microsecond(now) / 1000,
+                           level_names[level], log->prefix->str, event);
+    if (suppressed) {
+        g_string_append_printf(line, " suppressed=%" G_GUINT64_FORMAT,
+                               suppressed);
+    }
+    if (format[0]) {
+        va_list args;
+        g_string_append_c(line, ' ');
+        va_start(args, format);
+        g_string_append_vprintf(line, format, args);
+        va_end(args);
+    }
+    g_string_append_c(line, '\n');
+    fwrite(line->str, 1, line->len, log->out);
+    fflush(log->out);
+    g_string_free(line, TRUE);
+    g_free(stamp);
+    g_date_time_unref(now);
+}
+
+static bool
+needs_quotes(struct rp_str value)
+{
+    for (size_t i = 0; i < value.len; i++) {
+        unsigned char c = (unsigned char)value.data[i];
+        if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 127) {
+            return true;
+        }
+    }
+    return value.len == 0;
+}
+
+void
+RpLog_Quote(GString *out, struct rp_str value)
+{
+    if (!needs_quotes(value)) {
+        g_string_append_len(out, value.data, (gssize)value.len);
+        return;
+    }
+    g_string_append_c(out, '"');
+    for (size_t i = 0; i < value.len; i++) {
+        unsigned char c = (unsigned char)value.data[i];
+        if (c == '"' || c == '\\') {
+            g_string_append_printf(out, "\\%c", c);
+        }
+        else if (c < ' ' || c == 127) {
+            g_string_append_printf(out, "\\x%02x", c);
+        }
+        else {
+            g_string_append_c(out, (gchar)c);
+        }
+    }
+    g_string_append_c(out, '"');
+}
+
+bool
+RpLog_ParseLevel(struct rp_str text, enum rp_log_level *level)
+{
+    for (int i = 0; i < RP_LOG_LEVEL_COUNT; i++) {
+        if (RpStr_Equal(text, RpStr_FromC(level_names[i]))) {
+            *level = (enum rp_log_level)i;
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/lib/control/rp_catalog.c
@@ -0,0 +1,604 @@
+#include "rp_catalog.h"
+
+#include <string.h>
+
+#include "rp_bytes.h"
+
+enum command_kind { COMMAND_INIT = 1, COMMAND_CHANGE, COMMAND_RELEASE };
+
+/* A remembered answer. */
+struct answer {
+    uint8_t id[RP_CHANGE_ID_SIZE];
+    uint8_t code;
+    uint64_t revision;
+    struct rp_name service;
+};
+
+/* A service as a snapshot stores it. */
+struct stored_entry {
+    uint32_t id;
+    uint32_t incarnation;
+    uint64_t revision;
+    GString *text;
+};
+
+struct stored_catalog {
+    uint64_t revision;
+    uint32_t next_id;
+    uint8_t initialised;
+    uint8_t hash_key[RP_HASH_KEY_SIZE];
+    GArray *entries;    /* of struct stored_entry */
+    GArray *answers;    /* of struct answer, oldest first */
+    GArray *quarantine; /* of struct rp_quarantine */
+};
+
+struct rp_catalog {
+    uint64_t revision;
+    uint32_t next_id;
+    bool initialised;
+    uint8_t hash_key[RP_HASH_KEY_SIZE];
+    GHashTable *entries; /* name -> struct rp_entry */
+    GHashTable *answers; /* id bytes -> struct answer */
+    GQueue answer_order; /* of struct answer, oldest first; owns them */
+    GArray *quarantine;  /* of struct rp_quarantine */
+};
+
+static const struct rp_field answer_fields[] = {
+    RP_FIELD(RP_FIELD_BLOB, answer, id),
+    RP_FIELD(RP_FIELD_UINT, answer, code),
+    RP_FIELD(RP_FIELD_UINT, answer, revision),
+    RP_FIELD(RP_FIELD_NAME, answer, service),
+};
+static const struct rp_schema answer_schema = RP_SCHEMA(answer, answer_fields);
+
+static const struct rp_field stored_entry_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, stored_entry, id),
+    RP_FIELD(RP_FIELD_UINT, stored_entry, incarnation),
+    RP_FIELD(RP_FIELD_UINT, stored_entry, revision),
+    RP_FIELD(RP_FIELD_TEXT, stored_entry, text),
+};
+static const struct rp_schema stored_entry_schema = RP_SCHEMA(
+    stored_entry, stored_entry_fields);
+
+static const struct rp_field quarantine_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, address),
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, port),
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, revision),
+    RP_FIELD(RP_FIELD_NAME, rp_quarantine, service),
+};
+static const struct rp_schema quarantine_schema = RP_SCHEMA(rp_quarantine,
+                                                            quarantine_fields);
+
+static const struct rp_field stored_catalog_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, next_id),
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, initialised),
+    RP_FIELD(RP_FIELD_BLOB, stored_catalog, hash_key),
+    RP_FIELD_LIST_OF(stored_catalog, entries, &stored_entry_schema),
+    RP_FIELD_LIST_OF(stored_catalog, answers, &answer_schema),
+    RP_FIELD_LIST_OF(stored_catalog, quarantine, &quarantine_schema),
+};
+static const struct rp_schema stored_catalog_schema = RP_SCHEMA(
+    stored_catalog, stored_catalog_fields);
+
+static void
+free_entry(gpointer data)
+{
+    struct rp_entry *entry = data;
+
+    g_string_free(entry->text, TRUE);
+    g_free(entry);
+}
+
+static guint
+name_hash(gconstpointer key)
+{
+    return g_str_hash(((const struct rp_name *)key)->data);
+}
+
+static gboolean
+name_equal(gconstpointer a, gconstpointer b)
+{
+    return RpName_Equal(a, b);
+}
+
+static guint
+id_hash(gconstpointer key)
+{
+    guint hash;
+
+    memcpy(&hash, key, sizeof hash);
+    return hash;
+}
+
+static gboolean
+id_equal(gconstpointer a, gconstpointer b)
+{
+    return !memcmp(a, b, RP_CHANGE_ID_SIZE);
+}
+
+struct rp_catalog *
+RpCatalog_Create(void)
+{
+    struct rp_catalog *catalog = g_new0(struct rp_catalog, 1);
+
+    catalog->next_id = 1;
+    catalog->entries = g_hash_table_new_full(name_hash, name_equal, NULL,
+                                             free_entry);
+    catalog->answers = g_hash_table_new(id_hash, id_equal);
+    catalog->quarantine = g_array_new(FALSE, TRUE,
+                                      sizeof(struct rp_quarantine));
+    g_queue_init(&catalog->answer_order);
+    return catalog;
+}
+
+static void
+clear(struct rp_catalog *catalog)
+{
+    g_hash_table_remove_all(catalog->entries);
+    g_hash_table_remove_all(catalog->answers);
+    g_queue_clear_full(&catalog->answer_order, g_free);
+    g_array_set_size(catalog->quarantine, 0);
+}
+
+void
+RpCatalog_Free(struct rp_catalog *catalog)
+{
+    if (!catalog) {
+        return;
+    }
+    clear(catalog);
+    g_hash_table_destroy(catalog->entries);
+    g_hash_table_destroy(catalog->answers);
+    g_array_free(catalog->quarantine, TRUE);
+    g_free(catalog);
+}
+
+/* A command is its kind and its body. */
+static GString *
+encode_command(enum command_kind kind, const void *body, size_t len)
+{
+    GString *out = g_string_sized_new(len + 1);
+
+    g_string_append_c(out, (gchar)kind);
+    g_string_append_len(out, body, (gssize)len);
+    return out;
+}
+
+GString *
+RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE])
+{
+    return encode_command(COMMAND_INIT, hash_key, RP_HASH_KEY_SIZE);
+}
+
+GString *
+RpCatalog_EncodeChange(const struct rp_msg_change *change)
+{
+    GString *body = RpSchema_Encode(&rp_msg_change_schema, change);
+    GString *out = encode_command(COMMAND_CHANGE, body->str, body->len);
+
+    g_string_free(body, TRUE);
+    return out;
+}
+
+GString *
+RpCatalog_EncodeRelease(uint64_t revision)
+{
+    uint8_t body[sizeof revision];
+
+    RpBytes_Put64(body, revision);
+    return encode_command(COMMAND_RELEASE, body, sizeof body);
+}
+
+static void
+remember(struct rp_catalog *catalog, const struct answer *answer)
+{
+    struct answer *kept = g_memdup2(answer, sizeof *answer);
+
+    g_queue_push_tail(&catalog->answer_order, kept);
+    g_hash_table_replace(catalog->answers, kept->id, kept);
+    while (g_queue_get_length(&catalog->answer_order) >
+           RP_CATALOG_CHANGE_MEMORY) {
+        struct answer *oldest = g_queue_pop_head(&catalog->answer_order);
+        g_hash_table_remove(catalog->answers, oldest->id);
+        g_free(oldest);
+    }
+}
+
+static void
+fill_reply(struct rp_msg_change_reply *reply, const struct answer *answer,
+           bool repeated)
+{
+    memcpy(reply->id, answer->id, RP_CHANGE_ID_SIZE);
+    reply->code = answer->code;
+    reply->repeated = repeated;
+    reply->revision = answer->revision;
+    reply->service = answer->service;
+}
+
+bool
+RpCatalog_FindReply(const struct rp_catalog *catalog,
+                    const uint8_t id[RP_CHANGE_ID_SIZE],
+                    struct rp_msg_change_reply *reply)
+{
+    const struct answer *answer = g_hash_table_lookup(catalog->answers, id);
+
+    if (answer && reply) {
+        fill_reply(reply, answer, true);
+    }
+    return answer != NULL;
+}
+
+void
+RpCatalog_ReplyFindings(struct rp_msg_change_reply *reply,
+                        const struct rp_error *error)
+{
+    if (!reply->findings) {
+        reply->findings = RpSchema_NewList(&rp_msg_finding_schema);
+    }
+    for (size_t i = 0; i < RpError_Count(error); i++) {
+        const struct rp_finding *finding = RpError_Get(error, i);
+        struct rp_msg_finding row = {
+            .code = (uint8_t)finding->code,
+            .place = g_string_new_len(finding->place->str,
+                                      (gssize)finding->place->len),
+            .text = g_string_new_len(finding->text->str,
+                                     (gssize)finding->text->len)};
+        g_array_append_val(reply->findings, row);
+    }
+}
+
+/* Whether another service has the address, or gave it up lately. */
+static enum rp_code
+check_address(const struct rp_catalog *catalog,
+              const struct rp_document *document, struct rp_error *error)
+{
+    gchar *place = g_strdup_printf("line %u", document->address_line);
+    enum rp_code code = RP_OK;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, catalog->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct rp_entry *entry = value;
+        if (!RpName_Equal(&entry->name, &document->name) &&
+            RpEndpoint_Equal(entry->document.address, document->address)) {
+            code = RpError_Add(error, RP_ERR_DOCUMENT, place,
+                               "address is taken by service %s",
+                               entry->name.data);
+        }
+    }
+    for (guint i = 0; i < catalog->quarantine->len; i++) {
+        const struct rp_quarantine *row = &g_array_index(
+            catalog->quarantine, struct rp_quarantine, i);
+        if (row->address == document->address.ip &&
+            row->port == document->address.port &&
+            !RpName_Equal(&row->service, &document->name)) {
+            code = RpError_Add(error, RP_ERR_DOCUMENT, place,
+                               "address was just released by service %s and "
+                               "is not yet free everywhere: try again",
+                               row->service.data);
+        }
+    }
+    g_free(place);
+    return code;
+}
+
+static void
+quarantine_address(struct rp_catalog *catalog, const struct rp_entry *entry)
+{
+    const struct rp_quarantine row = {.address = entry->document.address.ip,
+                                      .port = entry->document.address.port,
+                                      .revision = catalog->revision,
+                                      .service = entry->name};
+
+    g_array_append_val(catalog->quarantine, row);
+}
+
+/* Stores an accepted document under the next revision. */
+static void
+put_entry(struct rp_catalog *catalog, const struct rp_document *document,
+          const GString *text)
+{
+    struct rp_entry *entry = g_hash_table_lookup(catalog->entries,
+                                                 &document->name);
+
+    catalog->revision++;
+    if (!entry) {
+        entry = g_new0(struct rp_entry, 1);
+        entry->name = document->name;
+        entry->id = catalog->next_id++;
+        entry->incarnation = (uint32_t)catalog->revision;
+        entry->text = g_string_new(NULL);
+        g_hash_table_insert(catalog->entries, &entry->name, entry);
+    }
+    else if (!RpEndpoint_Equal(entry->document.address, document->address)) {
+        quarantine_address(catalog, entry);
+        entry->incarnation = (uint32_t)catalog->revision;
+    }
+    entry->revision = catalog->revision;
+    entry->document = *document;
+    g_string_truncate(entry->text, 0);
+    g_string_append_len(entry->text, text->str, (gssize)text->len);
+}
+
+static enum rp_code
+apply_document(struct rp_catalog *catalog, const struct rp_msg_change *change,
+               struct answer *answer, struct rp_error *error)
+{
+    struct rp_document document;
+    struct rp_str text = {.data = change->document->str,
+                          .len = change->document->len};
+
+    RP_FORWARD_IF_ERROR(RpDocument_Parse(text, &document, error));
+    answer->service = document.name;
+    if (change->service.len &&
+        !RpName_Equal(&change->service, &document.name)) {
+        return RpError_Add(error, RP_ERR_DOCUMENT, "document",
+                           "is for service %s, not for %s", document.name.data,
+                           change->service.data);
+    }
+    const struct rp_entry *entry = RpCatalog_Find(catalog, &document.name);
+    uint64_t current = entry ? entry->revision : 0;
+    if (change->has_base && change->base != current) {
+        answer->revision = current;
+        return RpError_Add(error, RP_ERR_CONFLICT, document.name.data,
+                           "based on revision %" G_GUINT64_FORMAT
+                           ", the current one is %" G_GUINT64_FORMAT,
+                           change->base, current);
+    }
+    RP_FORWARD_IF_ERROR(check_address(catalog, &document, error));
+    put_entry(catalog, &document, change->document);
+    answer->revision = catalog->revision;
+    return RP_OK;
+}
+
+static enum rp_code
+apply_delete(struct rp_catalog *catalog, const struct rp_msg_change *change,
+             struct answer *answer, struct rp_error *error)
+{
+    const struct rp_entry *entry = RpCatalog_Find(catalog, &change->service);
+
+    answer->service = change->service;
+    if (!entry) {
+        return RpError_Add(error, RP_ERR_NOT_FOUND, change->service.data,
+                           "no such service");
+    }
+    if (change->has_base && change->base != entry->revision) {
+        answer->revision = entry->revision;
+        return RpError_Add(error, RP_ERR_CONFLICT, change->service.data,
+                           "based on revision %" G_GUINT64_FORMAT
+                           ", the current one is %" G_GUINT64_FORMAT,
+                           change->base, entry->revision);
+    }
+    catalog->revision++;
+    quarantine_address(catalog, entry);
+    g_hash_table_remove(catalog->entries, &change->service);
+    answer->revision = catalog->revision;
+    return RP_OK;
+}
+
+static enum rp_code
+apply_change(struct rp_catalog *catalog, struct rp_str body,
+             struct rp_msg_change_reply *reply)
+{
+    struct rp_msg_change change;
+    struct answer answer = {0};
+    struct rp_error error;
+
+    if (!RpSchema_Decode(&rp_msg_change_schema, body, &change)) {
+        return RP_ERR_FORMAT;
+    }
+    bool known = RpCatalog_FindReply(catalog, change.id, reply);
+    if (!known) {
+        enum rp_code code;
+        RpError_Init(&error);
+        memcpy(answer.id, change.id, RP_CHANGE_ID_SIZE);
+        code = change.kind == RP_CHANGE_APPLY
+                   ? apply_document(catalog, &change, &answer, &error)
+                   : apply_delete(catalog, &change, &answer, &error);
+        answer.code = (uint8_t)code;
+        remember(catalog, &answer);
+        if (reply) {
+            fill_reply(reply, &answer, false);
+            RpCatalog_ReplyFindings(reply, &error);
+        }
+        RpError_Clear(&error);
+    }
+    RpSchema_Clear(&rp_msg_change_schema, &change);
+    return RP_OK;
+}
+
+static enum rp_code
+apply_release(struct rp_catalog *catalog, struct rp_str body)
+{
+    uint64_t revision;
+
+    if (body.len != sizeof revision) {
+        return RP_ERR_FORMAT;
+    }
+    revision = RpBytes_Get64((const uint8_t *)body.data);
+    for (guint i = catalog->quarantine->len; i-- > 0;) {
+        const struct rp_quarantine *row = &g_array_index(
+            catalog->quarantine, struct rp_quarantine, i);
+        if (row->revision <= revision) {
+            g_array_remove_index(catalog->quarantine, i);
+        }
+    }
+    return RP_OK;
+}
+
+enum rp_code
+RpCatalog_Apply(struct rp_catalog *catalog, struct rp_str command,
+                struct rp_msg_change_reply *reply)
+{
+    if (command.len == 0) {
+        return RP_OK;
+    }
+    struct rp_str body = {.data = command.data + 1, .len = command.len - 1};
+    switch (command.data[0]) {
+    case COMMAND_INIT:
+        if (body.len != RP_HASH_KEY_SIZE) {
+            return RP_ERR_FORMAT;
+        }
+        if (!catalog->initialised) {
+            memcpy(catalog->hash_key, body.data, RP_HASH_KEY_SIZE);
+            catalog->initialised = true;
+            catalog->revision++;
+        }
+        return RP_OK;
+    case COMMAND_CHANGE:
+        return apply_change(catalog, body, reply);
+    case COMMAND_RELEASE:
+        return apply_release(catalog, body);
+    default:
+        return RP_ERR_FORMAT;
+    }
+}
+
+static void
+store_entries(const struct rp_catalog *catalog, GArray *rows)
+{
+    GPtrArray *entries = RpCatalog_List(catalog);
+
+    for (guint i = 0; i < entries->len; i++) {
+        const struct rp_entry *entry = g_ptr_array_index(entries, i);
+        struct stored_entry row = {
+            .id = entry->id,
+            .incarnation = entry->incarnation,
+            .revision = entry->revision,
+            .text = g_string_new_len(entry->text->str,
+                                     (gssize)entry->text->len)};
+        g_array_append_val(rows, row);
+    }
+    g_ptr_array_unref(entries);
+}
+
+GString *
+RpCatalog_Snapshot(const struct rp_catalog *catalog)
+{
+    struct stored_catalog stored = {
+        .revision = catalog->revision,
+        .next_id = catalog->next_id,
+        .initialised = catalog->initialised,
+        .entries = RpSchema_NewList(&stored_entry_schema),
+        .answers = RpSchema_NewList(&answer_schema),
+        .quarantine = RpSchema_NewList(&quarantine_schema)};
+
+    memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
+    store_entries(catalog, stored.entries);
+    for (GList *link = catalog->answer_order.head; link; link = link->next) {
+        g_array_append_vals(stored.answers, link->data, 1);
+    }
+    g_array_append_vals(stored.quarantine, catalog->quarantine->data,
+                        catalog->quarantine->len);
+    GString *out = RpSchema_Encode(&stored_catalog_schema, &stored);
+    RpSchema_Clear(&stored_catalog_schema, &stored);
+    return out;
+}
+
+static enum rp_code
+restore_entry(struct rp_catalog *catalog, const struct stored_entry *row)
+{
+    struct rp_document document;
+    struct rp_str text = {.data = row->text->str, .len = row->text->len};
+
+    RP_FORWARD_IF_ERROR(RpDocument_Parse(text, &document, NULL));
+    struct rp_entry *entry = g_new0(struct rp_entry, 1);
+    entry->name = document.name;
+    entry->id = row->id;
+    entry->incarnation = row->incarnation;
+    entry->revision = row->revision;
+    entry->document = document;
+    entry->text = g_string_new_len(text.data, (gssize)text.len);
+    g_hash_table_replace(catalog->entries, &entry->name, entry);
+    return RP_OK;
+}
+
+enum rp_code
+RpCatalog_Restore(struct rp_catalog *catalog, struct rp_str snapshot)
+{
+    struct stored_catalog stored;
+    enum rp_code code = RP_OK;
+
+    if (!RpSchema_Decode(&stored_catalog_schema, snapshot, &stored)) {
+        return RP_ERR_FORMAT;
+    }
+    clear(catalog);
+    catalog->revision = stored.revision;
+    catalog->next_id = stored.next_id;
+    catalog->initialised = stored.initialised;
+    memcpy(catalog->hash_key, stored.hash_key, RP_HASH_KEY_SIZE);
+    for (guint i = 0; i < stored.entries->len && code == RP_OK; i++) {
+        code = restore_entry(
+            catalog, &g_array_index(stored.entries, struct stored_entry, i));
+    }
+    for (guint i = 0; i < stored.answers->len; i++) {
+        remember(catalog, &g_array_index(stored.answers, struct answer, i));
+    }
+    g_array_append_vals(catalog->quarantine, stored.quarantine->data,
+                        stored.quarantine->len);
+    RpSchema_Clear(&stored_catalog_schema, &stored);
+    return code;
+}
+
+bool
+RpCatalog_IsInitialised(const struct rp_catalog *catalog)
+{
+    return catalog->initialised;
+}
+
+const uint8_t *
+RpCatalog_HashKey(const struct rp_catalog *catalog)
+{
+    return catalog->hash_key;
+}
+
+uint64_t
+RpCatalog_Revision(const struct rp_catalog *catalog)
+{
+    return catalog->revision;
+}
+
+const struct rp_entry *
+RpCatalog_Find(const struct rp_catalog *catalog, const struct rp_name *name)
+{
+    return g_hash_table_lookup(catalog->entries, name);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    const struct rp_entry *left = *(const struct rp_entry *const *)a;
+    const struct rp_entry *right = *(const struct rp_entry *const *)b;
+
+    return strcmp(left->name.data, right->name.data);
+}
+
+GPtrArray *
+RpCatalog_List(const struct rp_catalog *catalog)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, catalog->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(list, value);
+    }
+    g_ptr_array_sort(list, compare_names);
+    return list;
+}
+
+uint64_t
+RpCatalog_QuarantineRevision(const struct rp_catalog *catalog)
+{
+    uint64_t highest = 0;
+
+    for (guint i = 0; i < catalog->quarantine->len; i++) {
+        const struct rp_quarantine *row = &g_array_index(
+            catalog->quarantine, struct rp_quarantine, i);
+        highest = MAX(highest, row->revision);
+    }
+    return highest;
+}
--- /dev/null
+++ b/lib/flow/rp_agent_internal.h
@@ -0,0 +1,146 @@
+/* The agent's own parts, shared by the rp_agent_*.c files. */
+#ifndef RP_AGENT_INTERNAL_H
+#define RP_AGENT_INTERNAL_H
+
+#include <glib.h>
+
+#include "rp_agent.h"
+#include "rp_flow_chart.h"
+#include "rp_flow_table.h"
+#include "rp_hold.h"
+#include "rp_time.h"
+
+/* How long a host may take to answer a SYN before the next one is tried. */
+#define RP_SYN_PATIENCE_US (250 * RP_US_PER_MS)
+/* How long a host may take to disown a flow it was asked about. */
+#define RP_ASK_PATIENCE_US (200 * RP_US_PER_MS)
+/* How long an answered SYN may stay unconfirmed. */
+#define RP_CONFIRM_PATIENCE_US (60 * RP_US_PER_SECOND)
+/* How long a closed flow and an unused redirect are remembered. */
+#define RP_CLOSED_LINGER_US (60 * RP_US_PER_SECOND)
+#define RP_REDIRECT_LINGER_US (120 * RP_US_PER_SECOND)
+/* Entries of any kind; a SYN flood gets no further than this. */
+#define RP_AGENT_MAX_ENTRIES 1000000
+/* Retries that may be saved up, in hundredths of a retry. */
+#define RP_RETRY_BURST_CENTS 2000
+
+/* A flow whose deadline is short, in the order of the deadlines. */
+struct rp_short_timer {
+    struct rp_endpoint caller;
+    int64_t deadline;
+};
+
+struct rp_agent {
+    struct rp_agent_config config;
+    const struct rp_chart *chart;
+    struct rp_admission *policy;
+    struct rp_counters *counters;
+    const struct rp_table *table;
+    const struct rp_service *service;
+    bool draining;
+    struct rp_flow_table *flows;
+    struct rp_hold *hold;
+    struct rp_held *taken; /* what the last actions may point into */
+    GQueue short_timers;   /* of struct rp_short_timer */
+    uint32_t owned;
+    uint32_t busy;
+    int32_t retry_cents;
+    int64_t swept_until; /* next time for a part of the long sweep */
+};
+
+/* Takes the flow's held packet for the actions of this call. */
+const struct rp_held *RpAgent_TakeHeld(struct rp_agent *agent,
+                                       const struct rp_flow *flow);
+
+/* Adds an action and counts its reason; returns it for the details. */
+struct rp_action *RpAgent_Act(struct rp_agent *agent,
+                              struct rp_actions *actions,
+                              enum rp_action_kind kind,
+                              enum rp_counter reason);
+
+/* Adds an action that sends `len` bytes at `data`. */
+void RpAgent_Send(struct rp_agent *agent, struct rp_actions *actions,
+                  enum rp_action_kind kind, enum rp_counter reason,
+                  const uint8_t *data, size_t len);
+
+/* Adds an action that sends a bare segment from `key.src` to `key.dst`. */
+void RpAgent_SendSegment(struct rp_agent *agent, struct rp_actions *actions,
+                         enum rp_action_kind kind, enum rp_counter reason,
+                         struct rp_flow_key key, uint8_t flags, uint32_t seq,
+                         uint32_t ack);
+
+/* Answers a caller's packet with a reset. */
+void RpAgent_ResetCaller(struct rp_agent *agent, struct rp_actions *actions,
+                         enum rp_counter reason,
+                         const struct rp_packet *packet);
+
+/* Puts a flow into a state, with the counts and the deadline that go with
+ * it. */
+void RpAgent_Enter(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
+                   int64_t now);
+
+/* Removes a flow's entry and what is held for it. */
+void RpAgent_Forget(struct rp_agent *agent, struct rp_flow *flow);
+
+/* Sets whether a request is outstanding. */
+void RpAgent_SetBusy(struct rp_agent *agent, struct rp_flow *flow, bool busy);
+
+/* Updates what is known of both directions from one packet. */
+void RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
+                         const struct rp_packet *packet, int64_t now);
+void RpAgent_TrackHost(struct rp_agent *agent, struct rp_flow *flow,
+                       const struct rp_packet *packet, int64_t now);
+
+/* The flow as its caller names it. */
+struct rp_flow_key RpAgent_CallerKey(const struct rp_agent *agent,
+                                     struct rp_endpoint caller);
+
+/* rp_agent_chain.c: moves `chain` on to the next candidate; `opens` says
+ * that it is for a new flow. False when nobody is left. */
+bool RpAgent_NextHop(const struct rp_agent *agent, struct rp_chain *chain,
+                     struct rp_endpoint caller, bool opens,
+                     struct rp_endpoint *next);
+
+/* As RpAgent_NextHop, but to `wanted` if it can still be tried. */
+bool RpAgent_NextHopPrefer(const struct rp_agent *agent,
+                           struct rp_chain *chain, struct rp_endpoint caller,
+                           bool opens, struct rp_endpoint wanted,
+                           struct rp_endpoint *next);
+
+/* rp_agent_open.c: a SYN that opens a flow; `flow` is an earlier entry of
+ * that caller or NULL. */
+void RpAgent_Decide(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                    const struct rp_packet *packet,
+                    const struct rp_chain *chain, struct rp_actions *actions);
+void RpAgent_Renew(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                   const struct rp_packet *packet,
+                   const struct rp_chain *chain, struct rp_actions *actions);
+
+/* The host refused (`refusal`) or did not answer (NULL) a SYN. */
+void RpAgent_Retry(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                   const struct rp_packet *refusal,
+                   struct rp_actions *actions);
+void RpAgent_Yield(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                   const struct rp_packet *packet,
+                   const struct rp_chain *chain, struct rp_actions *actions);
+void RpAgent_Quash(struct rp_agent *agent, struct rp_flow *flow,
+                   const struct rp_packet *packet, struct rp_actions *actions);
+
+/* Passes a packet of another agent's flow on. */
+void RpAgent_Pass(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                  const struct rp_packet *packet, const struct rp_chain *chain,
+                  struct rp_actions *actions);
+
+/* rp_agent_learn.c: flows that this agent does not know. */
+void RpAgent_Ask(struct rp_agent *agent, int64_t now,
+                 const struct rp_packet *packet, const struct rp_chain *chain,
+                 struct rp_actions *actions);
+void RpAgent_AdoptFromHost(struct rp_agent *agent, int64_t now,
+                           const struct rp_packet *packet,
+                           struct rp_actions *actions);
+void RpAgent_Adopt(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
+                   int64_t now);
+void RpAgent_Release(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                     struct rp_actions *actions);
+
+#endif
--- /dev/null
+++ b/lib/flow/rp_agent_learn.c
@@ -0,0 +1,87 @@
+/* Flows that this agent does not know: its host's own connection table
+ * says whether they are the host's. */
+#include "rp_agent_internal.h"
+
+void
+RpAgent_Ask(struct rp_agent *agent, int64_t now,
+            const struct rp_packet *packet, const struct rp_chain *chain,
+            struct rp_actions *actions)
+{
+    struct rp_endpoint caller = {.ip = packet->key.src_ip,
+                                 .port = packet->key.src_port};
+
+    if (RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
+        RpAgent_Pass(agent, now, NULL, packet, chain, actions);
+        return;
+    }
+    struct rp_flow *flow = RpFlowTable_Insert(agent->flows, caller);
+    flow->caller_next = packet->seq;
+    flow->host_acked = packet->seq;
+    flow->host_next = packet->ack;
+    flow->caller_acked = packet->ack;
+    flow->host_seen = now;
+    RpAgent_Enter(agent, flow, RP_FLOW_ASKING, now);
+    RpAgent_TrackCaller(agent, flow, packet, now);
+    RpHold_Put(agent->hold, caller, chain, packet->data, packet->len);
+    RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, RP_COUNT_FLOW_ASKED,
+                 packet->data, packet->len);
+}
+
+void
+RpAgent_Adopt(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
+              int64_t now)
+{
+    RpHold_Drop(agent->hold, flow->caller);
+    RpAgent_Enter(agent, flow, state, now);
+    RpCounters_Add(agent->counters, RP_COUNT_FLOW_RELEARNED);
+}
+
+void
+RpAgent_AdoptFromHost(struct rp_agent *agent, int64_t now,
+                      const struct rp_packet *packet,
+                      struct rp_actions *actions)
+{
+    struct rp_endpoint caller = {.ip = packet->key.dst_ip,
+                                 .port = packet->key.dst_port};
+
+    if ((packet->flags & RP_TCP_RST) ||
+        RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOST_STRAY);
+        return;
+    }
+    struct rp_flow *flow = RpFlowTable_Insert(agent->flows, caller);
+    uint8_t state = RP_FLOW_ESTABLISHED;
+    flow->host_next = packet->seq;
+    flow->caller_acked = packet->seq;
+    flow->caller_next = packet->ack;
+    flow->host_acked = packet->ack;
+    flow->caller_seen = now;
+    if (packet->flags & RP_TCP_SYN) {
+        state = RP_FLOW_ANSWERED;
+    }
+    else if (packet->flags & RP_TCP_FIN) {
+        state = RP_FLOW_HOST_DONE;
+    }
+    RpAgent_Adopt(agent, flow, state, now);
+    RpAgent_TrackHost(agent, flow, packet, now);
+    RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_PACKETS_OUT,
+                 packet->data, packet->len);
+}
+
+void
+RpAgent_Release(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                struct rp_actions *actions)
+{
+    const struct rp_held *held = RpAgent_TakeHeld(agent, flow);
+    struct rp_packet packet;
+    enum rp_counter reason;
+
+    RpCounters_Add(agent->counters, RP_COUNT_FLOW_NOT_HOSTS);
+    RpAgent_Enter(agent, flow, RP_FLOW_REDIRECT, now);
+    flow->next_hop = (struct rp_endpoint){0};
+    if (!held || !RpPacket_Parse(held->data, held->len, &packet, &reason)) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOLD_FULL);
+        return;
+    }
+    RpAgent_Pass(agent, now, flow, &packet, &held->chain, actions);
+}
--- /dev/null
+++ b/lib/flow/rp_agent_open.c
@@ -0,0 +1,295 @@
+/* New flows: admission, retries, and half-open flows that another agent
+ * has won. */
+#include <string.h>
+
+#include "rp_agent_internal.h"
+
+#define CENTS 100
+
+/* A SYN never carries payload to a host: the caller sends it again once it
+ * has an answer, and until then the flow may still move. */
+static size_t
+trim_syn(struct rp_agent *agent, const struct rp_packet *packet,
+         uint8_t out[RP_SCRATCH_SIZE])
+{
+    if (packet->payload_len > 0) {
+        RpCounters_Add(agent->counters, RP_COUNT_SYN_TRIMMED);
+        return RpPacket_TrimPayload(packet, out);
+    }
+    memcpy(out, packet->data, packet->len);
+    return packet->len;
+}
+
+static void
+pass_action(struct rp_agent *agent, struct rp_actions *actions,
+            enum rp_counter reason, const uint8_t *data, size_t len,
+            const struct rp_chain *chain, struct rp_endpoint next)
+{
+    struct rp_action *action = RpAgent_Act(agent, actions, RP_ACTION_PASS,
+                                           reason);
+
+    action->data = data;
+    action->len = len;
+    action->chain = *chain;
+    action->next = next;
+}
+
+static void
+redirect_to(struct rp_agent *agent, struct rp_flow *flow,
+            struct rp_endpoint next, int64_t now)
+{
+    RpAgent_Enter(agent, flow, RP_FLOW_REDIRECT, now);
+    flow->next_hop = next;
+}
+
+static bool
+admit(struct rp_agent *agent, int64_t now, const struct rp_chain *chain,
+      enum rp_counter *reason)
+{
+    struct rp_agent_load load = RpAgent_Load(agent, now);
+    const struct rp_load view = {
+        .slots = load.slots,
+        .busy = load.busy,
+        .flows = load.flows,
+        .flow_limit = agent->service->flows_per_upstream,
+        .position = chain->visited ? chain->visited - 1u : 0,
+        .last = chain->visited >= chain->count,
+    };
+
+    if (agent->draining) {
+        *reason = RP_COUNT_PASS_DRAINING;
+        return false;
+    }
+    return RpAdmission_Admit(agent->policy, &view, reason);
+}
+
+/* Makes sure that the flow has an entry; NULL when the table is full. */
+static struct rp_flow *
+entry_for(struct rp_agent *agent, struct rp_flow *flow,
+          struct rp_endpoint caller)
+{
+    if (flow) {
+        return flow;
+    }
+    if (RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
+        return NULL;
+    }
+    return RpFlowTable_Insert(agent->flows, caller);
+}
+
+/* Notes the SYN that opens a flow and forgets the flow before it. */
+static void
+start_flow(struct rp_flow *flow, const struct rp_packet *packet, int64_t now)
+{
+    flow->flags = RP_FLOW_KNOWS_CALLER_ISN;
+    flow->caller_isn = packet->seq;
+    flow->caller_next = packet->seq + 1;
+    flow->host_acked = packet->seq;
+    flow->host_isn = 0;
+    flow->host_next = 0;
+    flow->caller_acked = 0;
+    flow->caller_seen = now;
+    flow->host_seen = now;
+}
+
+/* Leaves a new flow to the next candidate, or refuses it when there is
+ * none. */
+static void
+pass_syn(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+         const struct rp_packet *packet, const struct rp_chain *chain,
+         enum rp_counter reason, struct rp_actions *actions)
+{
+    struct rp_endpoint caller = {.ip = packet->key.src_ip,
+                                 .port = packet->key.src_port};
+    struct rp_chain rest = *chain;
+    struct rp_endpoint next;
+
+    if (!RpAgent_NextHop(agent, &rest, caller, true, &next)) {
+        RpCounters_Add(agent->counters, reason);
+        RpAgent_ResetCaller(agent, actions, RP_COUNT_REFUSED_ALL, packet);
+        if (flow) {
+            RpAgent_Forget(agent, flow);
+        }
+        return;
+    }
+    flow = entry_for(agent, flow, caller);
+    if (flow) {
+        start_flow(flow, packet, now);
+        redirect_to(agent, flow, next, now);
+    }
+    uint8_t *scratch = actions->scratch[actions->count];
+    size_t len = trim_syn(agent, packet, scratch);
+    pass_action(agent, actions, reason, scratch, len, &rest, next);
+}
+
+static void
+give_syn_to_host(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                 const struct rp_packet *packet, const struct rp_chain *chain,
+                 enum rp_counter reason, struct rp_actions *actions)
+{
+    uint8_t *scratch = actions->scratch[actions->count];
+    size_t len = trim_syn(agent, packet, scratch);
+
+    start_flow(flow, packet, now);
+    RpAgent_Enter(agent, flow, RP_FLOW_OPENING, now);
+    RpHold_Put(agent->hold, flow->caller, chain, scratch, len);
+    RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, reason, scratch, len);
+}
+
+/* Each admitted flow earns a share of a retry. */
+static void
+earn_retry(struct rp_agent *agent)
+{
+    agent->retry_cents += (int32_t)agent->service->retries_percent;
+    agent->retry_cents = MIN(agent->retry_cents, RP_RETRY_BURST_CENTS);
+}
+
+void
+RpAgent_Decide(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+               const struct rp_packet *packet, const struct rp_chain *chain,
+               struct rp_actions *actions)
+{
+    struct rp_endpoint caller = {.ip = packet->key.src_ip,
+                                 .port = packet->key.src_port};
+    enum rp_counter reason;
+
+    if (!admit(agent, now, chain, &reason)) {
+        pass_syn(agent, now, flow, packet, chain, reason, actions);
+        return;
+    }
+    flow = entry_for(agent, flow, caller);
+    if (!flow) {
+        pass_syn(agent, now, NULL, packet, chain, RP_COUNT_PASS_FLOW_LIMIT,
+                 actions);
+        return;
+    }
+    earn_retry(agent);
+    give_syn_to_host(agent, now, flow, packet, chain, reason, actions);
+}
+
+void
+RpAgent_Renew(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+              const struct rp_packet *packet, const struct rp_chain *chain,
+              struct rp_actions *actions)
+{
+    give_syn_to_host(agent, now, flow, packet, chain, RP_COUNT_FLOW_ADMITTED,
+                     actions);
+}
+
+/* Takes one retry from the budget. */
+static bool
+spend_retry(struct rp_agent *agent)
+{
+    if (agent->retry_cents < CENTS) {
+        RpCounters_Add(agent->counters, RP_COUNT_RETRY_BUDGET_SPENT);
+        return false;
+    }
+    agent->retry_cents -= CENTS;
+    return true;
+}
+
+/* The host refused and nobody else can take the flow: its refusal is the
+ * answer, and a true one, for no payload was delivered to any host. */
+static void
+refuse(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+       const struct rp_packet *refusal, struct rp_actions *actions)
+{
+    RpAgent_Enter(agent, flow, RP_FLOW_CLOSED, now);
+    RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_REFUSED_ALL,
+                 refusal->data, refusal->len);
+}
+
+void
+RpAgent_Retry(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+              const struct rp_packet *refusal, struct rp_actions *actions)
+{
+    const struct rp_held *held = RpAgent_TakeHeld(agent, flow);
+    struct rp_chain rest = held ? held->chain : (struct rp_chain){0};
+    struct rp_endpoint next;
+    bool can = held &&
+               RpAgent_NextHop(agent, &rest, flow->caller, true, &next) &&
+               spend_retry(agent);
+
+    if (can) {
+        redirect_to(agent, flow, next, now);
+        pass_action(agent, actions,
+                    refusal ? RP_COUNT_RETRY_HOST_REFUSED
+                            : RP_COUNT_RETRY_HOST_SILENT,
+                    held->data, held->len, &rest, next);
+    }
+    else if (refusal) {
+        refuse(agent, now, flow, refusal, actions);
+    }
+    else if (held) {
+        /* Only this host is left: wait on; the caller repeats its SYN. */
+        flow->deadline = now + RP_CONFIRM_PATIENCE_US;
+    }
+    else {
+        RpCounters_Add(agent->counters, RP_COUNT_FLOW_EXPIRED);
+        RpAgent_Forget(agent, flow);
+    }
+}
+
+void
+RpAgent_Yield(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+              const struct rp_packet *packet, const struct rp_chain *chain,
+              struct rp_actions *actions)
+{
+    struct rp_flow_key key = RpAgent_CallerKey(agent, flow->caller);
+
+    RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST,
+                        RP_COUNT_FLOW_YIELDED, key, RP_TCP_RST,
+                        flow->caller_isn + 1, 0);
+    flow->next_hop = (struct rp_endpoint){0};
+    RpAgent_Pass(agent, now, flow, packet, chain, actions);
+}
+
+void
+RpAgent_Quash(struct rp_agent *agent, struct rp_flow *flow,
+              const struct rp_packet *packet, struct rp_actions *actions)
+{
+    struct rp_flow_key key = RpAgent_CallerKey(agent, flow->caller);
+
+    RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST,
+                        RP_COUNT_SYN_LATE_ANSWER, key, RP_TCP_RST, packet->ack,
+                        0);
+}
+
+void
+RpAgent_Pass(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+             const struct rp_packet *packet, const struct rp_chain *chain,
+             struct rp_actions *actions)
+{
+    struct rp_endpoint caller = {.ip = packet->key.src_ip,
+                                 .port = packet->key.src_port};
+    struct rp_chain rest = *chain;
+    struct rp_endpoint next;
+    bool opens = (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
+    bool known = flow && flow->state == RP_FLOW_REDIRECT &&
+                 flow->next_hop.port != 0;
+    bool found = known ? RpAgent_NextHopPrefer(agent, &rest, caller, opens,
+                                               flow->next_hop, &next)
+                       : RpAgent_NextHop(agent, &rest, caller, opens, &next);
+
+    if (!found) {
+        if (packet->flags & RP_TCP_RST) {
+            RpAgent_Act(agent, actions, RP_ACTION_DROP,
+                        RP_COUNT_RESET_OWNER_GONE);
+            return;
+        }
+        RpAgent_ResetCaller(agent, actions, RP_COUNT_RESET_OWNER_GONE, packet);
+        return;
+    }
+    if (flow && flow->state == RP_FLOW_REDIRECT) {
+        flow->next_hop = next;
+        flow->deadline = now + RP_REDIRECT_LINGER_US;
+    }
+    const uint8_t *data = packet->data;
+    size_t len = packet->len;
+    if (opens) {
+        uint8_t *scratch = actions->scratch[actions->count];
+        len = trim_syn(agent, packet, scratch);
+        data = scratch;
+    }
+    pass_action(agent, actions, RP_COUNT_FLOW_PASSED, data, len, &rest, next);
+}
--- /dev/null
+++ b/lib/flow/rp_balancer.c
@@ -0,0 +1,52 @@
+#include "rp_balancer.h"
+
+static void
+append_ranked(struct rp_chain *chain, const struct rp_service *service,
+              uint64_t hash, unsigned states)
+{
+    const struct rp_member *ranked[RP_CHAIN_LENGTH];
+    size_t room = RP_CHAIN_LENGTH - chain->count;
+    size_t count = RpService_Rank(service, hash, states, ranked, room);
+
+    for (size_t i = 0; i < count; i++) {
+        RpChain_Append(chain, ranked[i]->agent);
+    }
+}
+
+void
+RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
+                 struct rp_route *route)
+{
+    struct rp_endpoint address = {.ip = packet->key.dst_ip,
+                                  .port = packet->key.dst_port};
+    bool opens = (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
+
+    *route = (struct rp_route){.kind = RP_ROUTE_DROP};
+    if (RpTable_Revision(table) == 0) {
+        route->reason = RP_COUNT_DROP_NO_TABLE;
+        return;
+    }
+    const struct rp_service *service = RpTable_Find(table, address);
+    if (!service) {
+        route->reason = RP_COUNT_DROP_UNKNOWN_ADDRESS;
+        return;
+    }
+    uint64_t hash = RpTable_HashFlow(table, packet->key);
+    route->tag = service->tag;
+    append_ranked(&route->chain, service, hash,
+                  opens ? RP_MEMBERS_READY : RP_MEMBERS_SERVING);
+    if (!opens) {
+        append_ranked(&route->chain, service, hash, RP_MEMBERS_LOST);
+    }
+    if (route->chain.count > 0) {
+        route->kind = RP_ROUTE_SEND;
+        route->reason = RP_COUNT_ROUTED;
+    }
+    else if (opens) {
+        route->kind = RP_ROUTE_RESET;
+        route->reason = RP_COUNT_RESET_NO_MEMBER;
+    }
+    else {
+        route->reason = RP_COUNT_DROP_NO_MEMBER;
+    }
+}
--- /dev/null
+++ b/lib/flow/rp_flow_table.c
@@ -0,0 +1,193 @@
+#include "rp_flow_table.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+#define SHARD_MIN_PLACES 16 /* a power of two */
+
+struct shard {
+    struct rp_flow *places;
+    size_t mask; /* places - 1 */
+    size_t used;
+};
+
+struct rp_flow_table {
+    struct shard shards[RP_FLOW_SHARDS];
+    uint64_t seed;
+    size_t count;
+    size_t sweep_shard;
+    size_t sweep_place;
+};
+
+struct rp_flow_table *
+RpFlowTable_Create(uint64_t seed)
+{
+    struct rp_flow_table *table = g_new0(struct rp_flow_table, 1);
+
+    table->seed = seed;
+    for (size_t i = 0; i < RP_FLOW_SHARDS; i++) {
+        table->shards[i].places = g_new0(struct rp_flow, SHARD_MIN_PLACES);
+        table->shards[i].mask = SHARD_MIN_PLACES - 1;
+    }
+    return table;
+}
+
+void
+RpFlowTable_Free(struct rp_flow_table *table)
+{
+    if (!table) {
+        return;
+    }
+    for (size_t i = 0; i < RP_FLOW_SHARDS; i++) {
+        g_free(table->shards[i].places);
+    }
+    g_free(table);
+}
+
+static uint64_t
+hash_of(const struct rp_flow_table *table, struct rp_endpoint caller)
+{
+    uint64_t x = (uint64_t)caller.ip << 16 | caller.port;
+
+    x ^= table->seed;
+    x *= UINT64_C(0x9e3779b97f4a7c15);
+    x ^= x >> 32;
+    x *= UINT64_C(0xd6e8feb86659fd93);
+    x ^= x >> 32;
+    return x;
+}
+
+static struct shard *
+shard_of(struct rp_flow_table *table, uint64_t hash)
+{
+    return &table->shards[hash >> 58 & (RP_FLOW_SHARDS - 1)];
+}
+
+/* The entry of `caller`, or the free place where it would go. */
+static struct rp_flow *
+probe(const struct shard *shard, uint64_t hash, struct rp_endpoint caller)
+{
+    size_t place = hash & shard->mask;
+
+    while (shard->places[place].state != 0 &&
+           !RpEndpoint_Equal(shard->places[place].caller, caller)) {
+        place = (place + 1) & shard->mask;
+    }
+    return &shard->places[place];
+}
+
+struct rp_flow *
+RpFlowTable_Find(struct rp_flow_table *table, struct rp_endpoint caller)
+{
+    uint64_t hash = hash_of(table, caller);
+    struct rp_flow *flow = probe(shard_of(table, hash), hash, caller);
+
+    return flow->state != 0 ? flow : NULL;
+}
+
+static void
+grow(struct rp_flow_table *table, struct shard *shard)
+{
+    struct shard bigger = {.mask = shard->mask * 2 + 1, .used = shard->used};
+
+    bigger.places = g_new0(struct rp_flow, bigger.mask + 1);
+    for (size_t i = 0; i <= shard->mask; i++) {
+        const struct rp_flow *flow = &shard->places[i];
+        if (flow->state != 0) {
+            *probe(&bigger, hash_of(table, flow->caller),
+                   flow->caller) = *flow;
+        }
+    }
+    g_free(shard->places);
+    *shard = bigger;
+}
+
+struct rp_flow *
+RpFlowTable_Insert(struct rp_flow_table *table, struct rp_endpoint caller)
+{
+    uint64_t hash = hash_of(table, caller);
+    struct shard *shard = shard_of(table, hash);
+
+    if ((shard->used + 1) * 4 > (shard->mask + 1) * 3) {
+        grow(table, shard);
+    }
+    struct rp_flow *flow = probe(shard, hash, caller);
+    assert(flow->state == 0);
+    memset(flow, 0, sizeof *flow);
+    flow->caller = caller;
+    flow->state = UINT8_MAX;
+    shard->used++;
+    table->count++;
+    return flow;
+}
+
+void
+RpFlowTable_Remove(struct rp_flow_table *table, struct rp_flow *flow)
+{
+    struct shard *shard = shard_of(table, hash_of(table, flow->caller));
+    size_t hole = (size_t)(flow - shard->places);
+    size_t place = hole;
+
+    assert(hole <= shard->mask && flow->state != 0);
+    for (;;) {
+        place = (place + 1) & shard->mask;
+        struct rp_flow *next = &shard->places[place];
+        if (next->state == 0) {
+            break;
+        }
+        size_t home = hash_of(table, next->caller) & shard->mask;
+        /* An entry may fill the hole unless its home lies behind it. */
+        if (((place - home) & shard->mask) >= ((place - hole) & shard->mask)) {
+            shard->places[hole] = *next;
+            hole = place;
+        }
+    }
+    shard->places[hole].state = 0;
+    shard->used--;
+    table->count--;
+}
+
+size_t
+RpFlowTable_Count(const struct rp_flow_table *table)
+{
+    return table->count;
+}
+
+size_t
+RpFlowTable_Places(const struct rp_flow_table *table)
+{
+    size_t places = 0;
+
+    for (size_t i = 0; i < RP_FLOW_SHARDS; i++) {
+        places += table->shards[i].mask + 1;
+    }
+    return places;
+}
+
+size_t
+RpFlowTable_Bytes(const struct rp_flow_table *table)
+{
+    return sizeof *table + RpFlowTable_Places(table) * sizeof(struct rp_flow);
+}
+
+size_t
+RpFlowTable_Due(struct rp_flow_table *table, int64_t now, size_t budget,
+                struct rp_endpoint *out, size_t max)
+{
+    size_t found = 0;
+
+    while (budget-- > 0 && found < max) {
+        const struct shard *shard = &table->shards[table->sweep_shard];
+        if (table->sweep_place > shard->mask) {
+            table->sweep_place = 0;
+            table->sweep_shard = (table->sweep_shard + 1) % RP_FLOW_SHARDS;
+            continue;
+        }
+        const struct rp_flow *flow = &shard->places[table->sweep_place++];
+        if (flow->state != 0 && flow->deadline <= now) {
+            out[found++] = flow->caller;
+        }
+    }
+    return found;
+}
--- /dev/null
+++ b/lib/flow/rp_hold.c
@@ -0,0 +1,83 @@
+#include "rp_hold.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct rp_hold {
+    GHashTable *packets; /* caller key -> struct rp_held */
+};
+
+static guint64
+key_of(struct rp_endpoint caller)
+{
+    return (guint64)caller.ip << 16 | caller.port;
+}
+
+struct rp_hold *
+RpHold_Create(void)
+{
+    struct rp_hold *hold = g_new0(struct rp_hold, 1);
+
+    hold->packets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                          g_free);
+    return hold;
+}
+
+void
+RpHold_Free(struct rp_hold *hold)
+{
+    if (hold) {
+        g_hash_table_destroy(hold->packets);
+        g_free(hold);
+    }
+}
+
+bool
+RpHold_Put(struct rp_hold *hold, struct rp_endpoint caller,
+           const struct rp_chain *chain, const uint8_t *data, size_t len)
+{
+    guint64 key = key_of(caller);
+
+    if (len > RP_HOLD_PACKET_MAX ||
+        (g_hash_table_size(hold->packets) >= RP_HOLD_MAX &&
+         !g_hash_table_contains(hold->packets, &key))) {
+        return false;
+    }
+    struct rp_held *held = g_malloc(sizeof *held + len);
+    held->chain = *chain;
+    held->len = len;
+    memcpy(held->data, data, len);
+    g_hash_table_replace(hold->packets, g_memdup2(&key, sizeof key), held);
+    return true;
+}
+
+const struct rp_held *
+RpHold_Get(const struct rp_hold *hold, struct rp_endpoint caller)
+{
+    guint64 key = key_of(caller);
+
+    return g_hash_table_lookup(hold->packets, &key);
+}
+
+void
+RpHold_Drop(struct rp_hold *hold, struct rp_endpoint caller)
+{
+    guint64 key = key_of(caller);
+
+    g_hash_table_remove(hold->packets, &key);
+}
+
+struct rp_held *
+RpHold_Take(struct rp_hold *hold, struct rp_endpoint caller)
+{
+    guint64 key = key_of(caller);
+    gpointer stored_key;
+    gpointer held;
+
+    if (!g_hash_table_steal_extended(hold->packets, &key, &stored_key,
+                                     &held)) {
+        return NULL;
+    }
+    g_free(stored_key);
+    return held;
+}
--- /dev/null
+++ b/lib/flow/rp_table.c
@@ -0,0 +1,286 @@
+#include "rp_table.h"
+
+#include <assert.h>
+#include <math.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "rp_bytes.h"
+
+#define LOG_TABLE_BITS 8
+#define LOG_TABLE_SIZE (1u << LOG_TABLE_BITS)
+#define LOG_FRACTION_BITS 20 /* of the fixed-point logarithm */
+#define INVERSE_SCALE (UINT64_C(1) << 32)
+
+struct rp_table {
+    uint64_t revision;
+    uint8_t hash_key[RP_HASH_KEY_SIZE];
+    GHashTable *by_address; /* address key -> struct rp_service */
+    GHashTable *by_id;      /* service id -> struct rp_service, owns it */
+};
+
+/* log2 of 1 + i / LOG_TABLE_SIZE in fixed point; the last entry is 1. */
+static uint32_t log_table[LOG_TABLE_SIZE + 1];
+
+static void
+fill_log_table(void)
+{
+    for (unsigned i = 0; i <= LOG_TABLE_SIZE; i++) {
+        double value = log2(1.0 + (double)i / LOG_TABLE_SIZE);
+        log_table[i] = (uint32_t)lround(ldexp(value, LOG_FRACTION_BITS));
+    }
+}
+
+static guint64
+address_key(struct rp_endpoint address)
+{
+    return (guint64)address.ip << 16 | address.port;
+}
+
+static void
+free_service(gpointer data)
+{
+    struct rp_service *service = data;
+
+    g_free(service->members);
+    g_free(service);
+}
+
+struct rp_table *
+RpTable_Create(void)
+{
+    struct rp_table *table = g_new0(struct rp_table, 1);
+
+    if (log_table[LOG_TABLE_SIZE] == 0) {
+        fill_log_table();
+    }
+    table->by_address = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                              g_free, NULL);
+    table->by_id = g_hash_table_new_full(NULL, NULL, NULL, free_service);
+    return table;
+}
+
+void
+RpTable_Free(struct rp_table *table)
+{
+    if (table) {
+        g_hash_table_destroy(table->by_address);
+        g_hash_table_destroy(table->by_id);
+        g_free(table);
+    }
+}
+
+static void
+fill_member(struct rp_member *member, const struct rp_msg_member *from)
+{
+    static const uint8_t seed_key[crypto_shorthash_KEYBYTES] =
+        "member-seed-v1";
+    uint8_t seed[crypto_shorthash_BYTES];
+
+    member->name = from->upstream;
+    member->agent = (struct rp_endpoint){.ip = from->agent_ip,
+                                         .port = from->agent_port};
+    member->slots = MAX(from->slots, 1);
+    member->inverse_slots = (uint32_t)MIN(INVERSE_SCALE / member->slots,
+                                          UINT32_MAX);
+    member->state = (enum rp_upstream_state)from->state;
+    crypto_shorthash(seed, (const uint8_t *)from->upstream.data,
+                     from->upstream.len, seed_key);
+    member->seed = RpBytes_Get64(seed);
+}
+
+static struct rp_service *
+make_service(const struct rp_msg_service *from)
+{
+    struct rp_service *service = g_new0(struct rp_service, 1);
+
+    service->name = from->name;
+    service->address = (struct rp_endpoint){.ip = from->address,
+                                            .port = from->port};
+    service->tag = (struct rp_service_tag){.service_id = from->id,
+                                           .incarnation = from->incarnation,
+                                           .generation = from->generation};
+    service->flows_per_upstream = from->flows_per_upstream;
+    service->retries_percent = from->retries_percent;
+    service->silence_ms = from->silence_ms;
+    service->long_slots_percent = from->long_slots_percent;
+    service->count = from->members->len;
+    service->members = g_new0(struct rp_member, service->count);
+    for (size_t i = 0; i < service->count; i++) {
+        fill_member(&service->members[i],
+                    &g_array_index(from->members, struct rp_msg_member, i));
+    }
+    return service;
+}
+
+static void
+remove_service(struct rp_table *table, uint32_t id)
+{
+    const struct rp_service *service = g_hash_table_lookup(
+        table->by_id, GUINT_TO_POINTER(id));
+
+    if (!service) {
+        return;
+    }
+    guint64 key = address_key(service->address);
+    if (g_hash_table_lookup(table->by_address, &key) == service) {
+        g_hash_table_remove(table->by_address, &key);
+    }
+    g_hash_table_remove(table->by_id, GUINT_TO_POINTER(id));
+}
+
+static void
+put_service(struct rp_table *table, const struct rp_msg_service *from)
+{
+    struct rp_service *service = make_service(from);
+    guint64 *key = g_new(guint64, 1);
+
+    remove_service(table, from->id);
+    *key = address_key(service->address);
+    g_hash_table_insert(table->by_id, GUINT_TO_POINTER(from->id), service);
+    g_hash_table_replace(table->by_address, key, service);
+}
+
+enum rp_code
+RpTable_Apply(struct rp_table *table, const struct rp_msg_table *update)
+{
+    if (update->revision < table->revision) {
+        return RP_ERR_CONFLICT;
+    }
+    if (update->complete) {
+        g_hash_table_remove_all(table->by_address);
+        g_hash_table_remove_all(table->by_id);
+    }
+    for (guint i = 0; update->removed && i < update->removed->len; i++) {
+        remove_service(
+            table,
+            g_array_index(update->removed, struct rp_msg_removed, i).id);
+    }
+    for (guint i = 0; update->services && i < update->services->len; i++) {
+        put_service(
+            table, &g_array_index(update->services, struct rp_msg_service, i));
+    }
+    memcpy(table->hash_key, update->hash_key, RP_HASH_KEY_SIZE);
+    table->revision = update->revision;
+    return RP_OK;
+}
+
+uint64_t
+RpTable_Revision(const struct rp_table *table)
+{
+    return table->revision;
+}
+
+size_t
+RpTable_Count(const struct rp_table *table)
+{
+    return g_hash_table_size(table->by_id);
+}
+
+const struct rp_service *
+RpTable_Find(const struct rp_table *table, struct rp_endpoint address)
+{
+    guint64 key = address_key(address);
+
+    return g_hash_table_lookup(table->by_address, &key);
+}
+
+const struct rp_service *
+RpTable_FindName(const struct rp_table *table, const struct rp_name *name)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, table->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct rp_service *service = value;
+        if (RpName_Equal(&service->name, name)) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+uint64_t
+RpTable_HashFlow(const struct rp_table *table, struct rp_flow_key key)
+{
+    uint8_t bytes[12];
+    uint8_t digest[crypto_shorthash_BYTES];
+
+    RpBytes_Put32(bytes, key.src_ip);
+    RpBytes_Put32(bytes + 4, key.dst_ip);
+    RpBytes_Put16(bytes + 8, key.src_port);
+    RpBytes_Put16(bytes + 10, key.dst_port);
+    crypto_shorthash(digest, bytes, sizeof bytes, table->hash_key);
+    return RpBytes_Get64(digest);
+}
+
+/* The finaliser of a 64-bit mixing hash: every input bit reaches every
+ * output bit. */
+static uint64_t
+mix(uint64_t x)
+{
+    x ^= x >> 33;
+    x *= UINT64_C(0xff51afd7ed558ccd);
+    x ^= x >> 33;
+    x *= UINT64_C(0xc4ceb9fe1a85ec53);
+    x ^= x >> 33;
+    return x;
+}
+
+/* -log2(h / 2^64) in fixed point, for h seen as a uniform draw. */
+static uint32_t
+negative_log(uint64_t h)
+{
+    h |= 1;
+    int zeros = __builtin_clzll(h);
+    uint64_t mantissa = h << zeros << 1; /* without the leading one */
+    uint32_t index = (uint32_t)(mantissa >> (64 - LOG_TABLE_BITS));
+    uint64_t below = mantissa << LOG_TABLE_BITS >> 32;
+    uint32_t step = log_table[index + 1] - log_table[index];
+    uint32_t log = log_table[index] + (uint32_t)(step * below >> 32);
+
+    return ((uint32_t)(zeros + 1) << LOG_FRACTION_BITS) - log;
+}
+
+/* A member's score for a flow; the lowest wins. Dividing the draw by the
+ * weight gives each member a share of flows in proportion to its slots. */
+static uint64_t
+score_of(const struct rp_member *member, uint64_t flow_hash)
+{
+    uint32_t draw = negative_log(mix(flow_hash ^ member->seed));
+
+    return (uint64_t)draw * member->inverse_slots;
+}
+
+size_t
+RpService_Rank(const struct rp_service *service, uint64_t flow_hash,
+               unsigned states, const struct rp_member **out, size_t max)
+{
+    uint64_t scores[RP_MAX_CHAIN];
+    size_t count = 0;
+
+    assert(max <= RP_MAX_CHAIN);
+    for (size_t i = 0; i < service->count; i++) {
+        const struct rp_member *member = &service->members[i];
+        if (!(states >> member->state & 1)) {
+            continue;
+        }
+        uint64_t score = score_of(member, flow_hash);
+        size_t place = count;
+        while (place > 0 && score < scores[place - 1]) {
+            place--;
+        }
+        if (place >= max) {
+            continue;
+        }
+        count = MIN(count + 1, max);
+        for (size_t j = count - 1; j > place; j--) {
+            scores[j] = scores[j - 1];
+            out[j] = out[j - 1];
+        }
+        scores[place] = score;
+        out[place] = member;
+    }
+    return count;
+}
--- /dev/null
+++ b/lib/state/rp_journal.c
@@ -0,0 +1,470 @@
+#include "rp_journal.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include "rp_bytes.h"
+
+#define FILE_NAME "journal"
+#define NEW_FILE_NAME "journal.new"
+#define FOLDER_MODE 0700
+#define FILE_MODE 0600
+#define HEADER_SIZE 16 /* "rpjournl", format, zeros */
+#define RECORD_HEADER 32
+#define RECORD_MAGIC 0x72706a31u
+
+/* Layout of a record header, big-endian:
+ *   0  magic     4
+ *   4  length    4  of the payload
+ *   8  number    8  counts records within the file
+ *  16  kind      1  and three zero bytes
+ *  20  checksum  4  over bytes 0 to 19
+ *  24  checksum  8  over the payload
+ *
+ * The header has a checksum of its own so that a damaged length is not
+ * taken for a record that a crash cut off.
+ */
+
+static const uint8_t file_magic[8] = "rpjournl";
+
+struct rp_journal {
+    GString *path;
+    GString *folder;
+    int fd;
+    uint64_t size;
+    uint64_t next_number;
+    GByteArray *pending;
+    bool failed;
+};
+
+static uint64_t
+checksum_of(const uint8_t *data, size_t len)
+{
+    static const uint8_t key[crypto_shorthash_KEYBYTES] = "rp-journal-check";
+    uint8_t digest[crypto_shorthash_BYTES];
+
+    crypto_shorthash(digest, data, len, key);
+    return RpBytes_Get64(digest);
+}
+
+static void
+write_record(GByteArray *out, const struct rp_record *record, uint64_t number)
+{
+    uint8_t header[RECORD_HEADER] = {0};
+    const uint8_t *payload = (const uint8_t *)record->payload.data;
+
+    assert(record->payload.len <= RP_RECORD_MAX);
+    RpBytes_Put32(header, RECORD_MAGIC);
+    RpBytes_Put32(header + 4, (uint32_t)record->payload.len);
+    RpBytes_Put64(header + 8, number);
+    header[16] = record->kind;
+    RpBytes_Put32(header + 20, (uint32_t)checksum_of(header, 20));
+    RpBytes_Put64(header + 24, checksum_of(payload, record->payload.len));
+    g_byte_array_append(out, header, sizeof header);
+    if (record->payload.len) {
+        g_byte_array_append(out, payload, (guint)record->payload.len);
+    }
+}
+
+enum record_check { RECORD_GOOD, RECORD_SHORT, RECORD_BAD };
+
+/* Checks the record at `data`; `*size` gets its whole size if it is good. */
+static enum record_check
+check_record(const uint8_t *data, size_t len, size_t *size)
+{
+    if (len < RECORD_HEADER) {
+        return RECORD_SHORT;
+    }
+    uint32_t payload = RpBytes_Get32(data + 4);
+    if (RpBytes_Get32(data) != RECORD_MAGIC || payload > RP_RECORD_MAX ||
+        RpBytes_Get32(data + 20) != (uint32_t)checksum_of(data, 20)) {
+        return RECORD_BAD;
+    }
+    if (len - RECORD_HEADER < payload) {
+        return RECORD_SHORT;
+    }
+    if (RpBytes_Get64(data + 24) !=
+        checksum_of(data + RECORD_HEADER, payload)) {
+        return RECORD_BAD;
+    }
+    *size = RECORD_HEADER + payload;
+    return RECORD_GOOD;
+}
+
+/* Whether any good record lies in `data`. Then what comes before it is not
+ * a tail cut off by a crash. */
+static bool
+has_good_record(const uint8_t *data, size_t len)
+{
+    for (size_t i = 0; i + RECORD_HEADER <= len; i++) {
+        size_t size;
+        if (RpBytes_Get32(data + i) == RECORD_MAGIC &&
+            check_record(data + i, len - i, &size) == RECORD_GOOD) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A crash leaves a tail that is short, or that the file system had not yet
+ * filled and reads as zeros; other bytes that do not check are damage. */
+static bool
+is_torn_tail(const uint8_t *data, size_t len, enum record_check check)
+{
+    if (has_good_record(data + 1, len - 1)) {
+        return false;
+    }
+    if (check == RECORD_SHORT) {
+        return true;
+    }
+    size_t zeros = 0;
+    while (zeros < len && data[len - 1 - zeros] == 0) {
+        zeros++;
+    }
+    return zeros == len || zeros >= RECORD_HEADER;
+}
+
+static enum rp_code
+check_header(const uint8_t *data, size_t len, const char *path,
+             struct rp_error *error)
+{
+    if (len < HEADER_SIZE || memcmp(data, file_magic, sizeof file_magic) ||
+        RpBytes_Get32(data + 12) != 0) {
+        return RpError_Add(error, RP_ERR_CORRUPT, path,
+                           "not a journal: its header is damaged");
+    }
+    if (RpBytes_Get32(data + 8) != RP_JOURNAL_FORMAT) {
+        return RpError_Add(error, RP_ERR_FORMAT, path,
+                           "journal format %u, this program reads %u",
+                           RpBytes_Get32(data + 8), RP_JOURNAL_FORMAT);
+    }
+    return RP_OK;
+}
+
+/* Walks all records of a file's content. */
+static enum rp_code
+replay(const char *path, const uint8_t *data, size_t len,
+       RpJournal_Visit visit, void *user, struct rp_journal_report *report,
+       struct rp_error *error)
+{
+    size_t offset = HEADER_SIZE;
+
+    RP_FORWARD_IF_ERROR(check_header(data, len, path, error));
+    while (offset < len) {
+        size_t size = 0;
+        const uint8_t *at = data + offset;
+        enum record_check check = check_record(at, len - offset, &size);
+        bool in_order = check == RECORD_GOOD &&
+                        RpBytes_Get64(at + 8) == report->records;
+        if (check != RECORD_GOOD && is_torn_tail(at, len - offset, check)) {
+            report->torn_bytes = len - offset;
+            break;
+        }
+        if (!in_order) {
+            return RpError_Add(error, RP_ERR_CORRUPT, path,
+                               "record %" G_GUINT64_FORMAT
+                               " at byte %zu is damaged",
+                               report->records, offset);
+        }
+        struct rp_record record = {
+            .kind = at[16],
+            .payload = {.data = (const char *)at + RECORD_HEADER,
+                        .len = size - RECORD_HEADER}};
+        if (visit) {
+            RP_FORWARD_IF_ERROR(visit(user, &record, error));
+        }
+        report->records++;
+        offset += size;
+    }
+    report->bytes = offset;
+    return RP_OK;
+}
+
+static enum rp_code
+io_error(struct rp_error *error, const char *path, const char *what)
+{
+    return RpError_Add(error, RP_ERR_IO, path, "%s: %s", what,
+                       g_strerror(errno));
+}
+
+static enum rp_code
+sync_folder(const char *folder, struct rp_error *error)
+{
+    int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+
+    if (fd < 0) {
+        return io_error(error, folder, "cannot open folder");
+    }
+    int result = fsync(fd);
+    close(fd);
+    return result ? io_error(error, folder, "cannot sync folder") : RP_OK;
+}
+
+static enum rp_code
+write_all(int fd, const uint8_t *data, size_t len, const char *path,
+          struct rp_error *error)
+{
+    while (len) {
+        ssize_t written = write(fd, data, len);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written < 0) {
+            return io_error(error, path, "cannot write");
+        }
+        data += written;
+        len -= (size_t)written;
+    }
+    return RP_OK;
+}
+
+static void
+append_header(GByteArray *out)
+{
+    uint8_t header[HEADER_SIZE] = {0};
+
+    memcpy(header, file_magic, sizeof file_magic);
+    RpBytes_Put32(header + 8, RP_JOURNAL_FORMAT);
+    g_byte_array_append(out, header, sizeof header);
+}
+
+/* Writes a whole new file beside the journal, synced, and gives it the
+ * journal's name. Returns its descriptor, or -1. */
+static int
+replace_file(const char *folder, const char *path, const GByteArray *content,
+             struct rp_error *error)
+{
+    gchar *new_path = g_build_filename(folder, NEW_FILE_NAME, NULL);
+    int fd = open(new_path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+    enum rp_code code = RP_OK;
+
+    if (fd < 0) {
+        code = io_error(error, new_path, "cannot create");
+    }
+    if (code == RP_OK) {
+        code = write_all(fd, content->data, content->len, new_path, error);
+    }
+    if (code == RP_OK && (fsync(fd) || flock(fd, LOCK_EX | LOCK_NB))) {
+        code = io_error(error, new_path, "cannot sync and lock");
+    }
+    if (code == RP_OK && rename(new_path, path)) {
+        code = io_error(error, path, "cannot replace");
+    }
+    if (code == RP_OK) {
+        code = sync_folder(folder, error);
+    }
+    g_free(new_path);
+    if (code != RP_OK && fd >= 0) {
+        close(fd);
+    }
+    return code == RP_OK ? fd : -1;
+}
+
+static int
+open_or_create(const char *folder, const char *path, struct rp_error *error)
+{
+    if (g_mkdir_with_parents(folder, FOLDER_MODE)) {
+        io_error(error, folder, "cannot create folder");
+        return -1;
+    }
+    int fd = open(path, O_RDWR | O_CLOEXEC);
+    if (fd < 0 && errno == ENOENT) {
+        GByteArray *content = g_byte_array_new();
+        append_header(content);
+        fd = replace_file(folder, path, content, error);
+        g_byte_array_free(content, TRUE);
+        return fd;
+    }
+    if (fd < 0) {
+        io_error(error, path, "cannot open");
+        return -1;
+    }
+    if (flock(fd, LOCK_EX | LOCK_NB)) {
+        RpError_Add(error, RP_ERR_IO, path, "in use by another process");
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/* Reads a file that is already open; free the result with g_free. */
+static uint8_t *
+read_all(int fd, const char *path, size_t *len, struct rp_error *error)
+{
+    off_t size = lseek(fd, 0, SEEK_END);
+    uint8_t *data = g_malloc(size > 0 ? (size_t)size : 1);
+    size_t done = 0;
+
+    while (size > 0 && done < (size_t)size) {
+        ssize_t got = pread(fd, data + done, (size_t)size - done, (off_t)done);
+        if (got <= 0) {
+            io_error(error, path, "cannot read");
+            g_free(data);
+            return NULL;
+        }
+        done += (size_t)got;
+    }
+    *len = done;
+    return data;
+}
+
+/* Replays the open file and cuts off a torn tail. */
+static enum rp_code
+recover(struct rp_journal *journal, RpJournal_Visit visit, void *user,
+        struct rp_error *error)
+{
+    struct rp_journal_report report = {0};
+    const char *path = journal->path->str;
+    size_t len;
+    uint8_t *data = read_all(journal->fd, path, &len, error);
+
+    if (!data) {
+        return RP_ERR_IO;
+    }
+    enum rp_code code = replay(path, data, len, visit, user, &report, error);
+    g_free(data);
+    RP_FORWARD_IF_ERROR(code);
+    if (report.torn_bytes &&
+        (ftruncate(journal->fd, (off_t)report.bytes) || fsync(journal->fd))) {
+        return io_error(error, path, "cannot cut off the torn tail");
+    }
+    journal->size = report.bytes;
+    journal->next_number = report.records;
+    lseek(journal->fd, 0, SEEK_END);
+    return RP_OK;
+}
+
+struct rp_journal *
+RpJournal_Open(const char *folder, RpJournal_Visit visit, void *user,
+               struct rp_error *error)
+{
+    struct rp_journal *journal = g_new0(struct rp_journal, 1);
+    gchar *path = g_build_filename(folder, FILE_NAME, NULL);
+
+    journal->path = g_string_new(path);
+    journal->folder = g_string_new(folder);
+    journal->pending = g_byte_array_new();
+    journal->fd = open_or_create(folder, path, error);
+    g_free(path);
+    if (journal->fd < 0 || recover(journal, visit, user, error) != RP_OK) {
+        RpJournal_Close(journal);
+        return NULL;
+    }
+    return journal;
+}
+
+void
+RpJournal_Close(struct rp_journal *journal)
+{
+    if (!journal) {
+        return;
+    }
+    if (journal->fd >= 0) {
+        close(journal->fd);
+    }
+    g_string_free(journal->path, TRUE);
+    g_string_free(journal->folder, TRUE);
+    g_byte_array_free(journal->pending, TRUE);
+    g_free(journal);
+}
+
+void
+RpJournal_Append(struct rp_journal *journal, const struct rp_record *record)
+{
+    write_record(journal->pending, record, journal->next_number++);
+}
+
+enum rp_code
+RpJournal_Sync(struct rp_journal *journal, struct rp_error *error)
+{
+    const char *path = journal->path->str;
+
+    if (journal->failed) {
+        return RpError_Add(error, RP_ERR_IO, path,
+                           "closed by an earlier failure");
+    }
+    if (journal->pending->len == 0) {
+        return RP_OK;
+    }
+    enum rp_code code = write_all(journal->fd, journal->pending->data,
+                                  journal->pending->len, path, error);
+    if (code == RP_OK && fdatasync(journal->fd)) {
+        code = io_error(error, path, "cannot sync");
+    }
+    if (code != RP_OK) {
+        journal->failed = true;
+        return code;
+    }
+    journal->size += journal->pending->len;
+    g_byte_array_set_size(journal->pending, 0);
+    return RP_OK;
+}
+
+enum rp_code
+RpJournal_Rewrite(struct rp_journal *journal, const struct rp_record *records,
+                  size_t count, struct rp_error *error)
+{
+    GByteArray *content = g_byte_array_new();
+
+    if (journal->failed) {
+        g_byte_array_free(content, TRUE);
+        return RpError_Add(error, RP_ERR_IO, journal->path->str,
+                           "closed by an earlier failure");
+    }
+    append_header(content);
+    for (size_t i = 0; i < count; i++) {
+        write_record(content, &records[i], i);
+    }
+    int fd = replace_file(journal->folder->str, journal->path->str, content,
+                          error);
+    uint64_t size = content->len;
+    g_byte_array_free(content, TRUE);
+    if (fd < 0) {
+        journal->failed = true;
+        return RP_ERR_IO;
+    }
+    close(journal->fd);
+    journal->fd = fd;
+    journal->size = size;
+    journal->next_number = count;
+    g_byte_array_set_size(journal->pending, 0);
+    return RP_OK;
+}
+
+uint64_t
+RpJournal_Size(const struct rp_journal *journal)
+{
+    return journal->size;
+}
+
+enum rp_code
+RpJournal_Check(const char *folder, struct rp_journal_report *report,
+                struct rp_error *error)
+{
+    gchar *path = g_build_filename(folder, FILE_NAME, NULL);
+    int fd = open(path, O_RDONLY | O_CLOEXEC);
+    enum rp_code code = RP_ERR_IO;
+    size_t len;
+
+    memset(report, 0, sizeof *report);
+    if (fd < 0) {
+        io_error(error, path, "cannot open");
+        g_free(path);
+        return code;
+    }
+    uint8_t *data = read_all(fd, path, &len, error);
+    if (data) {
+        code = replay(path, data, len, NULL, NULL, report, error);
+    }
+    g_free(data);
+    close(fd);
+    g_free(path);
+    return code;
+}
--- /dev/null
+++ b/lib/wire/rp_geneve.c
@@ -0,0 +1,197 @@
+#include "rp_geneve.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "rp_bytes.h"
+
+#define PROTOCOL_IPV4 0x0800
+#define OPTION_CLASS 0xff52 /* within the range for experiments */
+#define OPTION_HEADER 4
+#define OPTION_CRITICAL 0x80
+#define OPTION_SERVICE 0x81
+#define OPTION_CHAIN 0x82
+#define SERVICE_SIZE 16
+#define CHAIN_HEADER 4
+#define CHAIN_HOP 8
+
+static bool
+parse_service(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    if (len != SERVICE_SIZE || out->has_tag) {
+        return false;
+    }
+    out->has_tag = true;
+    out->tag.service_id = RpBytes_Get32(data);
+    out->tag.incarnation = RpBytes_Get32(data + 4);
+    out->tag.generation = RpBytes_Get64(data + 8);
+    return true;
+}
+
+static bool
+parse_chain(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    struct rp_chain *chain = &out->chain;
+
+    if (len < CHAIN_HEADER || out->has_chain) {
+        return false;
+    }
+    chain->visited = data[0];
+    chain->count = data[1];
+    if (chain->count > RP_MAX_CHAIN || chain->visited > chain->count ||
+        len != CHAIN_HEADER + (size_t)chain->count * CHAIN_HOP) {
+        return false;
+    }
+    for (size_t i = 0; i < chain->count; i++) {
+        const uint8_t *hop = data + CHAIN_HEADER + i * CHAIN_HOP;
+        chain->hop[i].ip = RpBytes_Get32(hop);
+        chain->hop[i].port = RpBytes_Get16(hop + 4);
+    }
+    out->has_chain = true;
+    return true;
+}
+
+/* Reads all options; false if one cannot be read or is critical and not
+ * known here. */
+static bool
+parse_options(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    while (len) {
+        if (len < OPTION_HEADER) {
+            return false;
+        }
+        uint16_t class = RpBytes_Get16(data);
+        uint8_t type = data[2];
+        size_t body = (size_t)(data[3] & 31) * 4;
+        if (len < OPTION_HEADER + body) {
+            return false;
+        }
+        const uint8_t *value = data + OPTION_HEADER;
+        bool known = true;
+        if (class == OPTION_CLASS && type == OPTION_SERVICE) {
+            known = parse_service(value, body, out);
+        }
+        else if (class == OPTION_CLASS && type == OPTION_CHAIN) {
+            known = parse_chain(value, body, out);
+        }
+        else {
+            known = !(type & OPTION_CRITICAL);
+        }
+        if (!known) {
+            return false;
+        }
+        data += OPTION_HEADER + body;
+        len -= OPTION_HEADER + body;
+    }
+    return true;
+}
+
+bool
+RpGeneve_Parse(const uint8_t *data, size_t len, struct rp_geneve *out,
+               enum rp_counter *reason)
+{
+    out->has_tag = false;
+    out->has_chain = false;
+    out->chain.count = 0;
+    out->chain.visited = 0;
+    if (len < RP_GENEVE_HEADER) {
+        *reason = RP_COUNT_DROP_SHORT;
+        return false;
+    }
+    size_t options = (size_t)(data[0] & 63) * 4;
+    bool control = data[1] & 0x80;
+    if (data[0] >> 6 != 0 || control ||
+        RpBytes_Get16(data + 2) != PROTOCOL_IPV4 ||
+        len < RP_GENEVE_HEADER + options) {
+        *reason = RP_COUNT_DROP_BAD_GENEVE;
+        return false;
+    }
+    if (!parse_options(data + RP_GENEVE_HEADER, options, out)) {
+        *reason = RP_COUNT_DROP_BAD_OPTION;
+        return false;
+    }
+    out->inner = data + RP_GENEVE_HEADER + options;
+    out->inner_len = len - RP_GENEVE_HEADER - options;
+    return true;
+}
+
+static uint8_t *
+write_option_header(uint8_t *p, uint8_t type, size_t body)
+{
+    assert(body % 4 == 0 && body / 4 <= 31);
+    RpBytes_Put16(p, OPTION_CLASS);
+    p[2] = type;
+    p[3] = (uint8_t)(body / 4);
+    return p + OPTION_HEADER;
+}
+
+static uint8_t *
+write_service(uint8_t *p, const struct rp_service_tag *tag)
+{
+    p = write_option_header(p, OPTION_SERVICE, SERVICE_SIZE);
+    RpBytes_Put32(p, tag->service_id);
+    RpBytes_Put32(p + 4, tag->incarnation);
+    RpBytes_Put64(p + 8, tag->generation);
+    return p + SERVICE_SIZE;
+}
+
+static uint8_t *
+write_chain(uint8_t *p, const struct rp_chain *chain)
+{
+    size_t body = CHAIN_HEADER + (size_t)chain->count * CHAIN_HOP;
+
+    assert(chain->count <= RP_MAX_CHAIN);
+    p = write_option_header(p, OPTION_CHAIN, body);
+    p[0] = chain->visited;
+    p[1] = chain->count;
+    RpBytes_Put16(p + 2, 0);
+    p += CHAIN_HEADER;
+    for (size_t i = 0; i < chain->count; i++) {
+        RpBytes_Put32(p, chain->hop[i].ip);
+        RpBytes_Put16(p + 4, chain->hop[i].port);
+        RpBytes_Put16(p + 6, 0);
+        p += CHAIN_HOP;
+    }
+    return p;
+}
+
+size_t
+RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM],
+               const struct rp_service_tag *tag, const struct rp_chain *chain)
+{
+    uint8_t *p = out + RP_GENEVE_HEADER;
+
+    memset(out, 0, RP_GENEVE_HEADER);
+    if (tag) {
+        p = write_service(p, tag);
+    }
+    if (chain) {
+        p = write_chain(p, chain);
+    }
+    size_t options = (size_t)(p - out) - RP_GENEVE_HEADER;
+    out[0] = (uint8_t)(options / 4);
+    out[1] = options ? 0x40 : 0; /* the bit that announces critical options */
+    RpBytes_Put16(out + 2, PROTOCOL_IPV4);
+    return (size_t)(p - out);
+}
+
+bool
+RpChain_Contains(const struct rp_chain *chain, struct rp_endpoint endpoint)
+{
+    for (size_t i = 0; i < chain->count; i++) {
+        if (RpEndpoint_Equal(chain->hop[i], endpoint)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+RpChain_Append(struct rp_chain *chain, struct rp_endpoint endpoint)
+{
+    if (chain->count >= RP_MAX_CHAIN) {
+        return false;
+    }
+    chain->hop[chain->count++] = endpoint;
+    return true;
+}
--- /dev/null
+++ b/lib/wire/rp_geneve.h
@@ -0,0 +1,69 @@
+/* The link format between fabric, balancers, agents and hosts: Geneve over
+ * UDP (RFC 8926) around one inner IPv4 packet.
+ *
+ * Two options of the experimental class carry what the balancer decided:
+ *
+ * - service (critical, 16 bytes): id, incarnation and table generation of
+ *   the service the packet is meant for;
+ * - chain (critical, 4 + 8 * n bytes): the candidate agents in order, and
+ *   how many of them have seen the packet already.
+ *
+ * Options of other classes are skipped unless they are marked critical.
+ */
+#ifndef RP_GENEVE_H
+#define RP_GENEVE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rp_counters.h"
+#include "rp_endpoint.h"
+
+#define RP_MAX_CHAIN 15        /* candidates that fit into one option */
+#define RP_GENEVE_HEADER 8     /* bytes */
+#define RP_GENEVE_HEADROOM 160 /* bytes that any header here fits into */
+#define RP_DATAGRAM_MAX (9216 + RP_GENEVE_HEADROOM) /* bytes */
+
+/* Which service, in which of its lives, by which table. */
+struct rp_service_tag {
+    uint32_t service_id;
+    uint32_t incarnation;
+    uint64_t generation;
+};
+
+/* Candidate agents; the first `visited` of `count` have seen the packet. */
+struct rp_chain {
+    uint8_t count;
+    uint8_t visited;
+    struct rp_endpoint hop[RP_MAX_CHAIN];
+};
+
+/* A read datagram; `inner` is borrowed. */
+struct rp_geneve {
+    bool has_tag;
+    bool has_chain;
+    struct rp_service_tag tag;
+    struct rp_chain chain;
+    const uint8_t *inner;
+    size_t inner_len;
+};
+
+/* Reads a datagram. On failure `*reason` says which drop counter fits. */
+bool RpGeneve_Parse(const uint8_t *data, size_t len, struct rp_geneve *out,
+                    enum rp_counter *reason);
+
+/* Writes a header for an inner IPv4 packet; NULL leaves an option out.
+ * Returns its size, at most RP_GENEVE_HEADROOM. */
+size_t RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM],
+                      const struct rp_service_tag *tag,
+                      const struct rp_chain *chain);
+
+/* Whether `endpoint` is among the chain's candidates. */
+bool RpChain_Contains(const struct rp_chain *chain,
+                      struct rp_endpoint endpoint);
+
+/* Adds a candidate at the end; false if the chain is full. */
+bool RpChain_Append(struct rp_chain *chain, struct rp_endpoint endpoint);
+
+#endif
--- /dev/null
+++ b/lib/wire/rp_msg.c
@@ -0,0 +1,302 @@
+#include "rp_msg.h"
+
+#include <string.h>
+
+#define UINT(type, member) RP_FIELD(RP_FIELD_UINT, type, member)
+#define NAME(type, member) RP_FIELD(RP_FIELD_NAME, type, member)
+#define TEXT(type, member) RP_FIELD(RP_FIELD_TEXT, type, member)
+#define BLOB(type, member) RP_FIELD(RP_FIELD_BLOB, type, member)
+#define LIST(type, member, schema) RP_FIELD_LIST_OF(type, member, &(schema))
+
+static const struct rp_field hello_fields[] = {
+    UINT(rp_msg_hello, version), UINT(rp_msg_hello, role),
+    NAME(rp_msg_hello, name),    NAME(rp_msg_hello, zone),
+    BLOB(rp_msg_hello, nonce),
+};
+static const struct rp_schema rp_msg_hello_schema = RP_SCHEMA(rp_msg_hello,
+                                                              hello_fields);
+
+static const struct rp_field ping_fields[] = {
+    UINT(rp_msg_ping, number),
+};
+static const struct rp_schema rp_msg_ping_schema = RP_SCHEMA(rp_msg_ping,
+                                                             ping_fields);
+
+static const struct rp_field announce_fields[] = {
+    NAME(rp_msg_announce, upstream),   NAME(rp_msg_announce, service),
+    NAME(rp_msg_announce, zone),       UINT(rp_msg_announce, agent_ip),
+    UINT(rp_msg_announce, agent_port), UINT(rp_msg_announce, slots),
+    UINT(rp_msg_announce, state),      UINT(rp_msg_announce, incarnation),
+    UINT(rp_msg_announce, sequence),   UINT(rp_msg_announce, lease_ms),
+    UINT(rp_msg_announce, flows),      UINT(rp_msg_announce, busy),
+};
+static const struct rp_schema rp_msg_announce_schema = RP_SCHEMA(
+    rp_msg_announce, announce_fields);
+
+static const struct rp_field subscribe_fields[] = {
+    NAME(rp_msg_subscribe, service),
+    UINT(rp_msg_subscribe, revision),
+};
+static const struct rp_schema rp_msg_subscribe_schema = RP_SCHEMA(
+    rp_msg_subscribe, subscribe_fields);
+
+static const struct rp_field member_fields[] = {
+    NAME(rp_msg_member, upstream),   UINT(rp_msg_member, agent_ip),
+    UINT(rp_msg_member, agent_port), UINT(rp_msg_member, slots),
+    UINT(rp_msg_member, state),
+};
+const struct rp_schema rp_msg_member_schema = RP_SCHEMA(rp_msg_member,
+                                                        member_fields);
+
+static const struct rp_field service_fields[] = {
+    NAME(rp_msg_service, name),
+    UINT(rp_msg_service, id),
+    UINT(rp_msg_service, incarnation),
+    UINT(rp_msg_service, address),
+    UINT(rp_msg_service, port),
+    UINT(rp_msg_service, generation),
+    UINT(rp_msg_service, flows_per_upstream),
+    UINT(rp_msg_service, retries_percent),
+    UINT(rp_msg_service, silence_ms),
+    UINT(rp_msg_service, long_slots_percent),
+    LIST(rp_msg_service, members, rp_msg_member_schema),
+};
+const struct rp_schema rp_msg_service_schema = RP_SCHEMA(rp_msg_service,
+                                                         service_fields);
+
+static const struct rp_field removed_fields[] = {
+    UINT(rp_msg_removed, id),
+};
+const struct rp_schema rp_msg_removed_schema = RP_SCHEMA(rp_msg_removed,
+                                                         removed_fields);
+
+static const struct rp_field table_fields[] = {
+    UINT(rp_msg_table, revision),
+    UINT(rp_msg_table, complete),
+    BLOB(rp_msg_table, hash_key),
+    LIST(rp_msg_table, services, rp_msg_service_schema),
+    LIST(rp_msg_table, removed, rp_msg_removed_schema),
+};
+static const struct rp_schema rp_msg_table_schema = RP_SCHEMA(rp_msg_table,
+                                                              table_fields);
+
+static const struct rp_field confirm_fields[] = {
+    UINT(rp_msg_confirm, revision),
+};
+static const struct rp_schema rp_msg_confirm_schema = RP_SCHEMA(
+    rp_msg_confirm, confirm_fields);
+
+static const struct rp_field change_fields[] = {
+    BLOB(rp_msg_change, id),       UINT(rp_msg_change, kind),
+    UINT(rp_msg_change, has_base), UINT(rp_msg_change, base),
+    NAME(rp_msg_change, service),  TEXT(rp_msg_change, document),
+};
+const struct rp_schema rp_msg_change_schema = RP_SCHEMA(rp_msg_change,
+                                                        change_fields);
+
+static const struct rp_field finding_fields[] = {
+    UINT(rp_msg_finding, code),
+    TEXT(rp_msg_finding, place),
+    TEXT(rp_msg_finding, text),
+};
+const struct rp_schema rp_msg_finding_schema = RP_SCHEMA(rp_msg_finding,
+                                                         finding_fields);
+
+static const struct rp_field change_reply_fields[] = {
+    BLOB(rp_msg_change_reply, id),
+    UINT(rp_msg_change_reply, code),
+    UINT(rp_msg_change_reply, repeated),
+    UINT(rp_msg_change_reply, revision),
+    NAME(rp_msg_change_reply, service),
+    LIST(rp_msg_change_reply, findings, rp_msg_finding_schema),
+};
+const struct rp_schema rp_msg_change_reply_schema = RP_SCHEMA(
+    rp_msg_change_reply, change_reply_fields);
+
+static const struct rp_field query_fields[] = {
+    UINT(rp_msg_query, kind),
+    NAME(rp_msg_query, service),
+};
+static const struct rp_schema rp_msg_query_schema = RP_SCHEMA(rp_msg_query,
+                                                              query_fields);
+
+static const struct rp_field service_info_fields[] = {
+    NAME(rp_msg_service_info, name),     UINT(rp_msg_service_info, id),
+    UINT(rp_msg_service_info, address),  UINT(rp_msg_service_info, port),
+    UINT(rp_msg_service_info, revision), UINT(rp_msg_service_info, ready),
+    UINT(rp_msg_service_info, draining), UINT(rp_msg_service_info, lost),
+    UINT(rp_msg_service_info, slots),    UINT(rp_msg_service_info, flows),
+    UINT(rp_msg_service_info, busy),
+};
+const struct rp_schema rp_msg_service_info_schema = RP_SCHEMA(
+    rp_msg_service_info, service_info_fields);
+
+static const struct rp_field services_fields[] = {
+    UINT(rp_msg_services, revision),
+    LIST(rp_msg_services, services, rp_msg_service_info_schema),
+};
+static const struct rp_schema rp_msg_services_schema = RP_SCHEMA(
+    rp_msg_services, services_fields);
+
+static const struct rp_field document_fields[] = {
+    UINT(rp_msg_document, code),
+    UINT(rp_msg_document, revision),
+    NAME(rp_msg_document, service),
+    TEXT(rp_msg_document, document),
+};
+static const struct rp_schema rp_msg_document_schema = RP_SCHEMA(
+    rp_msg_document, document_fields);
+
+static const struct rp_field node_info_fields[] = {
+    NAME(rp_msg_node_info, name),      NAME(rp_msg_node_info, zone),
+    UINT(rp_msg_node_info, role),      UINT(rp_msg_node_info, confirmed),
+    UINT(rp_msg_node_info, behind_ms),
+};
+const struct rp_schema rp_msg_node_info_schema = RP_SCHEMA(rp_msg_node_info,
+                                                           node_info_fields);
+
+static const struct rp_field upstream_info_fields[] = {
+    NAME(rp_msg_upstream_info, upstream),
+    NAME(rp_msg_upstream_info, service),
+    NAME(rp_msg_upstream_info, zone),
+    UINT(rp_msg_upstream_info, agent_ip),
+    UINT(rp_msg_upstream_info, agent_port),
+    UINT(rp_msg_upstream_info, state),
+    UINT(rp_msg_upstream_info, slots),
+    UINT(rp_msg_upstream_info, flows),
+    UINT(rp_msg_upstream_info, busy),
+};
+const struct rp_schema rp_msg_upstream_info_schema = RP_SCHEMA(
+    rp_msg_upstream_info, upstream_info_fields);
+
+static const struct rp_field replica_info_fields[] = {
+    NAME(rp_msg_replica_info, name),
+    NAME(rp_msg_replica_info, role),
+    UINT(rp_msg_replica_info, term),
+    UINT(rp_msg_replica_info, committed),
+};
+const struct rp_schema rp_msg_replica_info_schema = RP_SCHEMA(
+    rp_msg_replica_info, replica_info_fields);
+
+static const struct rp_field status_fields[] = {
+    UINT(rp_msg_status, revision),
+    LIST(rp_msg_status, replicas, rp_msg_replica_info_schema),
+    LIST(rp_msg_status, services, rp_msg_service_info_schema),
+    LIST(rp_msg_status, nodes, rp_msg_node_info_schema),
+    LIST(rp_msg_status, upstreams, rp_msg_upstream_info_schema),
+};
+static const struct rp_schema rp_msg_status_schema = RP_SCHEMA(rp_msg_status,
+                                                               status_fields);
+
+static const struct rp_schema *const schemas[RP_MSG_TYPE_COUNT] = {
+#define RP_MSG_SCHEMA(symbol, member)                                         \
+    [RP_MSG_##symbol] = &rp_msg_##member##_schema,
+    RP_MSG_LIST(RP_MSG_SCHEMA)
+#undef RP_MSG_SCHEMA
+};
+
+/* The body's place in the union is the same for every type. */
+static void *
+body_of(struct rp_msg *msg)
+{
+    return &msg->hello;
+}
+
+static int
+append_bytes(void *data, const char *bytes, size_t len)
+{
+    g_string_append_len(data, bytes, (gssize)len);
+    return 0;
+}
+
+void
+RpMsg_Encode(const struct rp_msg *msg, GString *out)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, append_bytes);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_uint8(&packer, (uint8_t)msg->type);
+    RpSchema_Pack(schemas[msg->type], &msg->hello, &packer);
+}
+
+static bool
+decode_object(const msgpack_object *object, struct rp_msg *msg)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != 2) {
+        return false;
+    }
+    const msgpack_object *type = &object->via.array.ptr[0];
+    if (type->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        type->via.u64 == RP_MSG_NONE || type->via.u64 >= RP_MSG_TYPE_COUNT) {
+        return false;
+    }
+    msg->type = (enum rp_msg_type)type->via.u64;
+    return RpSchema_Unpack(schemas[msg->type], &object->via.array.ptr[1],
+                           body_of(msg));
+}
+
+bool
+RpMsg_Decode(struct rp_str bytes, struct rp_msg *msg)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+
+    memset(msg, 0, sizeof *msg);
+    msgpack_unpacked_init(&unpacked);
+    bool good = msgpack_unpack_next(&unpacked, bytes.data, bytes.len,
+                                    &offset) == MSGPACK_UNPACK_SUCCESS &&
+                offset == bytes.len && decode_object(&unpacked.data, msg);
+    msgpack_unpacked_destroy(&unpacked);
+    if (!good) {
+        memset(msg, 0, sizeof *msg);
+    }
+    return good;
+}
+
+void
+RpMsg_Clear(struct rp_msg *msg)
+{
+    if (msg->type != RP_MSG_NONE) {
+        RpSchema_Clear(schemas[msg->type], body_of(msg));
+    }
+    msg->type = RP_MSG_NONE;
+}
+
+const char *
+RpMsg_Name(enum rp_msg_type type)
+{
+    static const char *const names[RP_MSG_TYPE_COUNT] = {
+        [RP_MSG_NONE] = "none",
+#define RP_MSG_TEXT(symbol, member) [RP_MSG_##symbol] = #member,
+        RP_MSG_LIST(RP_MSG_TEXT)
+#undef RP_MSG_TEXT
+    };
+
+    return type < RP_MSG_TYPE_COUNT ? names[type] : "unknown";
+}
+
+const char *
+RpRole_Name(enum rp_role role)
+{
+    static const char *const names[RP_ROLE_COUNT] = {
+        "none", "control", "balancer", "agent", "operator"};
+
+    return role < RP_ROLE_COUNT ? names[role] : "unknown";
+}
+
+const char *
+RpUpstreamState_Name(enum rp_upstream_state state)
+{
+    switch (state) {
+    case RP_UPSTREAM_READY:
+        return "ready";
+    case RP_UPSTREAM_DRAINING:
+        return "draining";
+    case RP_UPSTREAM_LOST:
+        return "lost";
+    case RP_UPSTREAM_GONE:
+        return "gone";
+    }
+    return "unknown";
+}
--- /dev/null
+++ b/programs/cli/service_change.c
@@ -0,0 +1,319 @@
+/* radishport service apply, service delete: changes that are sent again
+ * under the same id until the system has answered. */
+#include <sodium.h>
+#include <string.h>
+
+#include "cli.h"
+
+#define ID_TEXT_LEN (2 * RP_CHANGE_ID_SIZE)
+#define POLL_US 100000
+#define MAX_WAIT_SECONDS 3600
+
+struct change_settings {
+    struct rp_cli_settings cli;
+    GString *argument; /* file to apply, or service to delete */
+    GString *id;
+    GString *base;
+    uint32_t wait_seconds;
+};
+
+#define CHANGE_SETTINGS(argument_value, argument_help)                        \
+    RP_CLI_SETTINGS(change_settings, cli),                                    \
+        {.kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct change_settings, argument),                \
+         .value = argument_value,                                             \
+         .help = argument_help},                                              \
+        {.flag = "id",                                                        \
+         .kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct change_settings, id),                      \
+         .value = "HEX",                                                      \
+         .help = "the change id of an earlier try (32 hex digits)",           \
+         .optional = true},                                                   \
+        {.flag = "base",                                                      \
+         .kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct change_settings, base),                    \
+         .value = "REVISION",                                                 \
+         .help = "refuse unless this revision is current (0: a new service; " \
+                 "default: the current one when the command starts)",         \
+         .optional = true},                                                   \
+    {                                                                         \
+        .flag = "wait-seconds", .kind = RP_SETTING_UINT,                      \
+        .offset = offsetof(struct change_settings, wait_seconds),             \
+        .value = "N",                                                         \
+        .help = "wait this long until it is in force everywhere",             \
+        .fallback = "7", .max = MAX_WAIT_SECONDS                              \
+    }
+
+static const struct rp_setting apply_table[] = {
+    CHANGE_SETTINGS("FILE", "the service document"),
+};
+
+static const struct rp_setting delete_table[] = {
+    CHANGE_SETTINGS("NAME", "the service"),
+};
+
+static bool
+fill_id(const struct change_settings *settings, struct rp_msg_change *change)
+{
+    size_t len;
+
+    if (!settings->id) {
+        randombytes_buf(change->id, sizeof change->id);
+        return true;
+    }
+    if (settings->id->len != ID_TEXT_LEN ||
+        sodium_hex2bin(change->id, sizeof change->id, settings->id->str,
+                       settings->id->len, NULL, &len, NULL) ||
+        len != sizeof change->id) {
+        fprintf(stderr, "--id: must be %d hex digits\n", ID_TEXT_LEN);
+        return false;
+    }
+    return true;
+}
+
+/* The service's current revision, 0 if there is none; false if nobody
+ * answered. */
+static bool
+fetch_revision(const struct rp_cli_settings *settings,
+               const struct rp_name *service, uint64_t *revision,
+               int *exit_code)
+{
+    const struct rp_msg request = {
+        .type = RP_MSG_QUERY,
+        .query = {.kind = RP_QUERY_DOCUMENT, .service = *service}};
+    struct rp_msg answer;
+
+    if (!RpCli_Ask(settings, &request, RP_MSG_DOCUMENT, &answer, exit_code)) {
+        return false;
+    }
+    *revision = answer.document.revision;
+    RpMsg_Clear(&answer);
+    return true;
+}
+
+static bool
+fill_base(const struct change_settings *settings, struct rp_msg_change *change,
+          int *exit_code)
+{
+    change->has_base = 1;
+    if (settings->base) {
+        if (!RpStr_ToUint(RpStr_FromC(settings->base->str), UINT64_MAX,
+                          &change->base)) {
+            fprintf(stderr, "--base: must be a number\n");
+            *exit_code = RP_CLI_USAGE;
+            return false;
+        }
+        return true;
+    }
+    if (settings->id) {
+        /* A repeated change is answered by its id, whatever its base. */
+        change->has_base = 0;
+        return true;
+    }
+    return fetch_revision(&settings->cli, &change->service, &change->base,
+                          exit_code);
+}
+
+static void
+print_reply_json(const struct rp_msg_change_reply *reply, const char *id)
+{
+    JsonBuilder *builder = json_builder_new();
+
+    json_builder_begin_object(builder);
+    RpCli_AddText(builder, "result", RpCode_Name((enum rp_code)reply->code));
+    RpCli_AddText(builder, "service", reply->service.data);
+    RpCli_AddNumber(builder, "revision", reply->revision);
+    RpCli_AddNumber(builder, "repeated", reply->repeated);
+    RpCli_AddText(builder, "id", id);
+    json_builder_set_member_name(builder, "findings");
+    json_builder_begin_array(builder);
+    for (guint i = 0; reply->findings && i < reply->findings->len; i++) {
+        const struct rp_msg_finding *finding = &g_array_index(
+            reply->findings, struct rp_msg_finding, i);
+        json_builder_begin_object(builder);
+        RpCli_AddText(builder, "place", finding->place->str);
+        RpCli_AddText(builder, "text", finding->text->str);
+        json_builder_end_object(builder);
+    }
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    RpCli_PrintJson(builder);
+}
+
+static void
+print_reply(const struct rp_msg_change_reply *reply, const char *argument)
+{
+    for (guint i = 0; reply->findings && i < reply->findings->len; i++) {
+        const struct rp_msg_finding *finding = &g_array_index(
+            reply->findings, struct rp_msg_finding, i);
+        fprintf(stderr, "%s: %s: %s\n", argument, finding->place->str,
+                finding->text->str);
+    }
+    if (reply->code == RP_OK) {
+        printf("%s: applied at revision %" G_GUINT64_FORMAT "%s\n",
+               reply->service.data, reply->revision,
+               reply->repeated ? " (answered before)" : "");
+    }
+    else if (reply->code == RP_ERR_CONFLICT) {
+        printf("%s: refused: the current revision is %" G_GUINT64_FORMAT "\n",
+               reply->service.data, reply->revision);
+    }
+    else {
+        printf("%s: refused: %s\n", argument,
+               RpCode_Name((enum rp_code)reply->code));
+    }
+}
+
+static size_t
+count_behind(const struct rp_msg_status *status, uint64_t revision)
+{
+    size_t behind = 0;
+
+    for (guint i = 0; i < status->nodes->len; i++) {
+        const struct rp_msg_node_info *node = &g_array_index(
+            status->nodes, struct rp_msg_node_info, i);
+        behind += node->confirmed < revision;
+    }
+    return behind;
+}
+
+/* Waits until all nodes run the revision, and says how far it got. */
+static void
+wait_in_force(const struct change_settings *settings, uint64_t revision)
+{
+    const struct rp_msg request = {.type = RP_MSG_QUERY,
+                                   .query = {.kind = RP_QUERY_STATUS}};
+    int64_t deadline = g_get_monotonic_time() +
+                       settings->wait_seconds * RP_US_PER_SECOND;
+    size_t nodes = 0;
+    size_t behind = 0;
+
+    do {
+        struct rp_msg answer;
+        int ignored;
+        if (!RpCli_Ask(&settings->cli, &request, RP_MSG_STATUS, &answer,
+                       &ignored)) {
+            return;
+        }
+        nodes = answer.status.nodes->len;
+        behind = answer.status.revision < revision
+                     ? nodes
+                     : count_behind(&answer.status, revision);
+        RpMsg_Clear(&answer);
+        if (behind) {
+            g_usleep(POLL_US);
+        }
+    } while (behind && g_get_monotonic_time() < deadline);
+    fprintf(stderr, "in force on %zu of %zu instances\n", nodes - behind,
+            nodes);
+}
+
+static int
+send_change(const struct change_settings *settings, struct rp_msg *request)
+{
+    char id[ID_TEXT_LEN + 1];
+    struct rp_msg answer;
+    int exit_code;
+
+    sodium_bin2hex(id, sizeof id, request->change.id, RP_CHANGE_ID_SIZE);
+    if (!RpCli_Ask(&settings->cli, request, RP_MSG_CHANGE_REPLY, &answer,
+                   &exit_code)) {
+        fprintf(stderr,
+                "unknown whether it was applied: repeat with --id %s\n", id);
+        return exit_code == RP_CLI_USAGE ? exit_code : RP_CLI_UNKNOWN;
+    }
+    bool applied = answer.change_reply.code == RP_OK;
+    if (settings->cli.json) {
+        print_reply_json(&answer.change_reply, id);
+    }
+    else {
+        print_reply(&answer.change_reply, settings->argument->str);
+    }
+    if (applied && settings->wait_seconds) {
+        wait_in_force(settings, answer.change_reply.revision);
+    }
+    RpMsg_Clear(&answer);
+    return applied ? RP_CLI_OK : RP_CLI_REFUSED;
+}
+
+/* Takes the service's name out of a document, for its current revision. A
+ * document without one is sent as it is: the answer says what is wrong. */
+static void
+guess_name(const GString *text, struct rp_name *name)
+{
+    struct rp_str rest = {.data = text->str, .len = text->len};
+
+    while (rest.len) {
+        struct rp_str value;
+        struct rp_str line = RpStr_Split(rest, '\n', &rest);
+        struct rp_str key = RpStr_Trim(RpStr_Split(line, '=', &value));
+        if (RpStr_Equal(key, RP_STR("name"))) {
+            struct rp_str comment;
+            RpName_Set(name, RpStr_Trim(RpStr_Split(value, '#', &comment)));
+            return;
+        }
+    }
+}
+
+int
+RpCli_ServiceApply(int argc, char **argv)
+{
+    struct change_settings settings = {0};
+    struct rp_msg request = {.type = RP_MSG_CHANGE,
+                             .change = {.kind = RP_CHANGE_APPLY}};
+    GError *failure = NULL;
+    gchar *content;
+    gsize len;
+    int exit_code;
+
+    if (!RpCli_ReadSettings(apply_table, G_N_ELEMENTS(apply_table),
+                            "radishport service apply",
+                            "Puts a service document in force.", argc, argv,
+                            &settings, &exit_code)) {
+        return exit_code;
+    }
+    if (!g_file_get_contents(settings.argument->str, &content, &len,
+                             &failure)) {
+        fprintf(stderr, "%s\n", failure->message);
+        g_error_free(failure);
+        return RP_CLI_USAGE;
+    }
+    request.change.document = g_string_new_len(content, (gssize)len);
+    g_free(content);
+    guess_name(request.change.document, &request.change.service);
+    exit_code = RP_CLI_USAGE;
+    if (fill_id(&settings, &request.change) &&
+        fill_base(&settings, &request.change, &exit_code)) {
+        exit_code = send_change(&settings, &request);
+    }
+    RpMsg_Clear(&request);
+    return exit_code;
+}
+
+int
+RpCli_ServiceDelete(int argc, char **argv)
+{
+    struct change_settings settings = {0};
+    struct rp_msg request = {.type = RP_MSG_CHANGE,
+                             .change = {.kind = RP_CHANGE_DELETE}};
+    int exit_code;
+
+    if (!RpCli_ReadSettings(delete_table, G_N_ELEMENTS(delete_table),
+                            "radishport service delete", "Removes a service.",
+                            argc, argv, &settings, &exit_code)) {
+        return exit_code;
+    }
+    if (!RpName_Set(&request.change.service,
+                    RpStr_FromC(settings.argument->str))) {
+        fprintf(stderr, "NAME: too long\n");
+        return RP_CLI_USAGE;
+    }
+    request.change.document = g_string_new(NULL);
+    exit_code = RP_CLI_USAGE;
+    if (fill_id(&settings, &request.change) &&
+        fill_base(&settings, &request.change, &exit_code)) {
+        exit_code = send_change(&settings, &request);
+    }
+    RpMsg_Clear(&request);
+    return exit_code;
+}
--- /dev/null
+++ b/programs/daemon/agent.c
@@ -0,0 +1,487 @@
+/* The agent role: beside one upstream instance. It announces the upstream,
+ * owns its flows and passes on what belongs to others. */
+#include <glib-unix.h>
+#include <signal.h>
+#include <sodium.h>
+
+#include "rp_agent.h"
+#include "rp_daemon.h"
+#include "rp_flow_chart.h"
+#include "rp_udp.h"
+#include "rp_uplink.h"
+
+#define TICK_MS 20
+#define ANNOUNCES_PER_LEASE 3
+#define MAX_SLOTS 1000000
+#define MAX_SECONDS 86400
+
+struct agent_settings {
+    struct rp_common_settings common;
+    struct rp_name service;
+    struct rp_endpoint listen;
+    struct rp_endpoint host_listen;
+    struct rp_endpoint host;
+    struct rp_endpoint fabric;
+    struct rp_endpoints controls;
+    uint32_t slots;
+    uint32_t lease_ms;
+    uint32_t ramp_seconds;
+    uint32_t drain_seconds;
+};
+
+struct agent {
+    struct agent_settings settings;
+    struct rp_daemon daemon;
+    struct rp_uplink *uplink;
+    struct rp_udp *balancer_side;
+    struct rp_udp *host_side;
+    struct rp_chart chart;
+    struct rp_agent *flows;
+    struct rp_actions actions;
+    uint64_t incarnation;
+    uint64_t sequence;
+    int64_t announce_deadline;
+    int64_t drain_deadline; /* RP_NEVER while the agent is not stopping */
+    bool draining;
+    bool leaving; /* has said goodbye */
+};
+
+static const struct rp_setting settings_table[] = {
+    RP_COMMON_SETTINGS(agent_settings, common),
+    {.flag = "service",
+     .kind = RP_SETTING_NAME,
+     .offset = offsetof(struct agent_settings, service),
+     .value = "NAME",
+     .help = "the service that the upstream belongs to"},
+    {.flag = "listen",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct agent_settings, listen),
+     .value = "ADDR:PORT",
+     .help = "take datagrams of balancers and other agents here"},
+    {.flag = "host-listen",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct agent_settings, host_listen),
+     .value = "ADDR:PORT",
+     .help = "take the host's own datagrams here"},
+    {.flag = "host",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct agent_settings, host),
+     .value = "ADDR:PORT",
+     .help = "the host's Geneve decapsulation"},
+    {.flag = "fabric",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct agent_settings, fabric),
+     .value = "ADDR:PORT",
+     .help = "send packets for callers here"},
+    {.flag = "control",
+     .kind = RP_SETTING_ENDPOINTS,
+     .offset = offsetof(struct agent_settings, controls),
+     .value = "ADDR:PORT,…",
+     .help = "the control instances"},
+    {.flag = "slots",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, slots),
+     .value = "N",
+     .help = "requests that the host serves at once",
+     .max = MAX_SLOTS},
+    {.flag = "lease-ms",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, lease_ms),
+     .value = "N",
+     .help = "how long an announcement holds",
+     .fallback = "2000",
+     .max = 60000},
+    {.flag = "ramp-seconds",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, ramp_seconds),
+     .value = "N",
+     .help = "cold start: let the slots grow over this time",
+     .fallback = "0",
+     .max = MAX_SECONDS},
+    {.flag = "drain-seconds",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, drain_seconds),
+     .value = "N",
+     .help = "wait at most this long for open flows when stopped",
+     .fallback = "60",
+     .max = MAX_SECONDS},
+};
+
+static void
+drop(struct agent *agent, enum rp_counter reason, struct rp_endpoint from)
+{
+    char text[RP_ENDPOINT_TEXT_MAX];
+
+    RpLog_Event(agent->daemon.log, RP_LOG_WARN, "packet_dropped",
+                "reason=%s from=%s", RpCounter_Name(reason),
+                RpEndpoint_Format(from, text));
+}
+
+/* Refusals and resets are worth a line; ordinary forwarding is not. */
+static void
+log_action(struct agent *agent, const struct rp_action *action)
+{
+    switch (action->reason) {
+    case RP_COUNT_REFUSED_ALL:
+    case RP_COUNT_RESET_OWNER_GONE:
+    case RP_COUNT_RESET_SILENT_HOST:
+    case RP_COUNT_RESET_SILENT_CALLER:
+    case RP_COUNT_RETRY_HOST_REFUSED:
+    case RP_COUNT_RETRY_HOST_SILENT:
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "flow_decision",
+                    "reason=%s", RpCounter_Name(action->reason));
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+carry_out(struct agent *agent, const struct rp_action *action)
+{
+    uint8_t header[RP_GENEVE_HEADROOM];
+    size_t len;
+
+    log_action(agent, action);
+    switch (action->kind) {
+    case RP_ACTION_DROP:
+        break;
+    case RP_ACTION_TO_HOST:
+        len = RpGeneve_Write(header, NULL, NULL);
+        RpUdp_SendCopy(agent->host_side, agent->settings.host, header, len,
+                       action->data, action->len);
+        break;
+    case RP_ACTION_TO_CALLER:
+        len = RpGeneve_Write(header, NULL, NULL);
+        RpUdp_SendCopy(agent->balancer_side, agent->settings.fabric, header,
+                       len, action->data, action->len);
+        break;
+    case RP_ACTION_PASS: {
+        const struct rp_service *service = RpTable_FindName(
+            RpUplink_Table(agent->uplink), &agent->settings.service);
+        len = RpGeneve_Write(header, &service->tag, &action->chain);
+        RpUdp_SendCopy(agent->balancer_side, action->next, header, len,
+                       action->data, action->len);
+        break;
+    }
+    }
+}
+
+static void
+carry_out_all(struct agent *agent)
+{
+    for (size_t i = 0; i < agent->actions.count; i++) {
+        carry_out(agent, &agent->actions.item[i]);
+    }
+}
+
+static bool
+parse(struct agent *agent, const uint8_t *data, size_t len,
+      struct rp_endpoint from, struct rp_geneve *geneve,
+      struct rp_packet *packet)
+{
+    enum rp_counter reason;
+
+    if (RpGeneve_Parse(data, len, geneve, &reason) &&
+        RpPacket_Parse(geneve->inner, geneve->inner_len, packet, &reason)) {
+        return true;
+    }
+    RpCounters_Add(&agent->daemon.counters, reason);
+    drop(agent, reason, from);
+    return false;
+}
+
+static void
+log_drops(struct agent *agent, struct rp_endpoint from)
+{
+    for (size_t i = 0; i < agent->actions.count; i++) {
+        const struct rp_action *action = &agent->actions.item[i];
+        if (action->kind == RP_ACTION_DROP) {
+            drop(agent, action->reason, from);
+        }
+    }
+}
+
+static void
+on_balancer_datagram(void *user, const uint8_t *data, size_t len,
+                     struct rp_endpoint from)
+{
+    struct agent *agent = user;
+    struct rp_geneve geneve;
+    struct rp_packet packet;
+
+    if (parse(agent, data, len, from, &geneve, &packet)) {
+        RpAgent_FromCaller(agent->flows, g_get_monotonic_time(), &packet,
+                           &geneve, &agent->actions);
+        log_drops(agent, from);
+        carry_out_all(agent);
+    }
+}
+
+static void
+on_host_datagram(void *user, const uint8_t *data, size_t len,
+                 struct rp_endpoint from)
+{
+    struct agent *agent = user;
+    struct rp_geneve geneve;
+    struct rp_packet packet;
+
+    if (parse(agent, data, len, from, &geneve, &packet)) {
+        RpAgent_FromHost(agent->flows, g_get_monotonic_time(), &packet,
+                         &agent->actions);
+        log_drops(agent, from);
+        carry_out_all(agent);
+    }
+}
+
+static enum rp_upstream_state
+announced_state(const struct agent *agent)
+{
+    if (agent->leaving) {
+        return RP_UPSTREAM_GONE;
+    }
+    return agent->draining ? RP_UPSTREAM_DRAINING : RP_UPSTREAM_READY;
+}
+
+static void
+announce(struct agent *agent)
+{
+    int64_t now = g_get_monotonic_time();
+    const struct agent_settings *settings = &agent->settings;
+    struct rp_agent_load load = RpAgent_Load(agent->flows, now);
+    const struct rp_msg msg = {
+        .type = RP_MSG_ANNOUNCE,
+        .announce = {.upstream = settings->common.name,
+                     .service = settings->service,
+                     .zone = settings->common.zone,
+                     .agent_ip = settings->listen.ip,
+                     .agent_port = settings->listen.port,
+                     .slots = settings->slots,
+                     .state = (uint8_t)announced_state(agent),
+                     .incarnation = agent->incarnation,
+                     .sequence = ++agent->sequence,
+                     .lease_ms = settings->lease_ms,
+                     .flows = load.flows,
+                     .busy = load.busy}};
+
+    RpUplink_Send(agent->uplink, &msg);
+    agent->announce_deadline = now + settings->lease_ms * RP_US_PER_MS /
+                                         ANNOUNCES_PER_LEASE;
+}
+
+static void
+on_connected(void *user)
+{
+    announce(user);
+}
+
+static void
+on_table_changed(void *user)
+{
+    struct agent *agent = user;
+    const struct rp_table *table = RpUplink_Table(agent->uplink);
+
+    RpAgent_SetTable(agent->flows, table,
+                     RpTable_FindName(table, &agent->settings.service));
+}
+
+static const struct rp_uplink_ops uplink_ops = {
+    .connected = on_connected, .table_changed = on_table_changed};
+
+static void
+set_draining(struct agent *agent, bool draining)
+{
+    if (agent->draining == draining) {
+        return;
+    }
+    agent->draining = draining;
+    RpAgent_SetDraining(agent->flows, draining);
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO,
+                draining ? "drain_started" : "drain_ended", "flows=%u",
+                RpAgent_Load(agent->flows, 0).flows);
+    announce(agent);
+}
+
+/* A stop request drains the upstream first. */
+static void
+on_stop(void *user)
+{
+    struct agent *agent = user;
+
+    agent->drain_deadline = g_get_monotonic_time() +
+                            agent->settings.drain_seconds * RP_US_PER_SECOND;
+    set_draining(agent, true);
+}
+
+/* The agent alone is replaced: the host stays, and the next agent learns
+ * its flows from it. */
+static gboolean
+on_replace_signal(gpointer data)
+{
+    struct agent *agent = data;
+
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "replace_requested", "%s", "");
+    RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
+    return G_SOURCE_REMOVE;
+}
+
+/* Goes on with a stop: says goodbye once no flow is left, then ends. */
+static void
+go_on_stopping(struct agent *agent, int64_t now)
+{
+    uint32_t flows = RpAgent_Load(agent->flows, now).flows;
+
+    if (agent->drain_deadline == RP_NEVER) {
+        return;
+    }
+    if (!agent->leaving && (flows == 0 || now >= agent->drain_deadline)) {
+        RpLog_Event(agent->daemon.log, flows ? RP_LOG_WARN : RP_LOG_INFO,
+                    "drain_finished", "flows_left=%u", flows);
+        agent->leaving = true;
+        announce(agent);
+        return;
+    }
+    if (agent->leaving && RpUplink_Queued(agent->uplink) == 0) {
+        RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
+    }
+}
+
+static gboolean
+on_tick(gpointer data)
+{
+    struct agent *agent = data;
+    int64_t now = g_get_monotonic_time();
+
+    while (RpAgent_OnTimer(agent->flows, now, &agent->actions)) {
+        carry_out_all(agent);
+    }
+    if (now >= agent->announce_deadline) {
+        announce(agent);
+    }
+    go_on_stopping(agent, now);
+    return G_SOURCE_CONTINUE;
+}
+
+static bool
+is_healthy(void *user, GString *why)
+{
+    const struct agent *agent = user;
+    const struct rp_table *table = RpUplink_Table(agent->uplink);
+
+    if (agent->draining) {
+        g_string_append(why, "draining");
+        return false;
+    }
+    if (!RpTable_FindName(table, &agent->settings.service)) {
+        g_string_append(why, "no document for this service yet");
+        return false;
+    }
+    g_string_append(why, "ok");
+    return true;
+}
+
+static void
+write_gauges(void *user, GString *out)
+{
+    const struct agent *agent = user;
+    struct rp_agent_load load = RpAgent_Load(agent->flows,
+                                             g_get_monotonic_time());
+
+    g_string_append_printf(
+        out,
+        "revision %" G_GUINT64_FORMAT "\nflows %u\nbusy %u\nslots %u\n"
+        "flow_table_bytes %zu\ncontrol_connected %d\n",
+        RpTable_Revision(RpUplink_Table(agent->uplink)), load.flows, load.busy,
+        load.slots, RpAgent_Bytes(agent->flows),
+        RpUplink_IsConnected(agent->uplink));
+}
+
+static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
+                                              .gauges = write_gauges};
+
+static bool
+open_sockets(struct agent *agent)
+{
+    struct rp_error error;
+
+    RpError_Init(&error);
+    agent->balancer_side = RpUdp_Open(agent->settings.listen,
+                                      on_balancer_datagram, agent,
+                                      &agent->daemon.counters, &error);
+    agent->host_side = RpUdp_Open(agent->settings.host_listen,
+                                  on_host_datagram, agent,
+                                  &agent->daemon.counters, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return agent->balancer_side && agent->host_side;
+}
+
+static void
+create_flows(struct agent *agent)
+{
+    int64_t now = g_get_monotonic_time();
+    struct rp_agent_config config = {
+        .self = agent->settings.listen,
+        .slots = agent->settings.slots,
+        .ramp_from = now,
+        .ramp_until = now + agent->settings.ramp_seconds * RP_US_PER_SECOND};
+
+    randombytes_buf(&config.seed, sizeof config.seed);
+    agent->flows = RpAgent_Create(&config, &agent->chart,
+                                  RpAdmission_CreateBound(),
+                                  &agent->daemon.counters);
+}
+
+static bool
+start(struct agent *agent)
+{
+    struct rp_error error;
+
+    RpError_Init(&error);
+    enum rp_code code = RpFlowChart_Load(&agent->chart, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    if (code != RP_OK || !open_sockets(agent)) {
+        return false;
+    }
+    agent->incarnation = (uint64_t)g_get_real_time();
+    agent->drain_deadline = RP_NEVER;
+    create_flows(agent);
+    agent->uplink = RpUplink_Create(&agent->daemon, &agent->settings.controls,
+                                    &agent->settings.service, &uplink_ops,
+                                    agent);
+    g_timeout_add(TICK_MS, on_tick, agent);
+    g_unix_signal_add(SIGUSR2, on_replace_signal, agent);
+    return RpDaemon_OpenAdmin(&agent->daemon, &agent->settings.common,
+                              &admin_ops, agent);
+}
+
+int
+RpAgent_Main(int argc, char **argv)
+{
+    static struct agent agent;
+    int exit_code;
+
+    if (!RpDaemon_ReadSettings(
+            settings_table, G_N_ELEMENTS(settings_table), "radishportd agent",
+            "Runs beside one upstream instance: announces it and owns its "
+            "flows.\nSIGTERM drains the upstream, then stops; SIGUSR2 stops "
+            "this process alone.",
+            argc, argv, &agent.settings, &exit_code)) {
+        return exit_code;
+    }
+    if (!RpDaemon_Start(&agent.daemon, RP_ROLE_AGENT, &agent.settings.common,
+                        on_stop, &agent)) {
+        return agent.daemon.exit_code;
+    }
+    if (!start(&agent)) {
+        return RP_EXIT_FAILED;
+    }
+    exit_code = RpDaemon_Run(&agent.daemon);
+    RpUdp_Close(agent.balancer_side);
+    RpUdp_Close(agent.host_side);
+    RpUplink_Free(agent.uplink);
+    RpAgent_Free(agent.flows);
+    RpDaemon_End(&agent.daemon);
+    return exit_code;
+}
--- /dev/null
+++ b/programs/daemon/balancer.c
@@ -0,0 +1,208 @@
+/* The balancer role: a packet in, a table look-up, a packet out. */
+#include "rp_daemon.h"
+#include "rp_balancer.h"
+#include "rp_udp.h"
+#include "rp_uplink.h"
+
+#define STOP_LINGER_MAX 300 /* seconds */
+
+struct balancer_settings {
+    struct rp_common_settings common;
+    struct rp_endpoint listen;
+    struct rp_endpoints controls;
+    uint32_t linger_seconds;
+};
+
+struct balancer {
+    struct balancer_settings settings;
+    struct rp_daemon daemon;
+    struct rp_udp *udp;
+    struct rp_uplink *uplink;
+    bool stopping;
+};
+
+static const struct rp_setting settings_table[] = {
+    RP_COMMON_SETTINGS(balancer_settings, common),
+    {.flag = "listen",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct balancer_settings, listen),
+     .value = "ADDR:PORT",
+     .help = "take Geneve datagrams from the fabric here"},
+    {.flag = "control",
+     .kind = RP_SETTING_ENDPOINTS,
+     .offset = offsetof(struct balancer_settings, controls),
+     .value = "ADDR:PORT,…",
+     .help = "the control instances"},
+    {.flag = "stop-linger-seconds",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct balancer_settings, linger_seconds),
+     .value = "N",
+     .help = "keep forwarding this long after a stop request",
+     .fallback = "2",
+     .max = STOP_LINGER_MAX},
+};
+
+static void
+drop(struct balancer *balancer, enum rp_counter reason,
+     struct rp_endpoint from)
+{
+    char text[RP_ENDPOINT_TEXT_MAX];
+
+    RpCounters_Add(&balancer->daemon.counters, reason);
+    RpLog_Event(balancer->daemon.log, RP_LOG_WARN, "packet_dropped",
+                "reason=%s from=%s", RpCounter_Name(reason),
+                RpEndpoint_Format(from, text));
+}
+
+static void
+reset_caller(struct balancer *balancer, const struct rp_packet *packet,
+             struct rp_endpoint from)
+{
+    uint8_t header[RP_GENEVE_HEADROOM];
+    uint8_t reset[RP_RESET_SIZE];
+    size_t header_len = RpGeneve_Write(header, NULL, NULL);
+    size_t len = RpPacket_MakeReset(packet, reset);
+
+    RpUdp_SendCopy(balancer->udp, from, header, header_len, reset, len);
+}
+
+static void
+on_datagram(void *user, const uint8_t *data, size_t len,
+            struct rp_endpoint from)
+{
+    struct balancer *balancer = user;
+    struct rp_geneve geneve;
+    struct rp_packet packet;
+    struct rp_route route;
+    enum rp_counter reason;
+
+    if (!RpGeneve_Parse(data, len, &geneve, &reason) ||
+        !RpPacket_Parse(geneve.inner, geneve.inner_len, &packet, &reason)) {
+        drop(balancer, reason, from);
+        return;
+    }
+    RpBalancer_Route(RpUplink_Table(balancer->uplink), &packet, &route);
+    if (route.kind == RP_ROUTE_DROP) {
+        drop(balancer, route.reason, from);
+        return;
+    }
+    RpCounters_Add(&balancer->daemon.counters, route.reason);
+    if (route.kind == RP_ROUTE_RESET) {
+        reset_caller(balancer, &packet, from);
+        return;
+    }
+    uint8_t header[RP_GENEVE_HEADROOM];
+    route.chain.visited = 1;
+    size_t header_len = RpGeneve_Write(header, &route.tag, &route.chain);
+    RpUdp_Send(balancer->udp, route.chain.hop[0], header, header_len,
+               packet.data, packet.len);
+}
+
+static void
+on_uplink_event(void *user)
+{
+    (void)user;
+}
+
+static const struct rp_uplink_ops uplink_ops = {
+    .connected = on_uplink_event, .table_changed = on_uplink_event};
+
+static bool
+is_healthy(void *user, GString *why)
+{
+    const struct balancer *balancer = user;
+
+    if (balancer->stopping) {
+        g_string_append(why, "stopping");
+        return false;
+    }
+    if (RpTable_Revision(RpUplink_Table(balancer->uplink)) == 0) {
+        g_string_append(why, "no table yet");
+        return false;
+    }
+    g_string_append(why, "ok");
+    return true;
+}
+
+static void
+write_gauges(void *user, GString *out)
+{
+    const struct balancer *balancer = user;
+    const struct rp_table *table = RpUplink_Table(balancer->uplink);
+
+    g_string_append_printf(out,
+                           "revision %" G_GUINT64_FORMAT "\n"
+                           "services %zu\ncontrol_connected %d\n",
+                           RpTable_Revision(table), RpTable_Count(table),
+                           RpUplink_IsConnected(balancer->uplink));
+}
+
+static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
+                                              .gauges = write_gauges};
+
+static gboolean
+on_linger_over(gpointer data)
+{
+    struct balancer *balancer = data;
+
+    RpDaemon_Quit(&balancer->daemon, RP_EXIT_OK);
+    return G_SOURCE_REMOVE;
+}
+
+/* /healthz fails from now on; packets are forwarded until the fabric has
+ * had time to notice. */
+static void
+on_stop(void *user)
+{
+    struct balancer *balancer = user;
+
+    balancer->stopping = true;
+    g_timeout_add_seconds(balancer->settings.linger_seconds, on_linger_over,
+                          balancer);
+}
+
+static bool
+open_socket(struct balancer *balancer)
+{
+    struct rp_error error;
+
+    RpError_Init(&error);
+    balancer->udp = RpUdp_Open(balancer->settings.listen, on_datagram,
+                               balancer, &balancer->daemon.counters, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return balancer->udp != NULL;
+}
+
+int
+RpBalancer_Main(int argc, char **argv)
+{
+    static struct balancer balancer;
+    const struct rp_name all_services = {0};
+    struct rp_daemon *daemon = &balancer.daemon;
+    int exit_code;
+
+    if (!RpDaemon_ReadSettings(settings_table, G_N_ELEMENTS(settings_table),
+                               "radishportd balancer",
+                               "Takes packets of callers from the fabric and "
+                               "sends each to an agent of the right service.",
+                               argc, argv, &balancer.settings, &exit_code)) {
+        return exit_code;
+    }
+    if (!RpDaemon_Start(daemon, RP_ROLE_BALANCER, &balancer.settings.common,
+                        on_stop, &balancer)) {
+        return daemon->exit_code;
+    }
+    balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
+                                      &all_services, &uplink_ops, &balancer);
+    if (!open_socket(&balancer) ||
+        !RpDaemon_OpenAdmin(daemon, &balancer.settings.common, &admin_ops,
+                            &balancer)) {
+        return RP_EXIT_FAILED;
+    }
+    exit_code = RpDaemon_Run(daemon);
+    RpUdp_Close(balancer.udp);
+    RpUplink_Free(balancer.uplink);
+    RpDaemon_End(daemon);
+    return exit_code;
+}
--- /dev/null
+++ b/programs/daemon/rp_daemon.h
@@ -0,0 +1,108 @@
+/* What the daemon's roles have in common: start-up, the main loop, signals
+ * and the exit codes. */
+#ifndef RP_DAEMON_H
+#define RP_DAEMON_H
+
+#include <glib.h>
+
+#include "rp_admin.h"
+#include "rp_conn.h"
+#include "rp_settings.h"
+
+#define RP_EXIT_OK 0
+#define RP_EXIT_FAILED 1   /* a fault at run time */
+#define RP_EXIT_SETTINGS 2 /* bad settings: nothing was started */
+
+/* Settings that every role has. */
+struct rp_common_settings {
+    struct rp_name name;
+    struct rp_name zone;
+    GString *key_file;
+    enum rp_log_level log_level;
+    struct rp_endpoint admin; /* port 0: no admin page */
+};
+
+/* Rows for a settings table whose target has `member` of the struct above
+ * as its common settings. */
+#define RP_COMMON_SETTINGS(type, member)                                      \
+    {.flag = "name",                                                          \
+     .kind = RP_SETTING_NAME,                                                 \
+     .offset = offsetof(struct type, member.name),                            \
+     .value = "NAME",                                                         \
+     .help = "this instance's own name"},                                     \
+        {.flag = "zone",                                                      \
+         .kind = RP_SETTING_NAME,                                             \
+         .offset = offsetof(struct type, member.zone),                        \
+         .value = "NAME",                                                     \
+         .help = "the data centre it runs in",                                \
+         .fallback = "default"},                                              \
+        {.flag = "key-file",                                                  \
+         .kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct type, member.key_file),                    \
+         .value = "FILE",                                                     \
+         .help = "shared keys of the system's processes"},                    \
+        {.flag = "log-level",                                                 \
+         .kind = RP_SETTING_LEVEL,                                            \
+         .offset = offsetof(struct type, member.log_level),                   \
+         .value = "LEVEL",                                                    \
+         .help = "debug, info, warn or error",                                \
+         .fallback = "info"},                                                 \
+    {                                                                         \
+        .flag = "admin", .kind = RP_SETTING_ENDPOINT,                         \
+        .offset = offsetof(struct type, member.admin), .value = "ADDR:PORT",  \
+        .help = "serve /metrics and /healthz here", .optional = true          \
+    }
+
+/* Called when the process is asked to stop. */
+typedef void (*RpDaemon_Stop)(void *user);
+
+/* What every role has while it runs. */
+struct rp_daemon {
+    const char *role_name;
+    GMainLoop *loop;
+    struct rp_log *log;
+    struct rp_counters counters;
+    struct rp_keyring keyring;
+    struct rp_conn_context context;
+    struct rp_admin *admin;
+    RpDaemon_Stop stop;
+    void *stop_user;
+    bool stop_asked;
+    int exit_code;
+};
+
+/* Reads the settings and prints what is wrong with them. True if the role
+ * can start; else `*exit_code` is the process's. */
+bool RpDaemon_ReadSettings(const struct rp_setting *settings, size_t count,
+                           const char *program, const char *usage, int argc,
+                           char **argv, void *target, int *exit_code);
+
+/* Prepares log, keys, loop and signals. False (after printing why) if that
+ * fails. `stop` is called for SIGTERM and SIGINT. */
+bool RpDaemon_Start(struct rp_daemon *daemon, enum rp_role role,
+                    const struct rp_common_settings *settings,
+                    RpDaemon_Stop stop, void *user);
+
+/* Opens the admin page if one is set. */
+bool RpDaemon_OpenAdmin(struct rp_daemon *daemon,
+                        const struct rp_common_settings *settings,
+                        const struct rp_admin_ops *ops, void *user);
+
+/* Prints findings to standard error. */
+void RpDaemon_PrintFindings(const struct rp_error *error);
+
+/* Runs until RpDaemon_Quit; returns the exit code. */
+int RpDaemon_Run(struct rp_daemon *daemon);
+
+/* Ends the main loop. */
+void RpDaemon_Quit(struct rp_daemon *daemon, int exit_code);
+
+/* Frees what RpDaemon_Start made. */
+void RpDaemon_End(struct rp_daemon *daemon);
+
+/* The roles. Each returns the process's exit code. */
+int RpBalancer_Main(int argc, char **argv);
+int RpAgent_Main(int argc, char **argv);
+int RpControl_Main(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/programs/daemon/rp_uplink.c
@@ -0,0 +1,183 @@
+#include "rp_uplink.h"
+
+#include <sodium.h>
+
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 2000
+
+struct rp_uplink {
+    struct rp_daemon *daemon;
+    const struct rp_endpoints *controls;
+    struct rp_name service;
+    const struct rp_uplink_ops *ops;
+    void *user;
+    struct rp_conn *conn;
+    bool ready;
+    bool ending;
+    size_t next;
+    uint32_t retry_ms;
+    guint retry_source;
+    struct rp_table *table;
+};
+
+static void connect_next(struct rp_uplink *uplink);
+
+static void
+on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
+{
+    struct rp_uplink *uplink = user;
+    const struct rp_msg msg = {
+        .type = RP_MSG_SUBSCRIBE,
+        .subscribe = {.service = uplink->service,
+                      .revision = RpTable_Revision(uplink->table)}};
+
+    uplink->ready = true;
+    uplink->retry_ms = RETRY_MIN_MS;
+    RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_connected",
+                "control=%s", hello->name.data);
+    RpConn_Send(conn, &msg);
+    uplink->ops->connected(uplink->user);
+}
+
+static void
+apply_table(struct rp_uplink *uplink, const struct rp_msg_table *table)
+{
+    struct rp_counters *counters = &uplink->daemon->counters;
+
+    if (RpTable_Apply(uplink->table, table) != RP_OK) {
+        RpCounters_Add(counters, RP_COUNT_TABLE_STALE);
+        RpLog_Event(uplink->daemon->log, RP_LOG_WARN, "table_stale",
+                    "revision=%" G_GUINT64_FORMAT " have=%" G_GUINT64_FORMAT,
+                    table->revision, RpTable_Revision(uplink->table));
+        RpConn_Close(uplink->conn);
+        return;
+    }
+    RpCounters_Add(counters, RP_COUNT_TABLE_APPLIED);
+    uplink->ops->table_changed(uplink->user);
+    const struct rp_msg confirm = {
+        .type = RP_MSG_CONFIRM,
+        .confirm = {.revision = RpTable_Revision(uplink->table)}};
+    RpConn_Send(uplink->conn, &confirm);
+    RpLog_Event(uplink->daemon->log, RP_LOG_DEBUG, "table_applied",
+                "revision=%" G_GUINT64_FORMAT " services=%zu", table->revision,
+                RpTable_Count(uplink->table));
+}
+
+static void
+on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
+{
+    struct rp_uplink *uplink = user;
+
+    if (msg->type == RP_MSG_TABLE) {
+        apply_table(uplink, &msg->table);
+        return;
+    }
+    RpCounters_Add(&uplink->daemon->counters, RP_COUNT_FRAME_UNEXPECTED);
+    RpConn_Close(conn);
+}
+
+static gboolean
+on_retry(gpointer data)
+{
+    struct rp_uplink *uplink = data;
+
+    uplink->retry_source = 0;
+    connect_next(uplink);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_closed(void *user, struct rp_conn *conn)
+{
+    struct rp_uplink *uplink = user;
+
+    (void)conn;
+    uplink->conn = NULL;
+    uplink->ready = false;
+    if (uplink->ending) {
+        return;
+    }
+    /* Spread out: many nodes lose a control instance at the same time. */
+    uint32_t jitter = randombytes_uniform(uplink->retry_ms + 1);
+    uplink->retry_source = g_timeout_add(uplink->retry_ms / 2 + jitter,
+                                         on_retry, uplink);
+    uplink->retry_ms = MIN(uplink->retry_ms * 2, RETRY_MAX_MS);
+}
+
+static const struct rp_conn_ops conn_ops = {
+    .ready = on_ready, .message = on_message, .closed = on_closed};
+
+static void
+connect_next(struct rp_uplink *uplink)
+{
+    struct rp_endpoint to = uplink->controls->item[uplink->next];
+
+    uplink->next = (uplink->next + 1) % uplink->controls->count;
+    uplink->conn = RpConn_Open(&uplink->daemon->context, to, &conn_ops,
+                               uplink);
+}
+
+struct rp_uplink *
+RpUplink_Create(struct rp_daemon *daemon, const struct rp_endpoints *controls,
+                const struct rp_name *service, const struct rp_uplink_ops *ops,
+                void *user)
+{
+    struct rp_uplink *uplink = g_new0(struct rp_uplink, 1);
+
+    uplink->daemon = daemon;
+    uplink->controls = controls;
+    uplink->service = *service;
+    uplink->ops = ops;
+    uplink->user = user;
+    uplink->retry_ms = RETRY_MIN_MS;
+    uplink->next = randombytes_uniform((uint32_t)controls->count);
+    uplink->table = RpTable_Create();
+    connect_next(uplink);
+    return uplink;
+}
+
+void
+RpUplink_Free(struct rp_uplink *uplink)
+{
+    if (!uplink) {
+        return;
+    }
+    uplink->ending = true;
+    if (uplink->retry_source) {
+        g_source_remove(uplink->retry_source);
+    }
+    if (uplink->conn) {
+        RpConn_Close(uplink->conn);
+        while (uplink->conn) {
+            g_main_context_iteration(NULL, TRUE);
+        }
+    }
+    RpTable_Free(uplink->table);
+    g_free(uplink);
+}
+
+void
+RpUplink_Send(struct rp_uplink *uplink, const struct rp_msg *msg)
+{
+    if (uplink->ready) {
+        RpConn_Send(uplink->conn, msg);
+    }
+}
+
+const struct rp_table *
+RpUplink_Table(const struct rp_uplink *uplink)
+{
+    return uplink->table;
+}
+
+bool
+RpUplink_IsConnected(const struct rp_uplink *uplink)
+{
+    return uplink->ready;
+}
+
+size_t
+RpUplink_Queued(const struct rp_uplink *uplink)
+{
+    return uplink->ready ? RpConn_Queued(uplink->conn) : 0;
+}
--- /dev/null
+++ b/programs/daemon/rp_uplink.h
@@ -0,0 +1,38 @@
+/* A node's connection to control: it keeps a table up to date.
+ *
+ * The uplink tries the control instances in turn until one answers, asks
+ * for the table, applies what comes and confirms each revision. While no
+ * control instance answers, the node goes on with the table it has.
+ */
+#ifndef RP_UPLINK_H
+#define RP_UPLINK_H
+
+#include "rp_daemon.h"
+#include "rp_table.h"
+
+struct rp_uplink;
+
+struct rp_uplink_ops {
+    void (*connected)(void *user);
+    void (*table_changed)(void *user);
+};
+
+/* `service` is empty for all services. Everything passed is borrowed. */
+struct rp_uplink *RpUplink_Create(struct rp_daemon *daemon,
+                                  const struct rp_endpoints *controls,
+                                  const struct rp_name *service,
+                                  const struct rp_uplink_ops *ops, void *user);
+
+void RpUplink_Free(struct rp_uplink *uplink);
+
+/* Sends a message if there is a connection; it is dropped otherwise. */
+void RpUplink_Send(struct rp_uplink *uplink, const struct rp_msg *msg);
+
+/* The table so far. */
+const struct rp_table *RpUplink_Table(const struct rp_uplink *uplink);
+
+/* Whether a control instance is connected, and bytes it has not taken. */
+bool RpUplink_IsConnected(const struct rp_uplink *uplink);
+size_t RpUplink_Queued(const struct rp_uplink *uplink);
+
+#endif
--- /dev/null
+++ b/programs/shared/rp_conn.c
@@ -0,0 +1,429 @@
+#include "rp_conn.h"
+
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <string.h>
+
+#define READ_SIZE 65536
+#define TICK_MS 250
+#define CONNECT_TIMEOUT_S 2
+
+struct rp_conn {
+    const struct rp_conn_context *context;
+    const struct rp_conn_ops *ops;
+    void *user;
+    uint64_t number;
+    bool opened_by_us;
+    bool hello_seen;
+    bool hello_sent;
+    bool ready;
+    bool closing;
+    unsigned operations; /* asynchronous calls under way */
+    GSocketConnection *stream;
+    GCancellable *cancellable;
+    struct rp_session *session;
+    struct rp_msg_hello peer;
+    GString *output;
+    GString *writing;
+    GQueue waiting; /* of encoded messages, as GString */
+    char *input;
+    guint tick_source;
+    int64_t silence_deadline;
+    int64_t ping_deadline;
+    uint64_t pings;
+};
+
+static void start_read(struct rp_conn *conn);
+
+static uint64_t
+next_number(void)
+{
+    static uint64_t last;
+
+    return ++last;
+}
+
+static void
+free_string(gpointer data)
+{
+    g_string_free(data, TRUE);
+}
+
+/* Frees the connection once nothing refers to it any more. */
+static void
+finish_if_done(struct rp_conn *conn)
+{
+    if (!conn->closing || conn->operations) {
+        return;
+    }
+    conn->ops->closed(conn->user, conn);
+    if (conn->stream) {
+        g_io_stream_close(G_IO_STREAM(conn->stream), NULL, NULL);
+        g_object_unref(conn->stream);
+    }
+    g_object_unref(conn->cancellable);
+    RpSession_Free(conn->session);
+    g_string_free(conn->output, TRUE);
+    g_string_free(conn->writing, TRUE);
+    g_queue_clear_full(&conn->waiting, free_string);
+    g_free(conn->input);
+    g_free(conn);
+}
+
+static gboolean
+finish_later(gpointer data)
+{
+    struct rp_conn *conn = data;
+
+    conn->operations--;
+    finish_if_done(conn);
+    return G_SOURCE_REMOVE;
+}
+
+void
+RpConn_Close(struct rp_conn *conn)
+{
+    if (conn->closing) {
+        return;
+    }
+    conn->closing = true;
+    if (conn->tick_source) {
+        g_source_remove(conn->tick_source);
+        conn->tick_source = 0;
+    }
+    g_cancellable_cancel(conn->cancellable);
+    conn->operations++;
+    g_idle_add(finish_later, conn);
+}
+
+static void
+fail(struct rp_conn *conn, enum rp_counter reason)
+{
+    if (conn->closing) {
+        return;
+    }
+    RpCounters_Add(conn->context->counters, reason);
+    RpLog_Event(conn->context->log, RP_LOG_WARN, "peer_closed",
+                "peer=%s reason=%s",
+                conn->peer.name.len ? conn->peer.name.data : "unknown",
+                RpCounter_Name(reason));
+    RpConn_Close(conn);
+}
+
+static void start_write(struct rp_conn *conn);
+
+static void
+on_written(GObject *source, GAsyncResult *result, gpointer data)
+{
+    struct rp_conn *conn = data;
+    gsize written = 0;
+
+    conn->operations--;
+    gboolean good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source),
+                                                     result, &written, NULL);
+    g_string_truncate(conn->writing, 0);
+    if (!good) {
+        RpConn_Close(conn);
+    }
+    if (conn->closing) {
+        finish_if_done(conn);
+        return;
+    }
+    start_write(conn);
+}
+
+static void
+start_write(struct rp_conn *conn)
+{
+    if (conn->writing->len || !conn->output->len || !conn->stream) {
+        return;
+    }
+    GString *empty = conn->writing;
+    conn->writing = conn->output;
+    conn->output = empty;
+    conn->operations++;
+    g_output_stream_write_all_async(
+        g_io_stream_get_output_stream(G_IO_STREAM(conn->stream)),
+        conn->writing->str, conn->writing->len, G_PRIORITY_DEFAULT,
+        conn->cancellable, on_written, conn);
+}
+
+static void
+send_now(struct rp_conn *conn, const struct rp_msg *msg)
+{
+    RpSession_Send(conn->session, msg, conn->output);
+    RpCounters_Add(conn->context->counters, RP_COUNT_FRAMES_OUT);
+    conn->ping_deadline = g_get_monotonic_time() + RP_CONN_PING_US;
+    if (conn->output->len + conn->writing->len > RP_CONN_QUEUE_MAX) {
+        fail(conn, RP_COUNT_PEER_TOO_SLOW);
+        return;
+    }
+    start_write(conn);
+}
+
+static void
+send_hello(struct rp_conn *conn)
+{
+    const struct rp_msg msg = {.type = RP_MSG_HELLO,
+                               .hello = conn->context->hello};
+
+    conn->hello_sent = true;
+    send_now(conn, &msg);
+}
+
+/* Sends what was queued before both hellos were exchanged. */
+static void
+send_waiting(struct rp_conn *conn)
+{
+    GString *encoded;
+
+    while (!conn->closing &&
+           (encoded = g_queue_pop_head(&conn->waiting)) != NULL) {
+        struct rp_msg msg;
+        struct rp_str bytes = {.data = encoded->str, .len = encoded->len};
+        if (RpMsg_Decode(bytes, &msg)) {
+            send_now(conn, &msg);
+            RpMsg_Clear(&msg);
+        }
+        g_string_free(encoded, TRUE);
+    }
+}
+
+void
+RpConn_Send(struct rp_conn *conn, const struct rp_msg *msg)
+{
+    if (conn->closing) {
+        return;
+    }
+    if (conn->hello_sent && conn->hello_seen) {
+        send_now(conn, msg);
+        return;
+    }
+    GString *encoded = g_string_new(NULL);
+    RpMsg_Encode(msg, encoded);
+    g_queue_push_tail(&conn->waiting, encoded);
+}
+
+static void
+on_hello(struct rp_conn *conn, const struct rp_msg *msg)
+{
+    if (msg->hello.version != RP_PROTOCOL_VERSION ||
+        msg->hello.role == RP_ROLE_NONE || msg->hello.role >= RP_ROLE_COUNT) {
+        fail(conn, RP_COUNT_FRAME_UNEXPECTED);
+        return;
+    }
+    conn->hello_seen = true;
+    conn->peer = msg->hello;
+    if (!conn->hello_sent) {
+        send_hello(conn);
+    }
+    if (conn->opened_by_us) {
+        /* The peer waits for a first frame that covers its nonce. */
+        const struct rp_msg ping = {.type = RP_MSG_PING};
+        send_now(conn, &ping);
+    }
+    send_waiting(conn);
+}
+
+static void
+become_ready(struct rp_conn *conn)
+{
+    if (!conn->ready && RpSession_IsAuthenticated(conn->session)) {
+        conn->ready = true;
+        RpCounters_Add(conn->context->counters, RP_COUNT_PEERS_ACCEPTED);
+        conn->ops->ready(conn->user, conn, &conn->peer);
+    }
+}
+
+static void
+handle_message(struct rp_conn *conn, struct rp_msg *msg)
+{
+    RpCounters_Add(conn->context->counters, RP_COUNT_FRAMES_IN);
+    if (msg->type == RP_MSG_HELLO) {
+        on_hello(conn, msg);
+    }
+    if (!conn->closing) {
+        become_ready(conn);
+    }
+    if (!conn->closing && msg->type != RP_MSG_HELLO &&
+        msg->type != RP_MSG_PING) {
+        conn->ops->message(conn->user, conn, msg);
+    }
+}
+
+static void
+take_messages(struct rp_conn *conn)
+{
+    while (!conn->closing) {
+        struct rp_msg msg;
+        enum rp_counter reason;
+        enum rp_session_result result = RpSession_Next(conn->session, &msg,
+                                                       &reason);
+
+        if (result == RP_SESSION_FAILED) {
+            fail(conn, reason);
+            return;
+        }
+        if (result == RP_SESSION_WAIT) {
+            return;
+        }
+        handle_message(conn, &msg);
+        RpMsg_Clear(&msg);
+    }
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+    struct rp_conn *conn = data;
+    gssize got = g_input_stream_read_finish(G_INPUT_STREAM(source), result,
+                                            NULL);
+
+    conn->operations--;
+    if (got <= 0) {
+        RpConn_Close(conn);
+    }
+    if (conn->closing) {
+        finish_if_done(conn);
+        return;
+    }
+    conn->silence_deadline = g_get_monotonic_time() + RP_CONN_SILENCE_US;
+    RpSession_Receive(conn->session, (struct rp_str){.data = conn->input,
+                                                     .len = (size_t)got});
+    take_messages(conn);
+    if (!conn->closing) {
+        start_read(conn);
+    }
+}
+
+static void
+start_read(struct rp_conn *conn)
+{
+    conn->operations++;
+    g_input_stream_read_async(
+        g_io_stream_get_input_stream(G_IO_STREAM(conn->stream)), conn->input,
+        READ_SIZE, G_PRIORITY_DEFAULT, conn->cancellable, on_read, conn);
+}
+
+static gboolean
+on_tick(gpointer data)
+{
+    struct rp_conn *conn = data;
+    int64_t now = g_get_monotonic_time();
+
+    if (now >= conn->silence_deadline) {
+        conn->tick_source = 0;
+        fail(conn, RP_COUNT_PEER_TIMEOUT);
+        return G_SOURCE_REMOVE;
+    }
+    if (conn->ready && now >= conn->ping_deadline) {
+        const struct rp_msg ping = {.type = RP_MSG_PING,
+                                    .ping = {.number = ++conn->pings}};
+        send_now(conn, &ping);
+    }
+    return conn->closing ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+}
+
+static struct rp_conn *
+create(const struct rp_conn_context *context, bool opened_by_us,
+       const struct rp_conn_ops *ops, void *user)
+{
+    struct rp_conn *conn = g_new0(struct rp_conn, 1);
+    uint8_t nonce[RP_NONCE_SIZE];
+
+    randombytes_buf(nonce, sizeof nonce);
+    conn->context = context;
+    conn->ops = ops;
+    conn->user = user;
+    conn->number = next_number();
+    conn->opened_by_us = opened_by_us;
+    conn->cancellable = g_cancellable_new();
+    conn->session = RpSession_Create(context->keyring, opened_by_us, nonce);
+    conn->output = g_string_new(NULL);
+    conn->writing = g_string_new(NULL);
+    conn->input = g_malloc(READ_SIZE);
+    conn->silence_deadline = g_get_monotonic_time() + RP_CONN_SILENCE_US;
+    conn->tick_source = g_timeout_add(TICK_MS, on_tick, conn);
+    g_queue_init(&conn->waiting);
+    return conn;
+}
+
+/* Unsent data must not keep a dead connection alive for long. */
+static void
+set_socket_options(GSocketConnection *stream)
+{
+    GSocket *socket = g_socket_connection_get_socket(stream);
+    int timeout_ms = (int)(RP_CONN_SILENCE_US / RP_US_PER_MS);
+
+    /* The timeout of connecting must not stay on for reading. */
+    g_socket_set_timeout(socket, 0);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms,
+                        NULL);
+}
+
+static void
+on_connected(GObject *source, GAsyncResult *result, gpointer data)
+{
+    struct rp_conn *conn = data;
+
+    conn->operations--;
+    conn->stream = g_socket_client_connect_finish(G_SOCKET_CLIENT(source),
+                                                  result, NULL);
+    if (!conn->stream) {
+        RpConn_Close(conn);
+    }
+    if (conn->closing) {
+        finish_if_done(conn);
+        return;
+    }
+    set_socket_options(conn->stream);
+    send_hello(conn);
+    if (!conn->closing) {
+        start_read(conn);
+    }
+}
+
+struct rp_conn *
+RpConn_Open(const struct rp_conn_context *context, struct rp_endpoint to,
+            const struct rp_conn_ops *ops, void *user)
+{
+    struct rp_conn *conn = create(context, true, ops, user);
+    char ip[RP_ENDPOINT_TEXT_MAX];
+    GSocketClient *client = g_socket_client_new();
+    GSocketAddress *address = g_inet_socket_address_new_from_string(
+        RpIp_Format(to.ip, ip), to.port);
+
+    g_socket_client_set_enable_proxy(client, FALSE);
+    g_socket_client_set_timeout(client, CONNECT_TIMEOUT_S);
+    conn->operations++;
+    g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
+                                  conn->cancellable, on_connected, conn);
+    g_object_unref(address);
+    g_object_unref(client);
+    return conn;
+}
+
+struct rp_conn *
+RpConn_Accept(const struct rp_conn_context *context, GSocketConnection *stream,
+              const struct rp_conn_ops *ops, void *user)
+{
+    struct rp_conn *conn = create(context, false, ops, user);
+
+    conn->stream = g_object_ref(stream);
+    set_socket_options(stream);
+    start_read(conn);
+    return conn;
+}
+
+uint64_t
+RpConn_Number(const struct rp_conn *conn)
+{
+    return conn->number;
+}
+
+size_t
+RpConn_Queued(const struct rp_conn *conn)
+{
+    return conn->output->len + conn->writing->len;
+}
--- /dev/null
+++ b/tests/demo.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# make demo: the whole system on this machine, with ordinary TCP requests
+# through it while a balancer is killed. KEEP=1 leaves it running.
+set -u
+cd "$(dirname "$0")/.."
+BIN=${BUILD:-build}
+RUN=demo-run
+BASE=${BASE:-17000}
+LOSS=5
+REORDER=20
+DUPLICATE=5
+REQUESTS=${REQUESTS:-1100}
+. tests/system.sh
+trap stop_system EXIT
+
+fail() {
+    say "FAILED: $*"
+    exit 1
+}
+
+prepare_run
+say "1 control, $BALANCERS balancers; logs in $RUN/"
+start_control 0
+for i in 0 1 2; do start_balancer $i; done
+
+say "4 upstreams of 2 services, each with its agent, host and server"
+for i in 0 1; do
+    start_host lens-desk 10.80.0.1:7000 $i
+    start_agent lens-desk $i
+done
+for i in 2 3; do
+    start_host photo-shelf 10.80.0.2:7000 $i
+    start_agent photo-shelf $i
+done
+
+say "fabric: any packet to any balancer, loss $LOSS, reordering $REORDER," \
+    "duplication $DUPLICATE permille"
+start_edge "127.0.0.1:$(service_port 0),127.0.0.1:$(service_port 1)" \
+    10.80.0.1:7000,10.80.0.2:7000
+
+say "applying two service documents"
+wait_until 10 cli service list || fail "control does not answer"
+cli service apply "$(document lens-desk 10.80.0.1:7000)" || fail "apply"
+cli service apply "$(document photo-shelf 10.80.0.2:7000)" || fail "apply"
+wait_until 10 has_ready lens-desk 2 || fail "lens-desk has no upstreams"
+wait_until 10 has_ready photo-shelf 2 || fail "photo-shelf has no upstreams"
+cli service list
+
+say "sending $((2 * REQUESTS)) requests over many connections"
+start client "$BIN/tests/standin-client" --requests "$REQUESTS" \
+    --targets "127.0.0.1:$(service_port 0),127.0.0.1:$(service_port 1)" \
+    --services lens-desk,photo-shelf --connections 20 --per-connection 25
+wait_until 120 grep -q "client: half" "$RUN/client.log" ||
+    fail "the client does not get on"
+say "half way: killing balancer-1"
+stop balancer-1 KILL
+wait "${PIDS[client]}"
+unset "PIDS[client]"
+result=$(grep -o 'requests=.*' "$RUN/client.log")
+cli status
+
+if [ "${KEEP:-}" = 1 ]; then
+    start_balancer 1
+    say "left running. lens-desk: http://127.0.0.1:$(service_port 0)/bytes/1000"
+    say "              photo-shelf: http://127.0.0.1:$(service_port 1)/bytes/1000"
+    say "for the command line: export RADISHPORT_CONTROL=$RADISHPORT_CONTROL" \
+        "RADISHPORT_KEY_FILE=$RADISHPORT_KEY_FILE"
+    say "to stop it: kill ${PIDS[*]}"
+    trap - EXIT
+    disown -a
+fi
+echo "demo: $result"
+case $result in
+*" broken=0 misdirected=0") exit 0 ;;
+*) exit 1 ;;
+esac
--- /dev/null
+++ b/tests/golden/agent_session.c
@@ -0,0 +1,371 @@
+/* Plays a scripted session through one agent and prints what it does.
+ *
+ * A script has one command a line; '#' starts a comment.
+ *
+ *   service ID INCARNATION ADDR:PORT FLOW-LIMIT RETRIES-PERCENT
+ *   member NAME SLOTS STATE       upstream NAME, whose agent is NAME
+ *   agent NAME SLOTS              starts the agent of that member
+ *   at MS                         sets the time
+ *   caller FLAGS PORT SEQ ACK LEN CHAIN [tag ID INCARNATION]
+ *   host FLAGS PORT SEQ ACK LEN
+ *   timers                        runs what is due
+ *   drain | resume
+ *   show PORT                     prints a flow's state and the load
+ *
+ * FLAGS are letters of S, A, F, R and P. PORT is the caller's, at 10.9.0.1.
+ * CHAIN lists member names; a '|' stands after those that were visited. */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rp_agent.h"
+#include "rp_bytes.h"
+#include "rp_flow_chart.h"
+#include "rp_time.h"
+
+#define CALLER_IP 0x0a090001u
+#define MAX_WORDS 16
+#define PACKET_MAX 4096
+
+struct session {
+    struct rp_msg table;
+    struct rp_msg_service service;
+    struct rp_table *routes;
+    struct rp_chart chart;
+    struct rp_counters counters;
+    struct rp_agent *agent;
+    struct rp_actions actions;
+    int64_t now;
+    uint64_t revision;
+};
+
+/* Member "a" is at 10.0.0.97:1 and so on: the address tells the name. */
+static struct rp_endpoint
+endpoint_of(const char *name)
+{
+    return (struct rp_endpoint){.ip = 0x0a000000u + (uint8_t)name[0],
+                                .port = 1};
+}
+
+static char
+name_of(struct rp_endpoint endpoint)
+{
+    return (char)(endpoint.ip & 0xff);
+}
+
+static uint32_t
+number(const char *word)
+{
+    return (uint32_t)strtoul(word, NULL, 10);
+}
+
+static uint8_t
+parse_flags(const char *word)
+{
+    static const char letters[] = "FSRPA";
+    uint8_t flags = 0;
+
+    for (; *word; word++) {
+        const char *found = strchr(letters, *word);
+        if (found) {
+            flags |= (uint8_t)(1u << (found - letters));
+        }
+    }
+    return flags;
+}
+
+static void
+print_flags(uint8_t flags)
+{
+    static const char letters[] = "FSRPA";
+
+    for (int i = 0; letters[i]; i++) {
+        if (flags >> i & 1) {
+            putchar(letters[i]);
+        }
+    }
+}
+
+static void
+print_chain(const struct rp_chain *chain)
+{
+    printf(" chain=");
+    for (uint8_t i = 0; i < chain->count; i++) {
+        printf("%s%c", i == chain->visited ? "|" : "", name_of(chain->hop[i]));
+    }
+    if (chain->visited == chain->count) {
+        putchar('|');
+    }
+}
+
+static void
+print_action(const struct rp_action *action)
+{
+    static const char *const kinds[] = {"drop", "to_host", "to_caller",
+                                        "pass"};
+    struct rp_packet packet;
+    enum rp_counter reason;
+
+    printf("  %s reason=%s", kinds[action->kind],
+           RpCounter_Name(action->reason));
+    if (action->data &&
+        RpPacket_Parse(action->data, action->len, &packet, &reason)) {
+        printf(" flags=");
+        print_flags(packet.flags);
+        printf(" seq=%u ack=%u len=%u", packet.seq, packet.ack,
+               packet.payload_len);
+    }
+    if (action->kind == RP_ACTION_PASS) {
+        printf(" next=%c", name_of(action->next));
+        print_chain(&action->chain);
+    }
+    printf("\n");
+}
+
+static void
+print_actions(const struct session *session)
+{
+    for (size_t i = 0; i < session->actions.count; i++) {
+        print_action(&session->actions.item[i]);
+    }
+}
+
+static void
+set_table(struct session *session)
+{
+    struct rp_msg_table table = {
+        .revision = ++session->revision,
+        .complete = 1,
+        .services = RpSchema_NewList(&rp_msg_service_schema)};
+
+    g_array_append_val(table.services, session->service);
+    RpTable_Apply(session->routes, &table);
+    g_array_free(table.services, TRUE);
+    if (session->agent) {
+        struct rp_endpoint address = {.ip = session->service.address,
+                                      .port = session->service.port};
+        RpAgent_SetTable(session->agent, session->routes,
+                         RpTable_Find(session->routes, address));
+    }
+}
+
+static void
+do_service(struct session *session, const char **words)
+{
+    struct rp_endpoint address;
+
+    RpEndpoint_Parse(RpStr_FromC(words[3]), &address);
+    session->service.id = number(words[1]);
+    session->service.incarnation = number(words[2]);
+    session->service.address = address.ip;
+    session->service.port = address.port;
+    session->service.flows_per_upstream = number(words[4]);
+    session->service.retries_percent = number(words[5]);
+    session->service.silence_ms = 30000;
+}
+
+static void
+do_member(struct session *session, const char **words)
+{
+    GArray *members = session->service.members;
+    struct rp_msg_member member = {.agent_ip = endpoint_of(words[1]).ip,
+                                   .agent_port = 1,
+                                   .slots = number(words[2]),
+                                   .state = RP_UPSTREAM_READY};
+
+    RpName_Set(&member.upstream, RpStr_FromC(words[1]));
+    if (!strcmp(words[3], "draining")) {
+        member.state = RP_UPSTREAM_DRAINING;
+    }
+    if (!strcmp(words[3], "lost")) {
+        member.state = RP_UPSTREAM_LOST;
+    }
+    for (guint i = 0; i < members->len; i++) {
+        struct rp_msg_member *old = &g_array_index(members,
+                                                   struct rp_msg_member, i);
+        if (RpName_Equal(&old->upstream, &member.upstream)) {
+            *old = member;
+            set_table(session);
+            return;
+        }
+    }
+    g_array_append_val(members, member);
+    set_table(session);
+}
+
+static void
+do_agent(struct session *session, const char **words)
+{
+    const struct rp_agent_config config = {
+        .self = endpoint_of(words[1]), .slots = number(words[2]), .seed = 1};
+
+    RpAgent_Free(session->agent);
+    session->agent = RpAgent_Create(&config, &session->chart,
+                                    RpAdmission_CreateBound(),
+                                    &session->counters);
+    set_table(session);
+}
+
+static void
+make_packet(uint8_t *bytes, struct rp_packet *packet, struct rp_flow_key key,
+            const char **words)
+{
+    size_t payload = number(words[5]);
+    size_t len = RpPacket_MakeSegment(
+        key, parse_flags(words[1]), number(words[3]), number(words[4]), bytes);
+    enum rp_counter reason;
+
+    memset(bytes + len, 'x', payload);
+    RpBytes_Put16(bytes + 2, (uint16_t)(len + payload));
+    if (!RpPacket_Parse(bytes, len + payload, packet, &reason)) {
+        printf("  bad packet in the script\n");
+    }
+}
+
+static struct rp_flow_key
+caller_key(const struct session *session, const char *port)
+{
+    return (struct rp_flow_key){.src_ip = CALLER_IP,
+                                .src_port = (uint16_t)number(port),
+                                .dst_ip = session->service.address,
+                                .dst_port = session->service.port};
+}
+
+static void
+do_caller(struct session *session, const char **words)
+{
+    uint8_t bytes[PACKET_MAX];
+    struct rp_packet packet;
+    struct rp_geneve geneve = {
+        .has_tag = true,
+        .has_chain = true,
+        .tag = {.service_id = session->service.id,
+                .incarnation = session->service.incarnation}};
+
+    make_packet(bytes, &packet, caller_key(session, words[2]), words);
+    for (const char *c = words[6]; *c; c++) {
+        if (*c == '|') {
+            geneve.chain.visited = geneve.chain.count;
+        }
+        else {
+            RpChain_Append(&geneve.chain, endpoint_of(c));
+        }
+    }
+    if (!strcmp(words[7], "tag")) {
+        geneve.tag.service_id = number(words[8]);
+        geneve.tag.incarnation = number(words[9]);
+    }
+    RpAgent_FromCaller(session->agent, session->now, &packet, &geneve,
+                       &session->actions);
+    print_actions(session);
+}
+
+static void
+do_host(struct session *session, const char **words)
+{
+    uint8_t bytes[PACKET_MAX];
+    struct rp_packet packet;
+
+    make_packet(bytes, &packet,
+                RpFlowKey_Reverse(caller_key(session, words[2])), words);
+    RpAgent_FromHost(session->agent, session->now, &packet, &session->actions);
+    print_actions(session);
+}
+
+static void
+do_timers(struct session *session)
+{
+    while (RpAgent_OnTimer(session->agent, session->now, &session->actions)) {
+        printf("  timer\n");
+        print_actions(session);
+    }
+}
+
+static void
+do_show(const struct session *session, const char **words)
+{
+    struct rp_endpoint caller = {.ip = CALLER_IP,
+                                 .port = (uint16_t)number(words[1])};
+    struct rp_agent_load load = RpAgent_Load(session->agent, session->now);
+
+    printf("  state=%s flows=%u busy=%u\n",
+           RpFlowState_Name(RpAgent_FlowState(session->agent, caller)),
+           load.flows, load.busy);
+}
+
+static void
+do_line(struct session *session, char *line)
+{
+    const char *words[MAX_WORDS];
+    size_t count = 0;
+    char *rest = NULL;
+
+    /* Words that a command leaves out read as empty. */
+    for (size_t i = 0; i < MAX_WORDS; i++) {
+        words[i] = "";
+    }
+    for (char *word = strtok_r(line, " \n", &rest);
+         word && count < MAX_WORDS - 1; word = strtok_r(NULL, " \n", &rest)) {
+        words[count++] = word;
+    }
+    if (count == 0 || words[0][0] == '#') {
+        return;
+    }
+    if (!strcmp(words[0], "service")) {
+        do_service(session, words);
+    }
+    else if (!strcmp(words[0], "member")) {
+        do_member(session, words);
+    }
+    else if (!strcmp(words[0], "agent")) {
+        do_agent(session, words);
+    }
+    else if (!strcmp(words[0], "at")) {
+        session->now = number(words[1]) * RP_US_PER_MS;
+    }
+    else if (!strcmp(words[0], "caller")) {
+        do_caller(session, words);
+    }
+    else if (!strcmp(words[0], "host")) {
+        do_host(session, words);
+    }
+    else if (!strcmp(words[0], "timers")) {
+        do_timers(session);
+    }
+    else if (!strcmp(words[0], "drain")) {
+        RpAgent_SetDraining(session->agent, true);
+    }
+    else if (!strcmp(words[0], "resume")) {
+        RpAgent_SetDraining(session->agent, false);
+    }
+    else if (!strcmp(words[0], "show")) {
+        do_show(session, words);
+    }
+    else {
+        printf("  unknown command\n");
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct session session = {.routes = RpTable_Create()};
+    FILE *in = argc == 2 ? fopen(argv[1], "r") : NULL;
+    char line[512];
+
+    if (!in || RpFlowChart_Load(&session.chart, NULL) != RP_OK) {
+        fprintf(stderr, "usage: agent-session FILE\n");
+        return 2;
+    }
+    session.service.members = RpSchema_NewList(&rp_msg_member_schema);
+    while (fgets(line, sizeof line, in)) {
+        fputs(line, stdout);
+        do_line(&session, line);
+    }
+    fclose(in);
+    RpAgent_Free(session.agent);
+    RpTable_Free(session.routes);
+    g_array_free(session.service.members, TRUE);
+    return 0;
+}
--- /dev/null
+++ b/tests/run-tests.sh
@@ -0,0 +1,55 @@
+#!/bin/sh
+# Runs every test: unit tests, golden sessions, and the scripted runs on
+# real processes. Prints each failure and one line at the end.
+#
+# UPDATE=1 rewrites the golden files; read the difference before committing.
+set -u
+BUILD=${BUILD:-build}
+passed=0
+failed=0
+
+pass() {
+    passed=$((passed + 1))
+    echo "ok   $1"
+}
+
+fail() {
+    failed=$((failed + 1))
+    echo "FAIL $1"
+}
+
+for test in "$BUILD"/tests/test_*; do
+    name=$(basename "$test")
+    if "$test" > "$BUILD/$name.out" 2>&1; then
+        pass "$name"
+    else
+        cat "$BUILD/$name.out"
+        fail "$name"
+    fi
+done
+
+for session in tests/golden/*.session; do
+    name=$(basename "$session" .session)
+    golden="tests/golden/$name.golden"
+    "$BUILD/tests/agent-session" "$session" > "$BUILD/$name.out" 2>&1
+    [ "${UPDATE:-}" = 1 ] && cp "$BUILD/$name.out" "$golden"
+    if diff -u "$golden" "$BUILD/$name.out"; then
+        pass "golden $name"
+    else
+        fail "golden $name"
+    fi
+done
+
+for script in tests/runs/*.sh; do
+    [ -e "$script" ] || continue
+    name=$(basename "$script" .sh)
+    if BUILD=$BUILD bash "$script" > "$BUILD/$name.out" 2>&1; then
+        pass "run $name"
+    else
+        tail -n 40 "$BUILD/$name.out"
+        fail "run $name"
+    fi
+done
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/tests/standins/host.c
@@ -0,0 +1,68 @@
+/* Stand-in for an upstream host: takes the inner packets that its agent
+ * hands over, speaks TCP with the caller and relays each connection to a
+ * real server on this machine. */
+#include <glib.h>
+
+#include "link.h"
+#include "splice.h"
+#include "standin.h"
+
+struct host_settings {
+    struct rp_endpoint address; /* of the service */
+    struct rp_endpoint listen;
+    struct rp_endpoint agent;
+    struct rp_endpoint server;
+};
+
+static struct host_settings settings;
+
+static const struct rp_setting settings_table[] = {
+    {.flag = "address",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct host_settings, address),
+     .value = "ADDR:PORT",
+     .help = "the service's address"},
+    {.flag = "listen",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct host_settings, listen),
+     .value = "ADDR:PORT",
+     .help = "take datagrams from the agent here"},
+    {.flag = "agent",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct host_settings, agent),
+     .value = "ADDR:PORT",
+     .help = "the agent's side for its host"},
+    {.flag = "server",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct host_settings, server),
+     .value = "ADDR:PORT",
+     .help = "the real server"},
+};
+
+static err_t
+on_accept(void *arg, struct tcp_pcb *pcb, err_t err)
+{
+    (void)arg;
+    (void)err;
+    splice_start(pcb, standin_connect(settings.server));
+    return ERR_OK;
+}
+
+int
+main(int argc, char **argv)
+{
+    standin_read_settings(settings_table, G_N_ELEMENTS(settings_table),
+                          "standin-host", argc, argv, &settings);
+    if (!link_start(settings.address.ip, settings.listen, settings.agent)) {
+        return 1;
+    }
+    ip_addr_t address = link_address(settings.address.ip);
+    struct tcp_pcb *pcb = tcp_new();
+    if (tcp_bind(pcb, &address, settings.address.port) != ERR_OK) {
+        return 1;
+    }
+    pcb = tcp_listen(pcb);
+    tcp_accept(pcb, on_accept);
+    standin_run();
+    return 0;
+}
--- /dev/null
+++ b/tests/system.sh
@@ -0,0 +1,159 @@
+# Shell functions that start a whole system on 127.0.0.1, each process its
+# own, for the demo and the scripted runs. Source it, then set:
+#
+#   BIN    folder of the build          RUN    folder for logs and data
+#   BASE   first of 1000 ports          LOSS, REORDER, DUPLICATE  permille
+#
+# Every process started here is remembered in PIDS and ended by
+# stop_system; nothing else is touched.
+
+declare -A PIDS
+LOSS=${LOSS:-0}
+REORDER=${REORDER:-0}
+DUPLICATE=${DUPLICATE:-0}
+SEED=${SEED:-1}
+BALANCERS=${BALANCERS:-3}
+CONTROLS=${CONTROLS:-1}
+
+say() { echo "$(basename "${0%.sh}"): $*"; }
+
+# Ports of a part: NAME_PORT INDEX
+control_port() { echo $((BASE + 1 + $1)); }
+balancer_port() { echo $((BASE + 100 + $1)); }
+agent_port() { echo $((BASE + 200 + $1)); }
+host_side_port() { echo $((BASE + 300 + $1)); }
+host_port() { echo $((BASE + 400 + $1)); }
+server_port() { echo $((BASE + 500 + $1)); }
+service_port() { echo $((BASE + 700 + $1)); }
+admin_port() { echo $((BASE + 800 + $1)); }
+FABRIC_CALLERS() { echo $((BASE + 601)); }
+FABRIC_SYSTEM() { echo $((BASE + 602)); }
+CALLER_LISTEN() { echo $((BASE + 603)); }
+
+control_list() {
+    local i list=""
+    for ((i = 0; i < CONTROLS; i++)); do
+        list="$list${list:+,}127.0.0.1:$(control_port $i)"
+    done
+    echo "$list"
+}
+
+balancer_list() {
+    local i list=""
+    for ((i = 0; i < BALANCERS; i++)); do
+        list="$list${list:+,}127.0.0.1:$(balancer_port $i)"
+    done
+    echo "$list"
+}
+
+# start NAME COMMAND...: runs it in the background with its own log.
+start() {
+    local name=$1
+    shift
+    "$@" >> "$RUN/$name.log" 2>&1 &
+    PIDS[$name]=$!
+}
+
+# stop NAME [SIGNAL]: ends one process and waits for it.
+stop() {
+    local name=$1 signal=${2:-TERM}
+    [ -n "${PIDS[$name]:-}" ] || return 0
+    kill -"$signal" "${PIDS[$name]}" 2> /dev/null
+    wait "${PIDS[$name]}" 2> /dev/null
+    unset "PIDS[$name]"
+}
+
+stop_system() {
+    local name
+    for name in "${!PIDS[@]}"; do
+        kill -KILL "${PIDS[$name]}" 2> /dev/null
+    done
+    for name in "${!PIDS[@]}"; do
+        wait "${PIDS[$name]}" 2> /dev/null
+    done
+    PIDS=()
+}
+
+prepare_run() {
+    rm -rf "$RUN"
+    mkdir -p "$RUN"
+    (umask 077 && head -c 24 /dev/urandom | base64 > "$RUN/key")
+    export RADISHPORT_KEY_FILE="$RUN/key"
+    RADISHPORT_CONTROL=$(control_list)
+    export RADISHPORT_CONTROL
+}
+
+start_control() {
+    start "control-$1" "$BIN/programs/radishportd" control \
+        --name "control-$1" --listen "127.0.0.1:$(control_port "$1")" \
+        --data "$RUN/control-$1" --admin "127.0.0.1:$(admin_port "$1")"
+}
+
+start_balancer() {
+    start "balancer-$1" "$BIN/programs/radishportd" balancer \
+        --name "balancer-$1" --listen "127.0.0.1:$(balancer_port "$1")" \
+        --admin "127.0.0.1:$(admin_port $((100 + $1)))"
+}
+
+# start_host SERVICE ADDRESS INDEX: a server and the host in front of it.
+start_host() {
+    start "server-$3" "$BIN/tests/standin-server" --service "$1" \
+        --listen "127.0.0.1:$(server_port "$3")"
+    start "host-$3" "$BIN/tests/standin-host" --address "$2" \
+        --listen "127.0.0.1:$(host_port "$3")" \
+        --agent "127.0.0.1:$(host_side_port "$3")" \
+        --server "127.0.0.1:$(server_port "$3")"
+}
+
+# start_agent SERVICE INDEX [FLAGS]
+start_agent() {
+    local service=$1 index=$2
+    shift 2
+    start "agent-$index" "$BIN/programs/radishportd" agent \
+        --name "upstream-$index" --service "$service" \
+        --listen "127.0.0.1:$(agent_port "$index")" \
+        --host-listen "127.0.0.1:$(host_side_port "$index")" \
+        --host "127.0.0.1:$(host_port "$index")" \
+        --fabric "127.0.0.1:$(FABRIC_SYSTEM)" --slots 7 "$@"
+}
+
+# start_edge PORTS SERVICES: the fabric and the callers' side.
+start_edge() {
+    start fabric "$BIN/tests/standin-fabric" \
+        --callers "127.0.0.1:$(FABRIC_CALLERS)" \
+        --system "127.0.0.1:$(FABRIC_SYSTEM)" \
+        --balancers "$(balancer_list)" --seed "$SEED" \
+        --loss-permille "$LOSS" --reorder-permille "$REORDER" \
+        --duplicate-permille "$DUPLICATE"
+    start caller "$BIN/tests/standin-caller" --address 10.9.0.1:1 \
+        --listen "127.0.0.1:$(CALLER_LISTEN)" \
+        --fabric "127.0.0.1:$(FABRIC_CALLERS)" \
+        --ports "$1" --services "$2"
+}
+
+# document SERVICE ADDRESS: writes a service document and prints its name.
+document() {
+    printf '[service]\nname = %s\naddress = %s\n' "$1" "$2" > "$RUN/$1.conf"
+    echo "$RUN/$1.conf"
+}
+
+cli() { "$BIN/programs/radishport" "$@"; }
+
+# wait_until SECONDS COMMAND...: tries until it succeeds.
+wait_until() {
+    local tries=$(($1 * 20)) i
+    shift
+    for ((i = 0; i < tries; i++)); do
+        "$@" > /dev/null 2>&1 && return 0
+        sleep 0.05
+    done
+    return 1
+}
+
+# ready_upstreams SERVICE: how many of its upstreams are ready.
+ready_upstreams() {
+    cli service list --json | tr -d ' \n' |
+        sed -n "s/.*\"name\":\"$1\"[^}]*\"ready\":\([0-9]*\).*/\1/p"
+}
+
+has_ready() { [ "$(ready_upstreams "$1")" = "$2" ]; }
--- /dev/null
+++ b/tests/unit/test_journal.c
@@ -0,0 +1,259 @@
+/* The journal: what survives a crash at any byte, what counts as damage,
+ * and that a failed sync is final. */
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include "check.h"
+#include "rp_journal.h"
+
+/* What a replay saw, as text: "1:alpha 2:beta". */
+static enum rp_code
+note_record(void *user, const struct rp_record *record, struct rp_error *error)
+{
+    GString *seen = user;
+
+    (void)error;
+    g_string_append_printf(seen, "%s%u:%.*s", seen->len ? " " : "",
+                           record->kind, (int)record->payload.len,
+                           record->payload.data);
+    return RP_OK;
+}
+
+/* A folder for one test. */
+struct fixture {
+    gchar *folder;
+    gchar *file;
+    GString *seen;
+};
+
+static int
+set_up(void **state)
+{
+    struct fixture *fixture = g_new0(struct fixture, 1);
+
+    fixture->folder = g_dir_make_tmp("rp-journal-XXXXXX", NULL);
+    fixture->file = g_build_filename(fixture->folder, "journal", NULL);
+    fixture->seen = g_string_new(NULL);
+    *state = fixture;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    struct fixture *fixture = *state;
+
+    g_remove(fixture->file);
+    g_rmdir(fixture->folder);
+    g_free(fixture->folder);
+    g_free(fixture->file);
+    g_string_free(fixture->seen, TRUE);
+    g_free(fixture);
+    return 0;
+}
+
+static struct rp_journal *
+open_journal(struct fixture *fixture, struct rp_error *error)
+{
+    g_string_truncate(fixture->seen, 0);
+    return RpJournal_Open(fixture->folder, note_record, fixture->seen, error);
+}
+
+static void
+append(struct rp_journal *journal, uint8_t kind, const char *text)
+{
+    const struct rp_record record = {.kind = kind,
+                                     .payload = RpStr_FromC(text)};
+
+    RpJournal_Append(journal, &record);
+}
+
+/* Writes alpha, beta, gamma, each synced by itself. */
+static void
+write_three(struct fixture *fixture)
+{
+    struct rp_journal *journal = open_journal(fixture, NULL);
+
+    assert_non_null(journal);
+    append(journal, 1, "alpha");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    append(journal, 2, "beta");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    append(journal, 3, "gamma");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    RpJournal_Close(journal);
+}
+
+static void
+test_reopen(void **state)
+{
+    struct fixture *fixture = *state;
+
+    write_three(fixture);
+    struct rp_journal *journal = open_journal(fixture, NULL);
+    assert_string_equal(fixture->seen->str, "1:alpha 2:beta 3:gamma");
+    append(journal, 4, "delta");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    RpJournal_Close(journal);
+    RpJournal_Close(open_journal(fixture, NULL));
+    assert_string_equal(fixture->seen->str, "1:alpha 2:beta 3:gamma 4:delta");
+}
+
+/* Cut at every byte of the last record: the ones before it survive, and
+ * the journal goes on from there. */
+static void
+test_cut_at_every_byte(void **state)
+{
+    struct fixture *fixture = *state;
+    gchar *content;
+    gsize len;
+    const size_t last = 32 + 5; /* header and "gamma" */
+
+    write_three(fixture);
+    assert_true(g_file_get_contents(fixture->file, &content, &len, NULL));
+    for (size_t cut = len - last; cut < len; cut++) {
+        assert_true(
+            g_file_set_contents(fixture->file, content, (gssize)cut, NULL));
+        struct rp_journal *journal = open_journal(fixture, NULL);
+        assert_non_null(journal);
+        assert_string_equal(fixture->seen->str, "1:alpha 2:beta");
+        append(journal, 9, "after");
+        assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+        RpJournal_Close(journal);
+        RpJournal_Close(open_journal(fixture, NULL));
+        assert_string_equal(fixture->seen->str, "1:alpha 2:beta 9:after");
+    }
+    g_free(content);
+}
+
+/* A tail that the file system left as zeros is torn, too. */
+static void
+test_zero_tail(void **state)
+{
+    struct fixture *fixture = *state;
+    gchar *content;
+    gsize len;
+
+    write_three(fixture);
+    assert_true(g_file_get_contents(fixture->file, &content, &len, NULL));
+    memset(content + len - 37, 0, 37);
+    assert_true(
+        g_file_set_contents(fixture->file, content, (gssize)len, NULL));
+    struct rp_journal *journal = open_journal(fixture, NULL);
+    assert_non_null(journal);
+    assert_string_equal(fixture->seen->str, "1:alpha 2:beta");
+    RpJournal_Close(journal);
+    g_free(content);
+}
+
+/* One flipped bit anywhere is damage, never a shorter journal. */
+static void
+test_every_flipped_bit_is_damage(void **state)
+{
+    struct fixture *fixture = *state;
+    gchar *content;
+    gsize len;
+
+    write_three(fixture);
+    assert_true(g_file_get_contents(fixture->file, &content, &len, NULL));
+    for (size_t i = 0; i < len; i++) {
+        content[i] ^= 0x10;
+        assert_true(
+            g_file_set_contents(fixture->file, content, (gssize)len, NULL));
+        struct rp_error error;
+        RpError_Init(&error);
+        assert_null(open_journal(fixture, &error));
+        assert_int_equal(RpError_Count(&error), 1);
+        struct rp_journal_report report;
+        assert_int_not_equal(RpJournal_Check(fixture->folder, &report, NULL),
+                             RP_OK);
+        RpError_Clear(&error);
+        content[i] ^= 0x10;
+    }
+    g_free(content);
+}
+
+static void
+test_rewrite(void **state)
+{
+    struct fixture *fixture = *state;
+    const struct rp_record snapshot = {.kind = 7,
+                                       .payload = RP_STR("snapshot")};
+
+    write_three(fixture);
+    struct rp_journal *journal = open_journal(fixture, NULL);
+    uint64_t before = RpJournal_Size(journal);
+    assert_int_equal(RpJournal_Rewrite(journal, &snapshot, 1, NULL), RP_OK);
+    assert_true(RpJournal_Size(journal) < before);
+    append(journal, 8, "next");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    RpJournal_Close(journal);
+    RpJournal_Close(open_journal(fixture, NULL));
+    assert_string_equal(fixture->seen->str, "7:snapshot 8:next");
+}
+
+/* A second process must not write the same folder. */
+static void
+test_folder_is_locked(void **state)
+{
+    struct fixture *fixture = *state;
+    struct rp_error error;
+    struct rp_journal *journal = open_journal(fixture, NULL);
+
+    RpError_Init(&error);
+    assert_null(open_journal(fixture, &error));
+    assert_string_equal(RpError_Get(&error, 0)->text->str,
+                        "in use by another process");
+    RpError_Clear(&error);
+    RpJournal_Close(journal);
+}
+
+/* A full disk (here: a file size limit) fails the sync, and the journal
+ * refuses everything after it. */
+static void
+test_failed_write_is_final(void **state)
+{
+    struct fixture *fixture = *state;
+    struct rlimit old;
+    struct rlimit tight;
+    struct rp_journal *journal = open_journal(fixture, NULL);
+
+    signal(SIGXFSZ, SIG_IGN);
+    getrlimit(RLIMIT_FSIZE, &old);
+    tight = old;
+    tight.rlim_cur = 64;
+    append(journal, 1, "this record does not fit into the limit any more");
+    setrlimit(RLIMIT_FSIZE, &tight);
+    enum rp_code code = RpJournal_Sync(journal, NULL);
+    setrlimit(RLIMIT_FSIZE, &old);
+    assert_int_equal(code, RP_ERR_IO);
+    append(journal, 2, "late");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_ERR_IO);
+    RpJournal_Close(journal);
+    journal = open_journal(fixture, NULL);
+    assert_string_equal(fixture->seen->str, "");
+    RpJournal_Close(journal);
+}
+
+int
+main(void)
+{
+#define TEST(function)                                                        \
+    cmocka_unit_test_setup_teardown(function, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        TEST(test_reopen),
+        TEST(test_cut_at_every_byte),
+        TEST(test_zero_tail),
+        TEST(test_every_flipped_bit_is_damage),
+        TEST(test_rewrite),
+        TEST(test_folder_is_locked),
+        TEST(test_failed_write_is_final),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_tables.c
@@ -0,0 +1,248 @@
+/* Service tables, rankings, routes and the flow table. */
+#include <glib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_balancer.h"
+#include "rp_flow_table.h"
+
+#define FLOWS 20000
+
+static void
+add_member(GArray *members, unsigned number, uint32_t slots,
+           enum rp_upstream_state state)
+{
+    struct rp_msg_member member = {.agent_ip = number,
+                                   .agent_port = 1,
+                                   .slots = slots,
+                                   .state = (uint8_t)state};
+    gchar *name = g_strdup_printf("upstream-%u", number);
+
+    RpName_Set(&member.upstream, RpStr_FromC(name));
+    g_free(name);
+    g_array_append_val(members, member);
+}
+
+/* A table with one service at 10.80.0.1:7000 and `count` members. */
+static void
+apply_members(struct rp_table *table, uint64_t revision, unsigned count,
+              uint32_t first_slots)
+{
+    struct rp_msg msg = {.type = RP_MSG_TABLE};
+    struct rp_msg_service service = {
+        .id = 1,
+        .incarnation = 1,
+        .address = 0x0a500001,
+        .port = 7000,
+        .members = RpSchema_NewList(&rp_msg_member_schema)};
+
+    for (unsigned i = 1; i <= count; i++) {
+        add_member(service.members, i, i == 1 ? first_slots : 7,
+                   RP_UPSTREAM_READY);
+    }
+    msg.table.revision = revision;
+    msg.table.complete = 1;
+    msg.table.services = RpSchema_NewList(&rp_msg_service_schema);
+    g_array_append_val(msg.table.services, service);
+    assert_int_equal(RpTable_Apply(table, &msg.table), RP_OK);
+    RpMsg_Clear(&msg);
+}
+
+static const struct rp_service *
+test_service(const struct rp_table *table)
+{
+    return RpTable_Find(table, (struct rp_endpoint){0x0a500001, 7000});
+}
+
+/* Which member is first for flow number `i`; its number. */
+static unsigned
+first_for(const struct rp_table *table, unsigned i)
+{
+    const struct rp_member *ranked[1];
+    struct rp_flow_key key = {.src_ip = 0x0a090000 + i / 1000,
+                              .src_port = (uint16_t)(i % 1000),
+                              .dst_ip = 0x0a500001,
+                              .dst_port = 7000};
+
+    assert_int_equal(RpService_Rank(test_service(table),
+                                    RpTable_HashFlow(table, key),
+                                    RP_MEMBERS_READY, ranked, 1),
+                     1);
+    return ranked[0]->agent.ip;
+}
+
+/* A new member takes flows from the others; no flow moves between those. */
+static void
+test_one_change_moves_only_its_flows(void **state)
+{
+    struct rp_table *before = RpTable_Create();
+    struct rp_table *after = RpTable_Create();
+    unsigned moved = 0;
+
+    (void)state;
+    apply_members(before, 1, 7, 7);
+    apply_members(after, 1, 8, 7);
+    for (unsigned i = 0; i < FLOWS; i++) {
+        unsigned old = first_for(before, i);
+        unsigned new = first_for(after, i);
+        assert_true(new == old || new == 8);
+        moved += new != old;
+    }
+    assert_in_range(moved, FLOWS / 8 * 9 / 10, FLOWS / 8 * 11 / 10);
+    RpTable_Free(before);
+    RpTable_Free(after);
+}
+
+/* Shares follow the slots. */
+static void
+test_weights(void **state)
+{
+    struct rp_table *table = RpTable_Create();
+    unsigned count[8] = {0};
+
+    (void)state;
+    apply_members(table, 1, 7, 21);
+    for (unsigned i = 0; i < FLOWS; i++) {
+        count[first_for(table, i)]++;
+    }
+    unsigned share = FLOWS * 7 / (21 + 6 * 7);
+    assert_in_range(count[1], share * 3 * 95 / 100, share * 3 * 105 / 100);
+    for (unsigned i = 2; i <= 7; i++) {
+        assert_in_range(count[i], share * 90 / 100, share * 110 / 100);
+    }
+    RpTable_Free(table);
+}
+
+static void
+test_revision_never_falls(void **state)
+{
+    struct rp_table *table = RpTable_Create();
+    struct rp_msg_table older = {.revision = 4, .complete = 1};
+
+    (void)state;
+    apply_members(table, 5, 3, 7);
+    assert_int_equal(RpTable_Apply(table, &older), RP_ERR_CONFLICT);
+    assert_int_equal(RpTable_Revision(table), 5);
+    assert_int_equal(RpTable_Count(table), 1);
+    RpTable_Free(table);
+}
+
+static void
+test_routes(void **state)
+{
+    static const struct {
+        uint32_t dst_ip;
+        uint8_t flags;
+        enum rp_route_kind kind;
+        enum rp_counter reason;
+        unsigned hops;
+    } cases[] = {
+        {0x0a500001, RP_TCP_SYN, RP_ROUTE_SEND, RP_COUNT_ROUTED, 1},
+        {0x0a500001, RP_TCP_ACK, RP_ROUTE_SEND, RP_COUNT_ROUTED, 3},
+        {0x0a500002, RP_TCP_SYN, RP_ROUTE_RESET, RP_COUNT_RESET_NO_MEMBER, 0},
+        {0x0a500002, RP_TCP_ACK, RP_ROUTE_SEND, RP_COUNT_ROUTED, 1},
+        {0x0a500003, RP_TCP_ACK, RP_ROUTE_DROP, RP_COUNT_DROP_UNKNOWN_ADDRESS,
+         0},
+    };
+    struct rp_table *table = RpTable_Create();
+    struct rp_msg msg = {.type = RP_MSG_TABLE};
+    struct rp_msg_service one = {
+        .id = 1,
+        .address = 0x0a500001,
+        .port = 7000,
+        .members = RpSchema_NewList(&rp_msg_member_schema)};
+    struct rp_msg_service two = one;
+
+    (void)state;
+    add_member(one.members, 1, 7, RP_UPSTREAM_READY);
+    add_member(one.members, 2, 7, RP_UPSTREAM_DRAINING);
+    add_member(one.members, 3, 7, RP_UPSTREAM_LOST);
+    two.id = 2;
+    two.address = 0x0a500002;
+    two.members = RpSchema_NewList(&rp_msg_member_schema);
+    add_member(two.members, 4, 7, RP_UPSTREAM_DRAINING);
+    msg.table.revision = 1;
+    msg.table.services = RpSchema_NewList(&rp_msg_service_schema);
+    g_array_append_val(msg.table.services, one);
+    g_array_append_val(msg.table.services, two);
+
+    struct test_packet test;
+    struct rp_route route;
+    struct rp_flow_key key = {0x0a090001, 0x0a500001, 4000, 7000};
+    make_test_packet(&test, key, RP_TCP_SYN, 1, 0, 0);
+    RpBalancer_Route(table, &test.packet, &route);
+    assert_int_equal(route.reason, RP_COUNT_DROP_NO_TABLE);
+
+    RpTable_Apply(table, &msg.table);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        key.dst_ip = cases[i].dst_ip;
+        make_test_packet(&test, key, cases[i].flags, 1, 1, 0);
+        RpBalancer_Route(table, &test.packet, &route);
+        assert_int_equal(route.kind, cases[i].kind);
+        assert_int_equal(route.reason, cases[i].reason);
+        assert_int_equal(route.chain.count, cases[i].hops);
+    }
+    RpMsg_Clear(&msg);
+    RpTable_Free(table);
+}
+
+/* The flow table against a plain hash table, by random operations. */
+static void
+test_flow_table_model(void **state)
+{
+    struct rp_flow_table *table = RpFlowTable_Create(99);
+    GHashTable *model = g_hash_table_new(NULL, NULL);
+    GRand *dice = g_rand_new_with_seed(7);
+
+    (void)state;
+    for (int i = 0; i < 200000; i++) {
+        guint number = (guint)g_rand_int_range(dice, 1, 5000);
+        struct rp_endpoint caller = {.ip = number, .port = 9};
+        struct rp_flow *flow = RpFlowTable_Find(table, caller);
+        bool known = g_hash_table_contains(model, GUINT_TO_POINTER(number));
+        assert_int_equal(flow != NULL, known);
+        if (!flow) {
+            flow = RpFlowTable_Insert(table, caller);
+            flow->state = 1;
+            flow->caller_isn = number;
+            flow->deadline = number;
+            g_hash_table_add(model, GUINT_TO_POINTER(number));
+        }
+        else {
+            assert_int_equal(flow->caller_isn, number);
+            RpFlowTable_Remove(table, flow);
+            g_hash_table_remove(model, GUINT_TO_POINTER(number));
+        }
+        assert_int_equal(RpFlowTable_Count(table), g_hash_table_size(model));
+    }
+
+    /* A sweep over all places finds each entry that is due, once. */
+    guint due = 0;
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, model);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        due += GPOINTER_TO_UINT(key) <= 2500;
+    }
+    struct rp_endpoint *found = g_new(struct rp_endpoint, 10000);
+    size_t places = RpFlowTable_Places(table) + RP_FLOW_SHARDS;
+    assert_int_equal(RpFlowTable_Due(table, 2500, places, found, 10000), due);
+    g_free(found);
+    g_rand_free(dice);
+    g_hash_table_destroy(model);
+    RpFlowTable_Free(table);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_one_change_moves_only_its_flows),
+        cmocka_unit_test(test_weights),
+        cmocka_unit_test(test_revision_never_falls),
+        cmocka_unit_test(test_routes),
+        cmocka_unit_test(test_flow_table_model),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
