--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,396 @@
+/* Packets, Geneve and sessions: what is accepted, and what each kind of
+ * bad input is refused for. */
+#include <glib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_bytes.h"
+#include "rp_geneve.h"
+#include "rp_session.h"
+
+static const struct rp_flow_key test_key = {.src_ip = 0x0a090001,
+                                            .dst_ip = 0x0a500001,
+                                            .src_port = 4000,
+                                            .dst_port = 7000};
+
+static void
+test_packet_round_trip(void **state)
+{
+    struct test_packet test;
+
+    (void)state;
+    make_test_packet(&test, test_key, RP_TCP_ACK | RP_TCP_PSH, 77, 88, 10);
+    assert_int_equal(test.packet.key.src_ip, test_key.src_ip);
+    assert_int_equal(test.packet.key.dst_port, test_key.dst_port);
+    assert_int_equal(test.packet.seq, 77);
+    assert_int_equal(test.packet.ack, 88);
+    assert_int_equal(test.packet.payload_len, 10);
+}
+
+/* One byte of a good packet changed, or its length, and the reason that
+ * follows. */
+static void
+test_bad_packets(void **state)
+{
+    static const struct {
+        size_t offset;
+        uint8_t value;
+        size_t len;
+        enum rp_counter reason;
+    } cases[] = {
+        {0, 0x45, 19, RP_COUNT_DROP_SHORT},
+        {0, 0x45, 0, RP_COUNT_DROP_SHORT},
+        {0, 0x65, 50, RP_COUNT_DROP_BAD_IP},      /* version 6 */
+        {0, 0x44, 50, RP_COUNT_DROP_BAD_IP},      /* header too small */
+        {0, 0x4f, 50, RP_COUNT_DROP_BAD_IP},      /* header beyond the end */
+        {3, 51, 50, RP_COUNT_DROP_BAD_IP},        /* longer than it is */
+        {3, 10, 50, RP_COUNT_DROP_BAD_IP},        /* shorter than its header */
+        {6, 0x20, 50, RP_COUNT_DROP_FRAGMENT},    /* more fragments */
+        {7, 1, 50, RP_COUNT_DROP_FRAGMENT},       /* fragment offset */
+        {9, 17, 50, RP_COUNT_DROP_BAD_TRANSPORT}, /* UDP */
+        {3, 39, 50, RP_COUNT_DROP_BAD_TRANSPORT}, /* TCP header cut */
+        {32, 0x40, 50, RP_COUNT_DROP_BAD_TRANSPORT}, /* offset too small */
+        {32, 0xf0, 50, RP_COUNT_DROP_BAD_TRANSPORT}, /* offset too large */
+        {33, 0, 50, RP_COUNT_DROP_BAD_TRANSPORT},    /* no flags */
+        {33, RP_TCP_SYN | RP_TCP_FIN, 50, RP_COUNT_DROP_BAD_TRANSPORT},
+        {33, RP_TCP_SYN | RP_TCP_RST, 50, RP_COUNT_DROP_BAD_TRANSPORT},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct test_packet test;
+        struct rp_packet packet;
+        enum rp_counter reason = RP_COUNTER_COUNT;
+        make_test_packet(&test, test_key, RP_TCP_ACK, 1, 2, 10);
+        test.bytes[cases[i].offset] = cases[i].value;
+        assert_false(
+            RpPacket_Parse(test.bytes, cases[i].len, &packet, &reason));
+        assert_int_equal(reason, cases[i].reason);
+    }
+}
+
+static void
+test_trim_and_reset(void **state)
+{
+    struct test_packet test;
+    struct rp_packet parsed;
+    enum rp_counter reason;
+    uint8_t out[128];
+
+    (void)state;
+    make_test_packet(&test, test_key, RP_TCP_SYN, 100, 0, 30);
+    size_t len = RpPacket_TrimPayload(&test.packet, out);
+    assert_true(RpPacket_Parse(out, len, &parsed, &reason));
+    assert_int_equal(parsed.payload_len, 0);
+    assert_int_equal(parsed.seq, 100);
+
+    /* A SYN is refused with a reset that acknowledges all of it. */
+    len = RpPacket_MakeReset(&test.packet, out);
+    assert_true(RpPacket_Parse(out, len, &parsed, &reason));
+    assert_int_equal(parsed.flags, RP_TCP_RST | RP_TCP_ACK);
+    assert_int_equal(parsed.ack, 131);
+    assert_int_equal(parsed.key.src_ip, test_key.dst_ip);
+}
+
+static size_t
+write_test_datagram(uint8_t out[512])
+{
+    const struct rp_service_tag tag = {
+        .service_id = 3, .incarnation = 4, .generation = 5};
+    struct rp_chain chain = {.visited = 1};
+
+    RpChain_Append(&chain, (struct rp_endpoint){.ip = 1, .port = 2});
+    RpChain_Append(&chain, (struct rp_endpoint){.ip = 3, .port = 4});
+    size_t len = RpGeneve_Write(out, &tag, &chain);
+    memset(out + len, 'x', 20);
+    return len + 20;
+}
+
+static void
+test_geneve_round_trip(void **state)
+{
+    uint8_t data[512];
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+    size_t len = write_test_datagram(data);
+
+    (void)state;
+    assert_true(RpGeneve_Parse(data, len, &geneve, &reason));
+    assert_true(geneve.has_tag && geneve.has_chain);
+    assert_int_equal(geneve.tag.service_id, 3);
+    assert_int_equal(geneve.tag.incarnation, 4);
+    assert_int_equal(geneve.tag.generation, 5);
+    assert_int_equal(geneve.chain.count, 2);
+    assert_int_equal(geneve.chain.visited, 1);
+    assert_int_equal(geneve.chain.hop[1].port, 4);
+    assert_int_equal(geneve.inner_len, 20);
+}
+
+static void
+test_bad_geneve(void **state)
+{
+    /* The options start at 8: service header 8-11, its body 12-27, chain
+     * header 28-31, visited 32, count 33. */
+    static const struct {
+        size_t offset;
+        uint8_t value;
+        size_t len; /* 0: whole */
+        enum rp_counter reason;
+    } cases[] = {
+        {0, 0, 7, RP_COUNT_DROP_SHORT},
+        {0, 0x40, 0, RP_COUNT_DROP_BAD_GENEVE},  /* version 1 */
+        {1, 0x80, 0, RP_COUNT_DROP_BAD_GENEVE},  /* control packet */
+        {2, 0x65, 0, RP_COUNT_DROP_BAD_GENEVE},  /* not IPv4 */
+        {0, 63, 0, RP_COUNT_DROP_BAD_GENEVE},    /* options beyond the end */
+        {11, 31, 0, RP_COUNT_DROP_BAD_OPTION},   /* option too long */
+        {11, 3, 0, RP_COUNT_DROP_BAD_OPTION},    /* service of 12 bytes */
+        {10, 0x82, 0, RP_COUNT_DROP_BAD_OPTION}, /* two chains */
+        {10, 0x99, 0, RP_COUNT_DROP_BAD_OPTION}, /* unknown and critical */
+        {32, 3, 0, RP_COUNT_DROP_BAD_OPTION},    /* visited over count */
+        {33, 16, 0, RP_COUNT_DROP_BAD_OPTION},   /* count over the limit */
+        {33, 1, 0, RP_COUNT_DROP_BAD_OPTION},    /* count and size differ */
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint8_t data[512];
+        struct rp_geneve geneve;
+        enum rp_counter reason = RP_COUNTER_COUNT;
+        size_t len = write_test_datagram(data);
+        data[cases[i].offset] = cases[i].value;
+        if (cases[i].len) {
+            len = cases[i].len;
+        }
+        assert_false(RpGeneve_Parse(data, len, &geneve, &reason));
+        assert_int_equal(reason, cases[i].reason);
+    }
+}
+
+/* An option that nobody here knows is skipped if it is not critical. */
+static void
+test_foreign_option(void **state)
+{
+    uint8_t data[] = {2, 0, 8, 0, 0, 0, 0, 0, 1, 2, 0x10, 1, 9, 9, 9, 9, 'x'};
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+
+    (void)state;
+    assert_true(RpGeneve_Parse(data, sizeof data, &geneve, &reason));
+    assert_false(geneve.has_tag);
+    assert_int_equal(geneve.inner_len, 1);
+}
+
+/* Two sides of a connection. */
+struct session_pair {
+    struct rp_session *opener;
+    struct rp_session *acceptor;
+};
+
+static const struct rp_keyring first_key = {
+    .key = {RP_STR("0123456789abcdef")}, .count = 1};
+static const struct rp_keyring second_key = {
+    .key = {RP_STR("fedcba9876543210")}, .count = 1};
+static const struct rp_keyring both_keys = {
+    .key = {RP_STR("fedcba9876543210"), RP_STR("0123456789abcdef")},
+    .count = 2};
+
+static struct session_pair
+make_pair(const struct rp_keyring *opener, const struct rp_keyring *acceptor)
+{
+    static const uint8_t nonce_a[RP_NONCE_SIZE] = "opener nonce";
+    static const uint8_t nonce_b[RP_NONCE_SIZE] = "acceptor nonce";
+
+    return (struct session_pair){
+        .opener = RpSession_Create(opener, true, nonce_a),
+        .acceptor = RpSession_Create(acceptor, false, nonce_b)};
+}
+
+static void
+free_pair(struct session_pair pair)
+{
+    RpSession_Free(pair.opener);
+    RpSession_Free(pair.acceptor);
+}
+
+/* Sends a message from one session to another and takes it out there. */
+static enum rp_session_result
+carry(struct rp_session *from, struct rp_session *to, const struct rp_msg *msg,
+      GString *wire, enum rp_counter *reason)
+{
+    struct rp_msg got;
+
+    g_string_truncate(wire, 0);
+    RpSession_Send(from, msg, wire);
+    RpSession_Receive(to,
+                      (struct rp_str){.data = wire->str, .len = wire->len});
+    enum rp_session_result result = RpSession_Next(to, &got, reason);
+    if (result == RP_SESSION_MESSAGE) {
+        assert_int_equal(got.type, msg->type);
+    }
+    RpMsg_Clear(&got);
+    return result;
+}
+
+static const struct rp_msg hello = {
+    .type = RP_MSG_HELLO, .hello = {.version = 1, .role = RP_ROLE_AGENT}};
+static const struct rp_msg ping = {.type = RP_MSG_PING};
+
+static void
+test_session_handshake(void **state)
+{
+    struct session_pair pair = make_pair(&first_key, &first_key);
+    GString *wire = g_string_new(NULL);
+    enum rp_counter reason;
+
+    (void)state;
+    assert_int_equal(carry(pair.opener, pair.acceptor, &hello, wire, &reason),
+                     RP_SESSION_MESSAGE);
+    assert_false(RpSession_IsAuthenticated(pair.acceptor));
+    assert_int_equal(carry(pair.acceptor, pair.opener, &hello, wire, &reason),
+                     RP_SESSION_MESSAGE);
+    assert_true(RpSession_IsAuthenticated(pair.opener));
+    assert_int_equal(carry(pair.opener, pair.acceptor, &ping, wire, &reason),
+                     RP_SESSION_MESSAGE);
+    assert_true(RpSession_IsAuthenticated(pair.acceptor));
+
+    /* The same frame again is a replay. */
+    struct rp_msg got;
+    RpSession_Receive(pair.acceptor,
+                      (struct rp_str){.data = wire->str, .len = wire->len});
+    assert_int_equal(RpSession_Next(pair.acceptor, &got, &reason),
+                     RP_SESSION_FAILED);
+    assert_int_equal(reason, RP_COUNT_FRAME_BAD_MAC);
+    free_pair(pair);
+    g_string_free(wire, TRUE);
+}
+
+static void
+test_session_keys(void **state)
+{
+    static const struct {
+        const struct rp_keyring *opener;
+        const struct rp_keyring *acceptor;
+        enum rp_session_result result;
+    } cases[] = {
+        {&first_key, &first_key, RP_SESSION_MESSAGE},
+        {&first_key, &second_key, RP_SESSION_FAILED},
+        {&first_key, &both_keys, RP_SESSION_MESSAGE},
+        {&second_key, &both_keys, RP_SESSION_MESSAGE},
+        {&both_keys, &first_key, RP_SESSION_FAILED},
+    };
+    GString *wire = g_string_new(NULL);
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct session_pair pair = make_pair(cases[i].opener,
+                                             cases[i].acceptor);
+        enum rp_counter reason = RP_COUNTER_COUNT;
+        assert_int_equal(
+            carry(pair.opener, pair.acceptor, &hello, wire, &reason),
+            cases[i].result);
+        if (cases[i].result == RP_SESSION_FAILED) {
+            assert_int_equal(reason, RP_COUNT_FRAME_BAD_MAC);
+        }
+        free_pair(pair);
+    }
+    g_string_free(wire, TRUE);
+}
+
+static void
+test_session_bad_input(void **state)
+{
+    static const struct {
+        const char *bytes;
+        size_t len;
+        enum rp_session_result result;
+        enum rp_counter reason;
+    } cases[] = {
+        {"\0\0\0", 3, RP_SESSION_WAIT, RP_COUNTER_COUNT},
+        {"\x7f\0\0\0", 4, RP_SESSION_FAILED, RP_COUNT_FRAME_OVER_LIMIT},
+        {"\0\0\0\x05xxxxx", 9, RP_SESSION_FAILED, RP_COUNT_FRAME_OVER_LIMIT},
+        {"\0\0\0\x12"
+         "0123456789abcdef\xc1\xc1",
+         22, RP_SESSION_FAILED, RP_COUNT_FRAME_BAD_BODY},
+        {"GET / HTTP/1.1\r\n", 16, RP_SESSION_FAILED,
+         RP_COUNT_FRAME_OVER_LIMIT},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct session_pair pair = make_pair(&first_key, &first_key);
+        enum rp_counter reason = RP_COUNTER_COUNT;
+        struct rp_msg msg;
+        RpSession_Receive(
+            pair.acceptor,
+            (struct rp_str){.data = cases[i].bytes, .len = cases[i].len});
+        assert_int_equal(RpSession_Next(pair.acceptor, &msg, &reason),
+                         cases[i].result);
+        assert_int_equal(reason, cases[i].reason);
+        free_pair(pair);
+    }
+}
+
+/* Decoders must survive anything: frames, datagrams and packets with bytes
+ * changed at random, by fixed seeds. */
+static void
+test_mutations(void **state)
+{
+    struct rp_msg msg = {.type = RP_MSG_TABLE};
+    GString *good = g_string_new(NULL);
+
+    (void)state;
+    msg.table.services = RpSchema_NewList(&rp_msg_service_schema);
+    struct rp_msg_service service = {
+        .id = 1, .members = RpSchema_NewList(&rp_msg_member_schema)};
+    struct rp_msg_member member = {.slots = 7};
+    g_array_append_val(service.members, member);
+    g_array_append_val(msg.table.services, service);
+    RpMsg_Encode(&msg, good);
+    RpMsg_Clear(&msg);
+
+    for (guint32 seed = 0; seed < 20000; seed++) {
+        GRand *dice = g_rand_new_with_seed(seed);
+        GString *bad = g_string_new_len(good->str, (gssize)good->len);
+        uint8_t data[512];
+        struct rp_geneve geneve;
+        struct rp_packet packet;
+        enum rp_counter reason;
+        size_t len = write_test_datagram(data);
+        for (int i = 0; i < 3; i++) {
+            bad->str[g_rand_int_range(dice, 0, (gint32)bad->len)] =
+                (char)g_rand_int_range(dice, 0, 256);
+            data[g_rand_int_range(dice, 0, (gint32)len)] =
+                (uint8_t)g_rand_int_range(dice, 0, 256);
+        }
+        size_t cut = (size_t)g_rand_int_range(dice, 0, (gint32)bad->len + 1);
+        if (RpMsg_Decode((struct rp_str){.data = bad->str, .len = cut},
+                         &msg)) {
+            RpMsg_Clear(&msg);
+        }
+        if (RpGeneve_Parse(data, len, &geneve, &reason)) {
+            RpPacket_Parse(geneve.inner, geneve.inner_len, &packet, &reason);
+        }
+        g_string_free(bad, TRUE);
+        g_rand_free(dice);
+    }
+    g_string_free(good, TRUE);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_packet_round_trip),
+        cmocka_unit_test(test_bad_packets),
+        cmocka_unit_test(test_trim_and_reset),
+        cmocka_unit_test(test_geneve_round_trip),
+        cmocka_unit_test(test_bad_geneve),
+        cmocka_unit_test(test_foreign_option),
+        cmocka_unit_test(test_session_handshake),
+        cmocka_unit_test(test_session_keys),
+        cmocka_unit_test(test_session_bad_input),
+        cmocka_unit_test(test_mutations),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# Formatter and linters over every committed source file. The build itself
+# already treats warnings as errors.
+set -eu
+BUILD=${BUILD:-build}
+JOBS=${JOBS:-8}
+
+sources=$(git ls-files '*.c')
+headers=$(git ls-files '*.h')
+
+echo "lint: clang-format"
+clang-format --dry-run --Werror $sources $headers
+echo "lint: cppcheck"
+cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -j "$JOBS" \
+    --enable=warning,performance,portability --library=gtk \
+    --suppress=missingInclude --suppress=unknownMacro \
+    -I lib/common -I lib/wire -I lib/flow -I lib/state -I lib/control \
+    -I programs/shared $sources
+echo "lint: clang-tidy"
+echo "$sources" | xargs -P "$JOBS" -n 4 clang-tidy -p "$BUILD" --quiet \
+    2> /dev/null
+echo "lint: clean"
