Fabric stand-in: notice a dead balancer whichever call learns of it

After the kill of a balancer the report that nobody listens was taken by the fabric's own recv, so send never saw it and a third of all packets went on to the dead balancer until the end of the run. Change: the stand-in marks the balancer as down from either call, and the demo waits until it has been seen down three times. Conclusion: a fault of the stand-in, not of the product.

--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -54,6 +54,9 @@
     fail "the client does not get on"
 say "half way: killing balancer-1"
 stop balancer-1 KILL
+noticed() { [ "$(grep -c "balancer 1 unreachable" "$RUN/fabric.log")" -ge 3 ]; }
+wait_until 10 noticed ||
+    fail "the fabric does not notice"
 wait "${PIDS[client]}"
 unset "PIDS[client]"
 result=$(grep -o 'requests=.*' "$RUN/client.log")
--- a/tests/standins/fabric.c
+++ b/tests/standins/fabric.c
@@ -104,6 +104,15 @@
     return permille && g_rand_int_range(dice, 0, PERMILLE) < (int)permille;
 }
 
+/* Leaves a balancer that nobody answers for alone for a while. */
+static void
+mark_down(struct balancer *balancer, int64_t now)
+{
+    balancer->down_until = now + DOWN_US;
+    printf("fabric: balancer %td unreachable\n", balancer - balancers);
+    fflush(stdout);
+}
+
 static void
 spray(const struct parcel *parcel)
 {
@@ -120,7 +129,7 @@
             errno == EAGAIN) {
             return;
         }
-        balancer->down_until = now + DOWN_US;
+        mark_down(balancer, now);
     }
 }
 
@@ -224,7 +233,11 @@
     ssize_t got = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
 
     (void)condition;
-    (void)data;
+    if (got < 0 && errno != EAGAIN) {
+        /* The report that nobody listens comes here or at the next send,
+         * whichever is first. */
+        mark_down(data, g_get_monotonic_time());
+    }
     if (got > 0) {
         on_system_datagram(NULL, buffer, (size_t)got, (struct rp_endpoint){0});
     }
@@ -244,7 +257,7 @@
             perror("connect");
         }
         balancers[i].fd = fd;
-        g_unix_fd_add(fd, G_IO_IN, on_balancer_reply, NULL);
+        g_unix_fd_add(fd, G_IO_IN, on_balancer_reply, &balancers[i]);
     }
 }
 
