Admission: the least busy of the chain takes a flow when all are busy

Cause: a trial in the design had the last candidate take a flow whatever its queue; at the crest that made short work wait behind it. A slot is kept for a new flow until its first request, at most 250 ms. The policies stand behind one vtable; the losers live in the tool only.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -38,6 +38,7 @@
     X(FLOW_ADMITTED, "flow_admitted", "new flows taken")                      \
     X(FLOW_ADMITTED_LAST, "flow_admitted_last", "taken as last candidate")    \
     X(PASS_BUSY, "pass_busy", "new flows passed on: slots busy")              \
+    X(PASS_BACK, "pass_back", "new flows sent back to the least busy")        \
     X(PASS_DRAINING, "pass_draining", "new flows passed on: leaving")         \
     X(PASS_FLOW_LIMIT, "pass_flow_limit", "new flows passed on: flow limit")  \
     X(PASS_UNHEALTHY, "pass_unhealthy", "new flows passed on: host is ill")   \
--- a/lib/flow/rp_admission.c
+++ b/lib/flow/rp_admission.c
@@ -2,15 +2,23 @@
 
 #include <glib.h>
 
-bool
-RpAdmission_Admit(struct rp_admission *policy, const struct rp_load *load,
-                  enum rp_counter *reason)
+uint8_t
+RpLoad_Share(const struct rp_load *load)
+{
+    uint64_t share = (uint64_t)load->busy * RP_SHARE_UNIT / load->slots;
+
+    return (uint8_t)MIN(share, RP_SHARE_MAX - 1);
+}
+
+enum rp_verdict
+RpAdmission_Decide(struct rp_admission *policy, const struct rp_load *load,
+                   enum rp_counter *reason)
 {
     if (load->flows >= load->flow_limit) {
         *reason = RP_COUNT_PASS_FLOW_LIMIT;
-        return false;
+        return RP_VERDICT_PASS;
     }
-    return policy->ops->admit(policy, load, reason);
+    return policy->ops->decide(policy, load, reason);
 }
 
 void
@@ -21,32 +29,62 @@
     }
 }
 
-static bool
-bound_admit(struct rp_admission *policy, const struct rp_load *load,
-            enum rp_counter *reason)
+static void
+free_plain(struct rp_admission *policy)
+{
+    g_free(policy);
+}
+
+static struct rp_admission *
+create_plain(const struct rp_admission_ops *ops)
+{
+    struct rp_admission *policy = g_new0(struct rp_admission, 1);
+
+    policy->ops = ops;
+    return policy;
+}
+
+static enum rp_verdict
+bound_decide(struct rp_admission *policy, const struct rp_load *load,
+             enum rp_counter *reason)
 {
     (void)policy;
     if (load->busy < load->slots) {
         *reason = RP_COUNT_FLOW_ADMITTED;
-        return true;
+        return RP_VERDICT_TAKE;
     }
     *reason = load->last ? RP_COUNT_FLOW_ADMITTED_LAST : RP_COUNT_PASS_BUSY;
-    return load->last;
+    return load->last ? RP_VERDICT_TAKE : RP_VERDICT_PASS;
 }
 
-static void
-bound_free(struct rp_admission *policy)
+struct rp_admission *
+RpAdmission_CreateBound(void)
 {
-    g_free(policy);
+    static const struct rp_admission_ops ops = {
+        .name = "bound", .decide = bound_decide, .free = free_plain};
+
+    return create_plain(&ops);
+}
+
+static enum rp_verdict
+least_decide(struct rp_admission *policy, const struct rp_load *load,
+             enum rp_counter *reason)
+{
+    enum rp_verdict verdict = bound_decide(policy, load, reason);
+
+    if (*reason == RP_COUNT_FLOW_ADMITTED_LAST &&
+        load->best_share < RpLoad_Share(load)) {
+        *reason = RP_COUNT_PASS_BACK;
+        return RP_VERDICT_BACK;
+    }
+    return verdict;
 }
 
 struct rp_admission *
-RpAdmission_CreateBound(void)
+RpAdmission_CreateLeast(void)
 {
     static const struct rp_admission_ops ops = {
-        .name = "bound", .admit = bound_admit, .free = bound_free};
-    struct rp_admission *policy = g_new0(struct rp_admission, 1);
+        .name = "least", .decide = least_decide, .free = free_plain};
 
-    policy->ops = &ops;
-    return policy;
+    return create_plain(&ops);
 }
--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -2,7 +2,8 @@
  * next candidate.
  *
  * A policy is a small vtable in the first member of its struct. It sees the
- * upstream's own load as its agent counts it, which neither lags nor lies.
+ * upstream's own load as its agent counts it, which neither lags nor lies,
+ * and the lowest load of the candidates that passed the flow on before.
  */
 #ifndef RP_ADMISSION_H
 #define RP_ADMISSION_H
@@ -12,24 +13,35 @@
 
 #include "rp_counters.h"
 
+#define RP_SHARE_UNIT 64 /* a share of 64 means: all slots are busy */
+#define RP_SHARE_MAX 255 /* also: no candidate before this one */
+
 /* The upstream's load at the moment of a decision. */
 struct rp_load {
     uint32_t slots;      /* requests it serves at once, after cold start */
-    uint32_t busy;       /* flows with a request outstanding */
+    uint32_t busy;       /* requests outstanding or about to come */
     uint32_t flows;      /* open flows */
     uint32_t flow_limit; /* most flows it may hold */
     uint32_t position;   /* how many candidates passed the flow on already */
+    uint8_t best_share;  /* lowest share of those, or RP_SHARE_MAX */
     bool last;           /* no candidate comes after this one */
 };
 
+enum rp_verdict {
+    RP_VERDICT_TAKE,
+    RP_VERDICT_PASS, /* to the next candidate */
+    RP_VERDICT_BACK  /* to the earlier candidate with the lowest share */
+};
+
 struct rp_admission;
 
 struct rp_admission_ops {
     const char *name;
-    /* Whether to take the flow. If not, `*reason` is the counter. Hard
-     * limits hold for the last candidate too. */
-    bool (*admit)(struct rp_admission *policy, const struct rp_load *load,
-                  enum rp_counter *reason);
+    /* Decides; `*reason` is what to count. Only for the last candidate may
+     * it be RP_VERDICT_BACK, and never RP_VERDICT_PASS. */
+    enum rp_verdict (*decide)(struct rp_admission *policy,
+                              const struct rp_load *load,
+                              enum rp_counter *reason);
     void (*free)(struct rp_admission *policy);
 };
 
@@ -37,14 +49,22 @@
     const struct rp_admission_ops *ops;
 };
 
-/* Takes a flow while fewer than all slots are busy; the last candidate
- * takes it in any case. */
+/* Takes a flow while a slot is free. When all candidates are busy, the one
+ * with the lowest share takes it. */
+struct rp_admission *RpAdmission_CreateLeast(void);
+
+/* Takes a flow while a slot is free; the last candidate takes it anyway. */
 struct rp_admission *RpAdmission_CreateBound(void);
 
 void RpAdmission_Free(struct rp_admission *policy);
 
 /* Asks the policy, after the hard limit on flows. */
-bool RpAdmission_Admit(struct rp_admission *policy, const struct rp_load *load,
-                       enum rp_counter *reason);
+enum rp_verdict RpAdmission_Decide(struct rp_admission *policy,
+                                   const struct rp_load *load,
+                                   enum rp_counter *reason);
+
+/* The load as a share: busy / slots in units of 1 / RP_SHARE_UNIT, at most
+ * RP_SHARE_MAX - 1. */
+uint8_t RpLoad_Share(const struct rp_load *load);
 
 #endif
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -25,6 +25,7 @@
     agent->hold = RpHold_Create();
     agent->retry_cents = RP_RETRY_BURST_CENTS;
     g_queue_init(&agent->short_timers);
+    g_queue_init(&agent->reserves);
     return agent;
 }
 
@@ -35,6 +36,7 @@
         return;
     }
     g_queue_clear_full(&agent->short_timers, g_free);
+    g_queue_clear_full(&agent->reserves, g_free);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
     g_free(agent->taken);
@@ -136,7 +138,7 @@
         agent->busy++;
     }
     if (!busy && was) {
-        flow->flags &= (uint8_t)~RP_FLOW_BUSY;
+        flow->flags &= (uint8_t) ~(RP_FLOW_BUSY | RP_FLOW_RESERVED);
         assert(agent->busy > 0);
         agent->busy--;
     }
@@ -183,6 +185,40 @@
     }
 }
 
+static void
+push_timer(GQueue *queue, struct rp_endpoint caller, int64_t deadline)
+{
+    struct rp_short_timer *timer = g_new(struct rp_short_timer, 1);
+
+    timer->caller = caller;
+    timer->deadline = deadline;
+    g_queue_push_tail(queue, timer);
+}
+
+void
+RpAgent_Reserve(struct rp_agent *agent, struct rp_flow *flow, int64_t now)
+{
+    RpAgent_SetBusy(agent, flow, true);
+    flow->flags |= RP_FLOW_RESERVED;
+    push_timer(&agent->reserves, flow->caller, now + RP_RESERVE_US);
+}
+
+void
+RpAgent_FillLoad(const struct rp_agent *agent, int64_t now,
+                 const struct rp_chain *chain, struct rp_load *load)
+{
+    struct rp_agent_load mine = RpAgent_Load(agent, now);
+
+    *load = (struct rp_load){.slots = mine.slots,
+                             .busy = mine.busy,
+                             .flows = mine.flows,
+                             .flow_limit = agent->service->flows_per_upstream,
+                             .position = chain->visited ? chain->visited - 1u
+                                                        : 0,
+                             .best_share = chain->best_share,
+                             .last = chain->visited >= chain->count};
+}
+
 static bool
 is_owning(uint8_t state)
 {
@@ -210,10 +246,7 @@
         RpAgent_SetBusy(agent, flow, false);
     }
     if (has_short_timer(state)) {
-        struct rp_short_timer *timer = g_new(struct rp_short_timer, 1);
-        timer->caller = flow->caller;
-        timer->deadline = flow->deadline;
-        g_queue_push_tail(&agent->short_timers, timer);
+        push_timer(&agent->short_timers, flow->caller, flow->deadline);
     }
 }
 
@@ -257,6 +290,7 @@
     }
     if (is_new && packet->payload_len > 0 && (flow->flags & RP_FLOW_OWNED)) {
         RpAgent_SetBusy(agent, flow, true);
+        flow->flags &= (uint8_t)~RP_FLOW_RESERVED;
     }
 }
 
@@ -308,22 +342,25 @@
 }
 
 static enum rp_flow_event
-classify_syn(const struct rp_flow *flow, const struct rp_packet *packet)
+classify_syn(const struct rp_flow *flow, const struct rp_packet *packet,
+             bool forced)
 {
     if (!(flow->flags & RP_FLOW_KNOWS_CALLER_ISN)) {
         return RP_FLOW_EV_REUSE;
     }
     if (packet->seq == flow->caller_isn) {
-        return RP_FLOW_EV_SYN;
+        bool back = forced && flow->state == RP_FLOW_REDIRECT;
+        return back ? RP_FLOW_EV_BACK : RP_FLOW_EV_SYN;
     }
     return is_late(flow, packet) ? RP_FLOW_EV_LATE : RP_FLOW_EV_REUSE;
 }
 
 static enum rp_flow_event
-classify_caller(const struct rp_flow *flow, const struct rp_packet *packet)
+classify_caller(const struct rp_flow *flow, const struct rp_packet *packet,
+                bool forced)
 {
     if ((packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK)) {
-        return classify_syn(flow, packet);
+        return classify_syn(flow, packet, forced);
     }
     if (is_late(flow, packet)) {
         return RP_FLOW_EV_LATE;
@@ -386,7 +423,7 @@
              const struct rp_packet *packet, const struct rp_chain *chain,
              struct rp_actions *actions)
 {
-    enum rp_flow_event event = classify_caller(flow, packet);
+    enum rp_flow_event event = classify_caller(flow, packet, chain->forced);
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
 
     change_state(agent, flow, step.next, now);
@@ -554,6 +591,24 @@
     }
 }
 
+/* Slots kept for requests that did not come are free again. */
+static void
+end_reserves(struct rp_agent *agent, int64_t now)
+{
+    for (;;) {
+        const struct rp_short_timer *timer = g_queue_peek_head(
+            &agent->reserves);
+        if (!timer || timer->deadline > now) {
+            return;
+        }
+        struct rp_flow *flow = RpFlowTable_Find(agent->flows, timer->caller);
+        if (flow && (flow->flags & RP_FLOW_RESERVED)) {
+            RpAgent_SetBusy(agent, flow, false);
+        }
+        g_free(g_queue_pop_head(&agent->reserves));
+    }
+}
+
 /* The next flow whose short timer has run out, or NULL. */
 static struct rp_flow *
 due_short(struct rp_agent *agent, int64_t now)
@@ -601,6 +656,7 @@
     if (!agent->service) {
         return false;
     }
+    end_reserves(agent, now);
     struct rp_flow *flow = due_short(agent, now);
     if (!flow) {
         flow = due_long(agent, now);
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -13,7 +13,9 @@
 /* How long a host may take to answer a SYN before the next one is tried. */
 #define RP_SYN_PATIENCE_US (250 * RP_US_PER_MS)
 /* How long a host may take to disown a flow it was asked about. */
-#define RP_ASK_PATIENCE_US (200 * RP_US_PER_MS)
+#define RP_ASK_PATIENCE_US RP_SYN_PATIENCE_US
+/* How long a slot is kept for the first request of a new flow. */
+#define RP_RESERVE_US RP_SYN_PATIENCE_US
 /* How long an answered SYN may stay unconfirmed. */
 #define RP_CONFIRM_PATIENCE_US (60 * RP_US_PER_SECOND)
 /* How long a closed flow and an unused redirect are remembered. */
@@ -24,7 +26,8 @@
 /* Retries that may be saved up, in hundredths of a retry. */
 #define RP_RETRY_BURST_CENTS 2000
 
-/* A flow whose deadline is short, in the order of the deadlines. */
+/* A flow whose deadline is short, in the order of the deadlines: all of
+ * them are RP_SYN_PATIENCE_US after they were set. */
 struct rp_short_timer {
     struct rp_endpoint caller;
     int64_t deadline;
@@ -41,7 +44,8 @@
     struct rp_flow_table *flows;
     struct rp_hold *hold;
     struct rp_held *taken; /* what the last actions may point into */
-    GQueue short_timers;   /* of struct rp_short_timer */
+    GQueue short_timers;   /* of struct rp_short_timer, for states */
+    GQueue reserves;       /* of struct rp_short_timer, for kept slots */
     uint32_t owned;
     uint32_t busy;
     int32_t retry_cents;
@@ -85,6 +89,14 @@
 /* Sets whether a request is outstanding. */
 void RpAgent_SetBusy(struct rp_agent *agent, struct rp_flow *flow, bool busy);
 
+/* Keeps a slot for the first request of a flow that is being opened. */
+void RpAgent_Reserve(struct rp_agent *agent, struct rp_flow *flow,
+                     int64_t now);
+
+/* The load as admission sees it. */
+void RpAgent_FillLoad(const struct rp_agent *agent, int64_t now,
+                      const struct rp_chain *chain, struct rp_load *load);
+
 /* Updates what is known of both directions from one packet. */
 void RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
                          const struct rp_packet *packet, int64_t now);
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -42,25 +42,22 @@
     flow->next_hop = next;
 }
 
-static bool
-admit(struct rp_agent *agent, int64_t now, const struct rp_chain *chain,
-      enum rp_counter *reason)
+static enum rp_verdict
+decide(struct rp_agent *agent, int64_t now, const struct rp_chain *chain,
+       enum rp_counter *reason)
 {
-    struct rp_agent_load load = RpAgent_Load(agent, now);
-    const struct rp_load view = {
-        .slots = load.slots,
-        .busy = load.busy,
-        .flows = load.flows,
-        .flow_limit = agent->service->flows_per_upstream,
-        .position = chain->visited ? chain->visited - 1u : 0,
-        .last = chain->visited >= chain->count,
-    };
+    struct rp_load load;
 
     if (agent->draining) {
         *reason = RP_COUNT_PASS_DRAINING;
-        return false;
+        return RP_VERDICT_PASS;
     }
-    return RpAdmission_Admit(agent->policy, &view, reason);
+    RpAgent_FillLoad(agent, now, chain, &load);
+    if (chain->forced && load.flows < load.flow_limit) {
+        *reason = RP_COUNT_FLOW_ADMITTED_LAST;
+        return RP_VERDICT_TAKE;
+    }
+    return RpAdmission_Decide(agent->policy, &load, reason);
 }
 
 /* Makes sure that the flow has an entry; NULL when the table is full. */
@@ -81,7 +78,8 @@
 static void
 start_flow(struct rp_flow *flow, const struct rp_packet *packet, int64_t now)
 {
-    flow->flags = RP_FLOW_KNOWS_CALLER_ISN;
+    flow->flags &= RP_FLOW_OWNED | RP_FLOW_BUSY | RP_FLOW_RESERVED;
+    flow->flags |= RP_FLOW_KNOWS_CALLER_ISN;
     flow->caller_isn = packet->seq;
     flow->caller_next = packet->seq + 1;
     flow->host_acked = packet->seq;
@@ -92,6 +90,38 @@
     flow->host_seen = now;
 }
 
+/* Tells the candidates that follow how busy this one is. */
+static void
+note_share(struct rp_agent *agent, int64_t now, struct rp_chain *chain)
+{
+    struct rp_load load;
+
+    RpAgent_FillLoad(agent, now, chain, &load);
+    uint8_t share = RpLoad_Share(&load);
+    if (chain->visited > 0 && share < chain->best_share) {
+        chain->best_share = share;
+        chain->best = chain->visited - 1;
+    }
+}
+
+/* Moves the chain on to where a new flow goes from here. */
+static bool
+next_for_syn(struct rp_agent *agent, int64_t now, struct rp_chain *chain,
+             struct rp_endpoint caller, enum rp_counter reason,
+             struct rp_endpoint *next)
+{
+    if (reason == RP_COUNT_PASS_BACK) {
+        *next = chain->hop[chain->best];
+        chain->forced = true;
+        return true;
+    }
+    chain->forced = false;
+    if (reason == RP_COUNT_PASS_BUSY) {
+        note_share(agent, now, chain);
+    }
+    return RpAgent_NextHop(agent, chain, caller, true, next);
+}
+
 /* Leaves a new flow to the next candidate, or refuses it when there is
  * none. */
 static void
@@ -104,7 +134,7 @@
     struct rp_chain rest = *chain;
     struct rp_endpoint next;
 
-    if (!RpAgent_NextHop(agent, &rest, caller, true, &next)) {
+    if (!next_for_syn(agent, now, &rest, caller, reason, &next)) {
         RpCounters_Add(agent->counters, reason);
         RpAgent_ResetCaller(agent, actions, RP_COUNT_REFUSED_ALL, packet);
         if (flow) {
@@ -132,6 +162,7 @@
 
     start_flow(flow, packet, now);
     RpAgent_Enter(agent, flow, RP_FLOW_OPENING, now);
+    RpAgent_Reserve(agent, flow, now);
     RpHold_Put(agent->hold, flow->caller, chain, scratch, len);
     RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, reason, scratch, len);
 }
@@ -153,7 +184,7 @@
                                  .port = packet->key.src_port};
     enum rp_counter reason;
 
-    if (!admit(agent, now, chain, &reason)) {
+    if (decide(agent, now, chain, &reason) != RP_VERDICT_TAKE) {
         pass_syn(agent, now, flow, packet, chain, reason, actions);
         return;
     }
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -21,7 +21,8 @@
                                   .port = packet->key.dst_port};
     bool opens = (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
 
-    *route = (struct rp_route){.kind = RP_ROUTE_DROP};
+    *route = (struct rp_route){.kind = RP_ROUTE_DROP,
+                               .chain = {.best_share = RP_CHAIN_NO_SHARE}};
     if (RpTable_Revision(table) == 0) {
         route->reason = RP_COUNT_DROP_NO_TABLE;
         return;
--- a/lib/flow/rp_flow_chart.c
+++ b/lib/flow/rp_flow_chart.c
@@ -7,8 +7,8 @@
     "host_done", "closed",  "redirect", "asking",      NULL};
 
 static const char *const event_names[RP_FLOW_EVENT_COUNT + 1] = {
-    "syn",    "reuse", "data", "fin",  "rst",   "alien", "late",
-    "synack", "hdata", "hfin", "hrst", "timer", NULL};
+    "syn",  "reuse",  "back",  "data", "fin",  "rst",   "alien",
+    "late", "synack", "hdata", "hfin", "hrst", "timer", NULL};
 
 static const char *const action_names[RP_FLOW_ACTION_COUNT + 1] = {
     "nothing",   "to_host",       "to_caller", "pass",  "to_host_and_pass",
--- a/lib/flow/rp_flow_chart.h
+++ b/lib/flow/rp_flow_chart.h
@@ -20,6 +20,7 @@
 enum rp_flow_event {
     RP_FLOW_EV_SYN,
     RP_FLOW_EV_REUSE,
+    RP_FLOW_EV_BACK,
     RP_FLOW_EV_DATA,
     RP_FLOW_EV_FIN,
     RP_FLOW_EV_RST,
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -19,10 +19,10 @@
 /* Flag bits of a flow. */
 #define RP_FLOW_KNOWS_CALLER_ISN 0x01
 #define RP_FLOW_KNOWS_HOST_ISN 0x02
-#define RP_FLOW_BUSY 0x04    /* a request is outstanding */
-#define RP_FLOW_PROBED 0x08  /* both ends were probed, no answer yet */
-#define RP_FLOW_OWNED 0x10   /* counts against the limits here */
-#define RP_FLOW_COUNTED 0x20 /* the host's answer was counted for health */
+#define RP_FLOW_BUSY 0x04     /* a request is outstanding */
+#define RP_FLOW_PROBED 0x08   /* both ends were probed, no answer yet */
+#define RP_FLOW_OWNED 0x10    /* counts against the limits here */
+#define RP_FLOW_RESERVED 0x20 /* busy for a request that has not come yet */
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -14,6 +14,7 @@
 #define SERVICE_SIZE 16
 #define CHAIN_HEADER 4
 #define CHAIN_HOP 8
+#define CHAIN_FORCED 0x80 /* flag beside the index of the best candidate */
 
 static bool
 parse_service(const uint8_t *data, size_t len, struct rp_geneve *out)
@@ -38,6 +39,12 @@
     }
     chain->visited = data[0];
     chain->count = data[1];
+    chain->best = data[2] & (uint8_t)~CHAIN_FORCED;
+    chain->forced = data[2] & CHAIN_FORCED;
+    chain->best_share = data[3];
+    if (chain->best > 0 && chain->best >= chain->count) {
+        return false;
+    }
     if (chain->count > RP_MAX_CHAIN || chain->visited > chain->count ||
         len != CHAIN_HEADER + (size_t)chain->count * CHAIN_HOP) {
         return false;
@@ -94,6 +101,9 @@
     out->has_chain = false;
     out->chain.count = 0;
     out->chain.visited = 0;
+    out->chain.best = 0;
+    out->chain.best_share = RP_CHAIN_NO_SHARE;
+    out->chain.forced = false;
     if (len < RP_GENEVE_HEADER) {
         *reason = RP_COUNT_DROP_SHORT;
         return false;
@@ -144,7 +154,8 @@
     p = write_option_header(p, OPTION_CHAIN, body);
     p[0] = chain->visited;
     p[1] = chain->count;
-    RpBytes_Put16(p + 2, 0);
+    p[2] = chain->best | (chain->forced ? CHAIN_FORCED : 0);
+    p[3] = chain->best_share;
     p += CHAIN_HEADER;
     for (size_t i = 0; i < chain->count; i++) {
         RpBytes_Put32(p, chain->hop[i].ip);
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -5,8 +5,9 @@
  *
  * - service (critical, 16 bytes): id, incarnation and table generation of
  *   the service the packet is meant for;
- * - chain (critical, 4 + 8 * n bytes): the candidate agents in order, and
- *   how many of them have seen the packet already.
+ * - chain (critical, 4 + 8 * n bytes): the candidate agents in order, how
+ *   many of them have seen the packet already, and, for a new flow, which
+ *   of those was the least busy.
  *
  * Options of other classes are skipped unless they are marked critical.
  */
@@ -32,10 +33,18 @@
     uint64_t generation;
 };
 
-/* Candidate agents; the first `visited` of `count` have seen the packet. */
+#define RP_CHAIN_NO_SHARE 255 /* no candidate has told its load yet */
+
+/* Candidate agents; the first `visited` of `count` have seen the packet.
+ * Of those that passed a new flow on, hop[best] was the least busy, with
+ * `best_share` (see rp_admission.h). `forced` tells the receiver that all
+ * others are busier. */
 struct rp_chain {
     uint8_t count;
     uint8_t visited;
+    uint8_t best;
+    uint8_t best_share;
+    bool forced;
     struct rp_endpoint hop[RP_MAX_CHAIN];
 };
 
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -428,7 +428,7 @@
 
     randombytes_buf(&config.seed, sizeof config.seed);
     agent->flows = RpAgent_Create(&config, &agent->chart,
-                                  RpAdmission_CreateBound(),
+                                  RpAdmission_CreateLeast(),
                                   &agent->daemon.counters);
 }
 
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -7,6 +7,7 @@
  *   agent NAME SLOTS              starts the agent of that member
  *   at MS                         sets the time
  *   caller FLAGS PORT SEQ ACK LEN CHAIN [tag ID INCARNATION]
+ *                                       [best INDEX SHARE [forced]]
  *   host FLAGS PORT SEQ ACK LEN
  *   timers                        runs what is due
  *   drain | resume
@@ -97,6 +98,10 @@
     if (chain->visited == chain->count) {
         putchar('|');
     }
+    if (chain->best_share != RP_CHAIN_NO_SHARE) {
+        printf(" best=%c/%u%s", name_of(chain->hop[chain->best]),
+               chain->best_share, chain->forced ? " forced" : "");
+    }
 }
 
 static void
@@ -202,7 +207,7 @@
 
     RpAgent_Free(session->agent);
     session->agent = RpAgent_Create(&config, &session->chart,
-                                    RpAdmission_CreateBound(),
+                                    RpAdmission_CreateLeast(),
                                     &session->counters);
     set_table(session);
 }
@@ -241,7 +246,8 @@
         .has_tag = true,
         .has_chain = true,
         .tag = {.service_id = session->service.id,
-                .incarnation = session->service.incarnation}};
+                .incarnation = session->service.incarnation},
+        .chain = {.best_share = RP_CHAIN_NO_SHARE}};
 
     make_packet(bytes, &packet, caller_key(session, words[2]), words);
     for (const char *c = words[6]; *c; c++) {
@@ -252,6 +258,11 @@
             RpChain_Append(&geneve.chain, endpoint_of(c));
         }
     }
+    if (!strcmp(words[7], "best")) {
+        geneve.chain.best = (uint8_t)number(words[8]);
+        geneve.chain.best_share = (uint8_t)number(words[9]);
+        geneve.chain.forced = !strcmp(words[10], "forced");
+    }
     if (!strcmp(words[7], "tag")) {
         geneve.tag.service_id = number(words[8]);
         geneve.tag.incarnation = number(words[9]);
--- /dev/null
+++ b/tests/measure/flow_model.c
@@ -0,0 +1,438 @@
+/* One request a flow: a flow is placed when it opens, and its request
+ * follows one round trip later. */
+#include <string.h>
+
+#include "heap.h"
+#include "model.h"
+#include "rp_admission.h"
+
+#define REPORT_PERIOD_US 500000 /* of the lagging load reports */
+#define RESERVE_US 100000       /* a slot is kept this long for a request */
+
+enum event_kind {
+    EV_ARRIVE, /* a caller opens a flow */
+    EV_OFFER,  /* its SYN is at a candidate */
+    EV_DATA,   /* its request is at the host */
+    EV_DONE,   /* the host has served it */
+    EV_REPORT  /* hosts report their load */
+};
+
+enum policy {
+    POLICY_IDEAL,       /* one queue for all hosts, in order */
+    POLICY_IDEAL_SHORT, /* the same, short work first */
+    POLICY_COMMIT,      /* knows all loads at once, but must place at once */
+    POLICY_HASH,
+    POLICY_REPORT1, /* the least loaded by lagging reports */
+    POLICY_REPORT2, /* the better one of two by lagging reports */
+    POLICY_BOUND2,
+    POLICY_BOUND3,
+    POLICY_ADAPT3, /* the bound follows the host's own mean load */
+    POLICY_LEAST2,
+    POLICY_LEAST3,
+    POLICY_LEAST5,
+    POLICY_LEAST_ALL,
+    POLICY_LEAST_ALL_LATE, /* counts a slot only from the request on */
+    POLICY_ASK_ALL,        /* asks every candidate before it places */
+    POLICY_COUNT
+};
+
+const char *const flow_policies[] = {
+    "ideal",      "ideal-short-first", "ideal-commit", "hash",
+    "report-1",   "report-2",          "bound-2",      "bound-3",
+    "adaptive-3", "least-2",           "least-3",      "least-5",
+    "least-all",  "least-all-late",    "ask-all",      NULL};
+
+struct request {
+    int64_t arrived;
+    int64_t data;
+    int64_t service;
+    int64_t hops; /* time lost on the way between candidates */
+    bool is_long;
+    uint32_t host;
+    uint32_t chain[MAX_HOSTS];
+    uint32_t position;
+    uint32_t best;
+    uint8_t best_share;
+    bool forced;
+};
+
+struct host {
+    GQueue queue; /* of request numbers */
+    uint32_t serving;
+    uint32_t counted; /* as the agent counts: reserved, queued, served */
+    uint32_t reported;
+    double mean;
+};
+
+struct model {
+    const struct scene *scene;
+    enum policy policy;
+    struct heap heap;
+    GRand *dice;
+    GArray *requests; /* of struct request */
+    struct host hosts[MAX_HOSTS];
+    GQueue shared_short; /* of the ideal schedulers */
+    GQueue shared_long;
+    struct balance balance;
+    struct outcome *outcome;
+    struct rp_admission *admission;
+};
+
+static struct request *
+request_of(struct model *model, uint32_t number)
+{
+    return &g_array_index(model->requests, struct request, number);
+}
+
+static uint32_t
+chain_length(const struct model *model)
+{
+    uint32_t wanted;
+
+    switch (model->policy) {
+    case POLICY_BOUND2:
+    case POLICY_LEAST2:
+        wanted = 2;
+        break;
+    case POLICY_BOUND3:
+    case POLICY_ADAPT3:
+    case POLICY_LEAST3:
+        wanted = 3;
+        break;
+    case POLICY_LEAST5:
+        wanted = 5;
+        break;
+    default:
+        wanted = model->scene->hosts;
+    }
+    return MIN(wanted, model->scene->hosts);
+}
+
+static void
+shuffle_chain(struct model *model, struct request *request)
+{
+    uint32_t hosts = model->scene->hosts;
+
+    for (uint32_t i = 0; i < hosts; i++) {
+        request->chain[i] = i;
+    }
+    for (uint32_t i = hosts - 1; i > 0; i--) {
+        uint32_t j = (uint32_t)g_rand_int_range(model->dice, 0, (gint32)i + 1);
+        uint32_t swap = request->chain[i];
+        request->chain[i] = request->chain[j];
+        request->chain[j] = swap;
+    }
+}
+
+static void
+set_busy(struct model *model, uint32_t number, uint32_t serving, int64_t now)
+{
+    model->hosts[number].serving = serving;
+    balance_set(&model->balance, model->scene, now, number, serving);
+}
+
+static void
+start_service(struct model *model, uint32_t number, uint32_t host, int64_t now)
+{
+    struct request *request = request_of(model, number);
+    int64_t service = slowed(model->scene, host, request->service, now);
+
+    request->host = host;
+    set_busy(model, host, model->hosts[host].serving + 1, now);
+    note_wait(model->outcome, request->arrived,
+              now - request->data + request->hops, request->is_long);
+    heap_push(&model->heap, now + service, EV_DONE, number, host);
+}
+
+static bool
+is_ideal(const struct model *model)
+{
+    return model->policy == POLICY_IDEAL ||
+           model->policy == POLICY_IDEAL_SHORT;
+}
+
+/* The host with the most free slots, or -1. */
+static int
+freest_host(const struct model *model)
+{
+    int best = -1;
+
+    for (uint32_t i = 0; i < model->scene->hosts; i++) {
+        if (model->hosts[i].serving < model->scene->slots &&
+            (best < 0 ||
+             model->hosts[i].serving < model->hosts[best].serving)) {
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+static void
+serve_shared(struct model *model, int64_t now)
+{
+    int host;
+
+    while ((host = freest_host(model)) >= 0) {
+        GQueue *queue = model->shared_short.length ? &model->shared_short
+                                                   : &model->shared_long;
+        if (queue->length == 0) {
+            return;
+        }
+        start_service(model, GPOINTER_TO_UINT(g_queue_pop_head(queue)),
+                      (uint32_t)host, now);
+    }
+}
+
+static void
+serve_host(struct model *model, uint32_t host, int64_t now)
+{
+    struct host *self = &model->hosts[host];
+
+    while (self->serving < model->scene->slots && self->queue.length) {
+        start_service(model, GPOINTER_TO_UINT(g_queue_pop_head(&self->queue)),
+                      host, now);
+    }
+}
+
+static void
+admit(struct model *model, uint32_t number, uint32_t host, int64_t now)
+{
+    struct request *request = request_of(model, number);
+
+    request->host = host;
+    request->data = now + model->scene->round_trip_us;
+    if (model->policy != POLICY_LEAST_ALL_LATE) {
+        model->hosts[host].counted++;
+    }
+    heap_push(&model->heap, request->data, EV_DATA, number, host);
+}
+
+static uint32_t
+least_reported(const struct model *model, const struct request *request,
+               uint32_t choices)
+{
+    uint32_t best = request->chain[0];
+
+    for (uint32_t i = 1; i < choices; i++) {
+        uint32_t other = request->chain[i];
+        if (model->hosts[other].reported < model->hosts[best].reported) {
+            best = other;
+        }
+    }
+    return best;
+}
+
+static uint32_t
+least_counted(const struct model *model, const struct request *request)
+{
+    uint32_t best = request->chain[0];
+
+    for (uint32_t i = 1; i < model->scene->hosts; i++) {
+        uint32_t other = request->chain[i];
+        if (model->hosts[other].counted < model->hosts[best].counted) {
+            best = other;
+        }
+    }
+    return best;
+}
+
+/* The verdict of the policies that exist in this tool only. */
+static enum rp_verdict
+adaptive_verdict(struct model *model, uint32_t host,
+                 const struct rp_load *load)
+{
+    struct host *self = &model->hosts[host];
+    double bound = MAX((double)load->slots, self->mean * 1.1);
+
+    self->mean += (load->busy - self->mean) * 0.02;
+    return load->busy < bound || load->last ? RP_VERDICT_TAKE
+                                            : RP_VERDICT_PASS;
+}
+
+static void
+offer(struct model *model, uint32_t number, int64_t now)
+{
+    struct request *request = request_of(model, number);
+    uint32_t host = request->chain[request->position];
+    uint32_t length = chain_length(model);
+    const struct rp_load load = {.slots = model->scene->slots,
+                                 .busy = model->hosts[host].counted,
+                                 .flow_limit = UINT32_MAX,
+                                 .position = request->position,
+                                 .best_share = request->best_share,
+                                 .last = request->position + 1 == length};
+    enum rp_counter reason;
+    enum rp_verdict verdict = RP_VERDICT_TAKE;
+    uint32_t next = host;
+
+    if (model->policy == POLICY_ADAPT3) {
+        verdict = adaptive_verdict(model, host, &load);
+    }
+    else if (!request->forced) {
+        verdict = RpAdmission_Decide(model->admission, &load, &reason);
+    }
+    if (verdict == RP_VERDICT_TAKE) {
+        admit(model, number, host, now);
+        return;
+    }
+    if (verdict == RP_VERDICT_BACK) {
+        next = request->best;
+        request->forced = true;
+        request->position = 0;
+        while (request->chain[request->position] != next) {
+            request->position++;
+        }
+    }
+    else {
+        uint8_t share = RpLoad_Share(&load);
+        if (share < request->best_share) {
+            request->best_share = share;
+            request->best = host;
+        }
+        next = request->chain[++request->position];
+    }
+    int64_t hop = hop_time(model->scene, host, next);
+    request->hops += hop;
+    model->outcome->retried++;
+    heap_push(&model->heap, now + hop, EV_OFFER, number, 0);
+}
+
+static void
+place(struct model *model, uint32_t number, int64_t now)
+{
+    struct request *request = request_of(model, number);
+
+    switch (model->policy) {
+    case POLICY_IDEAL:
+        request->data = now;
+        g_queue_push_tail(&model->shared_short, GUINT_TO_POINTER(number));
+        serve_shared(model, now);
+        break;
+    case POLICY_IDEAL_SHORT:
+        request->data = now;
+        g_queue_push_tail(request->is_long ? &model->shared_long
+                                           : &model->shared_short,
+                          GUINT_TO_POINTER(number));
+        serve_shared(model, now);
+        break;
+    case POLICY_COMMIT:
+        request->host = least_counted(model, request);
+        request->data = now;
+        model->hosts[request->host].counted++;
+        heap_push(&model->heap, now, EV_DATA, number, request->host);
+        break;
+    case POLICY_HASH:
+        admit(model, number, request->chain[0], now);
+        break;
+    case POLICY_REPORT1:
+        admit(model, number,
+              least_reported(model, request, model->scene->hosts), now);
+        break;
+    case POLICY_REPORT2:
+        admit(model, number, least_reported(model, request, 2), now);
+        break;
+    case POLICY_ASK_ALL:
+        request->hops = 2 * model->scene->zone_hop_us;
+        admit(model, number, least_counted(model, request), now);
+        break;
+    default:
+        offer(model, number, now);
+    }
+}
+
+static void
+arrive(struct model *model, int64_t now)
+{
+    struct request request = {.arrived = now, .best_share = RP_SHARE_MAX};
+    int64_t next = next_arrival(model->scene, model->dice, now);
+
+    request.is_long = g_rand_double(model->dice) < model->scene->long_share;
+    request.service = draw_service(model->scene, model->dice, request.is_long);
+    shuffle_chain(model, &request);
+    g_array_append_val(model->requests, request);
+    if (next < RUN_US) {
+        heap_push(&model->heap, next, EV_ARRIVE, 0, 0);
+    }
+    place(model, model->requests->len - 1, now);
+}
+
+static void
+finish(struct model *model, uint32_t host, int64_t now)
+{
+    set_busy(model, host, model->hosts[host].serving - 1, now);
+    if (is_ideal(model)) {
+        serve_shared(model, now);
+        return;
+    }
+    model->hosts[host].counted--;
+    serve_host(model, host, now);
+}
+
+static void
+report(struct model *model, int64_t now)
+{
+    for (uint32_t i = 0; i < model->scene->hosts; i++) {
+        model->hosts[i].reported = model->hosts[i].counted;
+    }
+    if (model->scene->lies) {
+        model->hosts[0].reported = 0;
+    }
+    if (now < RUN_US) {
+        heap_push(&model->heap, now + REPORT_PERIOD_US, EV_REPORT, 0, 0);
+    }
+}
+
+static void
+handle(struct model *model, const struct event *event)
+{
+    struct host *host = &model->hosts[event->detail];
+
+    switch ((enum event_kind)event->kind) {
+    case EV_ARRIVE:
+        arrive(model, event->time);
+        break;
+    case EV_OFFER:
+        offer(model, event->subject, event->time);
+        break;
+    case EV_DATA:
+        if (model->policy == POLICY_LEAST_ALL_LATE) {
+            host->counted++;
+        }
+        g_queue_push_tail(&host->queue, GUINT_TO_POINTER(event->subject));
+        serve_host(model, event->detail, event->time);
+        break;
+    case EV_DONE:
+        finish(model, event->detail, event->time);
+        break;
+    case EV_REPORT:
+        report(model, event->time);
+        break;
+    }
+}
+
+void
+run_flow_model(const struct scene *scene, size_t policy, uint32_t seed,
+               struct outcome *outcome)
+{
+    struct model model = {
+        .scene = scene,
+        .policy = (enum policy)policy,
+        .dice = g_rand_new_with_seed(seed),
+        .requests = g_array_new(FALSE, FALSE, sizeof(struct request)),
+        .outcome = outcome};
+    struct event event;
+
+    model.admission = policy == POLICY_BOUND2 || policy == POLICY_BOUND3
+                          ? RpAdmission_CreateBound()
+                          : RpAdmission_CreateLeast();
+    heap_push(&model.heap, 0, EV_REPORT, 0, 0);
+    heap_push(&model.heap, 1, EV_ARRIVE, 0, 0);
+    while (heap_pop(&model.heap, &event)) {
+        handle(&model, &event);
+    }
+    outcome->imbalance = balance_result(&model.balance);
+    RpAdmission_Free(model.admission);
+    heap_clear(&model.heap);
+    g_array_free(model.requests, TRUE);
+    g_rand_free(model.dice);
+}
--- /dev/null
+++ b/tests/measure/heap.c
@@ -0,0 +1,67 @@
+#include "heap.h"
+
+#include <glib.h>
+
+#define FIRST_ROOM 1024
+
+static bool
+before(const struct event *a, const struct event *b)
+{
+    return a->time < b->time || (a->time == b->time && a->order < b->order);
+}
+
+void
+heap_push(struct heap *heap, int64_t time, int kind, uint32_t subject,
+          uint32_t detail)
+{
+    if (heap->count == heap->room) {
+        heap->room = heap->room ? heap->room * 2 : FIRST_ROOM;
+        heap->events = g_renew(struct event, heap->events, heap->room);
+    }
+    struct event event = {.time = time,
+                          .order = heap->next_order++,
+                          .kind = kind,
+                          .subject = subject,
+                          .detail = detail};
+    size_t place = heap->count++;
+    while (place > 0 && before(&event, &heap->events[(place - 1) / 2])) {
+        heap->events[place] = heap->events[(place - 1) / 2];
+        place = (place - 1) / 2;
+    }
+    heap->events[place] = event;
+}
+
+bool
+heap_pop(struct heap *heap, struct event *event)
+{
+    if (heap->count == 0) {
+        return false;
+    }
+    *event = heap->events[0];
+    struct event last = heap->events[--heap->count];
+    size_t place = 0;
+    for (;;) {
+        size_t child = place * 2 + 1;
+        if (child >= heap->count) {
+            break;
+        }
+        if (child + 1 < heap->count &&
+            before(&heap->events[child + 1], &heap->events[child])) {
+            child++;
+        }
+        if (!before(&heap->events[child], &last)) {
+            break;
+        }
+        heap->events[place] = heap->events[child];
+        place = child;
+    }
+    heap->events[place] = last;
+    return true;
+}
+
+void
+heap_clear(struct heap *heap)
+{
+    g_free(heap->events);
+    *heap = (struct heap){0};
+}
--- /dev/null
+++ b/tests/measure/pinned_model.c
@@ -0,0 +1,220 @@
+/* Requests on long-lived connections: the connection is placed, the request
+ * is not. What is left is the order in which a host's requests go in. */
+#include "heap.h"
+#include "model.h"
+#include "rp_gate.h"
+
+#define LONG_CONNECTIONS 0.02 /* share of connections for long work */
+
+enum event_kind { EV_ARRIVE, EV_DONE, EV_HOLD_OVER };
+
+enum policy {
+    POLICY_IDEAL,       /* any host, short work first: not pinned */
+    POLICY_FIFO,        /* the host's own queue */
+    POLICY_SHORT_FIRST, /* gate without a cap, believed class */
+    POLICY_CAP_70,      /* gate; long work in 70% of the slots */
+    POLICY_CAP_50,
+    POLICY_CAP_30,
+    POLICY_KNOWING_50, /* as CAP_50, the class known beforehand */
+    POLICY_COUNT
+};
+
+const char *const pinned_policies[] = {
+    "ideal",       "host-fifo",   "gate-no-cap",         "gate-cap-70",
+    "gate-cap-50", "gate-cap-30", "gate-cap-50-knowing", NULL};
+
+struct request {
+    int64_t arrived;
+    int64_t service;
+    uint32_t host;
+    bool is_long;
+    bool believed_long;
+};
+
+struct model {
+    const struct scene *scene;
+    enum policy policy;
+    struct heap heap;
+    GRand *dice;
+    GArray *requests;
+    struct rp_gate *gates[MAX_HOSTS];
+    uint32_t serving[MAX_HOSTS];
+    GQueue queues[MAX_HOSTS]; /* inside the hosts */
+    struct balance balance;
+    struct outcome *outcome;
+    bool mixed; /* any connection may ask for long work */
+};
+
+static uint32_t
+long_slots(const struct model *model)
+{
+    uint32_t slots = model->scene->slots;
+
+    switch (model->policy) {
+    case POLICY_CAP_70:
+        return MAX(slots * 70 / 100, 1);
+    case POLICY_CAP_50:
+    case POLICY_KNOWING_50:
+        return MAX(slots * 50 / 100, 1);
+    case POLICY_CAP_30:
+        return MAX(slots * 30 / 100, 1);
+    default:
+        return slots;
+    }
+}
+
+static struct request *
+request_of(struct model *model, uint32_t number)
+{
+    return &g_array_index(model->requests, struct request, number);
+}
+
+static void
+serve(struct model *model, uint32_t host, int64_t now)
+{
+    GQueue *queue = &model->queues[host];
+
+    while (model->serving[host] < model->scene->slots && queue->length) {
+        uint32_t number = GPOINTER_TO_UINT(g_queue_pop_head(queue));
+        struct request *request = request_of(model, number);
+        int64_t service = slowed(model->scene, host, request->service, now);
+        model->serving[host]++;
+        balance_set(&model->balance, model->scene, now, host,
+                    model->serving[host]);
+        note_wait(model->outcome, request->arrived, now - request->arrived,
+                  request->is_long);
+        heap_push(&model->heap, now + service, EV_DONE, number, host);
+    }
+}
+
+static void
+go_in(struct model *model, uint32_t number, int64_t now)
+{
+    uint32_t host = request_of(model, number)->host;
+
+    g_queue_push_tail(&model->queues[host], GUINT_TO_POINTER(number));
+    serve(model, host, now);
+}
+
+static void
+let_next_in(struct model *model, uint32_t host, int64_t now)
+{
+    struct rp_endpoint caller;
+    bool is_long;
+
+    while (RpGate_Next(model->gates[host], now, &caller, &is_long)) {
+        go_in(model, caller.ip, now);
+    }
+}
+
+/* Whether the agent believes that this request is long. It has seen the
+ * connection's earlier answers, so it knows connections that are there for
+ * long work; on mixed connections it has nothing to go by. */
+static bool
+believes_long(const struct model *model, const struct request *request)
+{
+    if (model->policy == POLICY_KNOWING_50) {
+        return request->is_long;
+    }
+    return !model->mixed && request->is_long;
+}
+
+static uint32_t
+idlest(const struct model *model)
+{
+    uint32_t best = 0;
+
+    for (uint32_t i = 1; i < model->scene->hosts; i++) {
+        if (RpGate_Inside(model->gates[i]) + RpGate_Kept(model->gates[i]) <
+            RpGate_Inside(model->gates[best]) +
+                RpGate_Kept(model->gates[best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static void
+arrive(struct model *model, int64_t now)
+{
+    struct request request = {.arrived = now};
+    int64_t next = next_arrival(model->scene, model->dice, now);
+    uint32_t number = model->requests->len;
+
+    request.host = (uint32_t)g_rand_int_range(model->dice, 0,
+                                              (gint32)model->scene->hosts);
+    request.is_long = g_rand_double(model->dice) < model->scene->long_share;
+    request.service = draw_service(model->scene, model->dice, request.is_long);
+    request.believed_long = believes_long(model, &request);
+    if (model->policy == POLICY_IDEAL) {
+        request.host = idlest(model);
+        request.believed_long = request.is_long;
+    }
+    g_array_append_val(model->requests, request);
+    if (next < RUN_US) {
+        heap_push(&model->heap, next, EV_ARRIVE, 0, 0);
+    }
+    if (model->policy == POLICY_FIFO) {
+        go_in(model, number, now);
+        return;
+    }
+    struct rp_endpoint caller = {.ip = number, .port = 1};
+    if (RpGate_Enter(model->gates[request.host], now, caller,
+                     request.believed_long)) {
+        go_in(model, number, now);
+        return;
+    }
+    heap_push(&model->heap, now + RP_GATE_HOLD_US, EV_HOLD_OVER, number,
+              request.host);
+}
+
+static void
+finish(struct model *model, uint32_t number, uint32_t host, int64_t now)
+{
+    model->serving[host]--;
+    balance_set(&model->balance, model->scene, now, host,
+                model->serving[host]);
+    if (model->policy != POLICY_FIFO) {
+        RpGate_Leave(model->gates[host],
+                     request_of(model, number)->believed_long);
+        let_next_in(model, host, now);
+    }
+    serve(model, host, now);
+}
+
+void
+run_pinned_model(const struct scene *scene, size_t policy, bool mixed,
+                 uint32_t seed, struct outcome *outcome)
+{
+    struct model model = {
+        .scene = scene,
+        .policy = (enum policy)policy,
+        .mixed = mixed,
+        .dice = g_rand_new_with_seed(seed),
+        .requests = g_array_new(FALSE, FALSE, sizeof(struct request)),
+        .outcome = outcome};
+    struct event event;
+
+    for (uint32_t i = 0; i < scene->hosts; i++) {
+        model.gates[i] = RpGate_Create(scene->slots, long_slots(&model));
+    }
+    heap_push(&model.heap, 1, EV_ARRIVE, 0, 0);
+    while (heap_pop(&model.heap, &event)) {
+        if (event.kind == EV_ARRIVE) {
+            arrive(&model, event.time);
+        }
+        else if (event.kind == EV_DONE) {
+            finish(&model, event.subject, event.detail, event.time);
+        }
+        else {
+            let_next_in(&model, event.detail, event.time);
+        }
+    }
+    outcome->imbalance = balance_result(&model.balance);
+    for (uint32_t i = 0; i < scene->hosts; i++) {
+        RpGate_Free(model.gates[i]);
+    }
+    heap_clear(&model.heap);
+    g_array_free(model.requests, TRUE);
+    g_rand_free(model.dice);
+}
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -97,7 +97,8 @@
 {
     const struct rp_service_tag tag = {
         .service_id = 3, .incarnation = 4, .generation = 5};
-    struct rp_chain chain = {.visited = 1};
+    struct rp_chain chain = {
+        .visited = 1, .best = 0, .best_share = 70, .forced = true};
 
     RpChain_Append(&chain, (struct rp_endpoint){.ip = 1, .port = 2});
     RpChain_Append(&chain, (struct rp_endpoint){.ip = 3, .port = 4});
@@ -122,6 +123,9 @@
     assert_int_equal(geneve.tag.generation, 5);
     assert_int_equal(geneve.chain.count, 2);
     assert_int_equal(geneve.chain.visited, 1);
+    assert_int_equal(geneve.chain.best, 0);
+    assert_int_equal(geneve.chain.best_share, 70);
+    assert_true(geneve.chain.forced);
     assert_int_equal(geneve.chain.hop[1].port, 4);
     assert_int_equal(geneve.inner_len, 20);
 }
@@ -147,6 +151,7 @@
         {10, 0x82, 0, RP_COUNT_DROP_BAD_OPTION}, /* two chains */
         {10, 0x99, 0, RP_COUNT_DROP_BAD_OPTION}, /* unknown and critical */
         {32, 3, 0, RP_COUNT_DROP_BAD_OPTION},    /* visited over count */
+        {34, 2, 0, RP_COUNT_DROP_BAD_OPTION},    /* best beyond the chain */
         {33, 16, 0, RP_COUNT_DROP_BAD_OPTION},   /* count over the limit */
         {33, 1, 0, RP_COUNT_DROP_BAD_OPTION},    /* count and size differ */
     };
