Ownership: property runs, and the five faults that they found

Ruled out: asking the host about every passed flow for ever (an extra host round trip on each; only copies of SYNs younger than 120 s can mislead). Change: redirects made in the first 120 s are checked with the host once; a quiet host is presumed, not believed; open flows follow their redirect whatever the table says; an owner is looked for for 3 s before the caller is reset; a reset that acknowledges what the host never sent goes nowhere.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -56,6 +56,7 @@
     X(FLOW_NOT_HOSTS, "flow_not_hosts", "flows the host did not know")        \
     X(FLOW_YIELDED, "flow_yielded", "half-open flows left to another")        \
     X(FLOW_EXPIRED, "flow_expired", "entries dropped after their deadline")   \
+    X(DROP_NO_OWNER, "drop_no_owner", "no owner found yet, tables may lag")   \
     X(RESET_OWNER_GONE, "reset_owner_gone", "flows reset: no owner left")     \
     X(PROBE_SENT, "probe_sent", "probes of silent flows")                     \
     X(RESET_SILENT_HOST, "reset_silent_host", "flows reset: host silent")     \
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -138,7 +138,7 @@
         agent->busy++;
     }
     if (!busy && was) {
-        flow->flags &= (uint8_t) ~(RP_FLOW_BUSY | RP_FLOW_RESERVED);
+        flow->flags &= (uint16_t) ~(RP_FLOW_BUSY | RP_FLOW_RESERVED);
         assert(agent->busy > 0);
         agent->busy--;
     }
@@ -154,7 +154,7 @@
         agent->owned++;
     }
     if (!owned && was) {
-        flow->flags &= (uint8_t)~RP_FLOW_OWNED;
+        flow->flags &= (uint16_t)~RP_FLOW_OWNED;
         assert(agent->owned > 0);
         agent->owned--;
     }
@@ -290,7 +290,7 @@
     }
     if (is_new && packet->payload_len > 0 && (flow->flags & RP_FLOW_OWNED)) {
         RpAgent_SetBusy(agent, flow, true);
-        flow->flags &= (uint8_t)~RP_FLOW_RESERVED;
+        flow->flags &= (uint16_t)~RP_FLOW_RESERVED;
     }
 }
 
@@ -371,6 +371,9 @@
     if (packet->flags & RP_TCP_RST) {
         return RP_FLOW_EV_RST;
     }
+    if (flow->state == RP_FLOW_REDIRECT && (flow->flags & RP_FLOW_UNSURE)) {
+        return RP_FLOW_EV_UNSURE;
+    }
     return packet->flags & RP_TCP_FIN ? RP_FLOW_EV_FIN : RP_FLOW_EV_DATA;
 }
 
@@ -444,6 +447,9 @@
     case RP_FLOW_DO_RENEW:
         RpAgent_Renew(agent, now, flow, packet, chain, actions);
         break;
+    case RP_FLOW_DO_ASK:
+        RpAgent_AskAgain(agent, now, flow, packet, chain, actions);
+        break;
     case RP_FLOW_DO_YIELD:
         RpAgent_Yield(agent, now, flow, packet, chain, actions);
         break;
@@ -511,13 +517,35 @@
                  packet->data, packet->len);
 }
 
+/* Whether a host's reset answers a segment of another host's flow that was
+ * shown to it, and not the flow that it has itself. */
+static bool
+is_foreign_reset(const struct rp_flow *flow, const struct rp_packet *packet)
+{
+    if (flow->state == RP_FLOW_OPENING) {
+        return !(packet->flags & RP_TCP_ACK);
+    }
+    if (!(flow->flags & RP_FLOW_KNOWS_HOST_ISN) ||
+        (packet->flags & RP_TCP_ACK)) {
+        return false;
+    }
+    bool young = RpSeq_Distance(flow->host_isn, flow->host_next) <
+                 LATE_CHECK_SPAN;
+    return RpSeq_Distance(packet->seq, flow->host_next) < 0 ||
+           (young && RpSeq_Distance(flow->host_isn, packet->seq) < 0);
+}
+
 static void
 apply_host(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
            const struct rp_packet *packet, struct rp_actions *actions)
 {
-    struct rp_chart_step step = RpChart_Step(agent->chart, flow->state,
-                                             classify_host(packet));
+    enum rp_flow_event event = classify_host(packet);
 
+    if (event == RP_FLOW_EV_HRST && is_foreign_reset(flow, packet)) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOST_STRAY);
+        return;
+    }
+    struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_TO_CALLER:
         change_state(agent, flow, step.next, now);
@@ -579,8 +607,8 @@
     case RP_FLOW_DO_RETRY:
         RpAgent_Retry(agent, now, flow, NULL, actions);
         break;
-    case RP_FLOW_DO_ADOPT_QUIETLY:
-        RpAgent_Adopt(agent, flow, step.next, now);
+    case RP_FLOW_DO_PRESUME:
+        RpAgent_Enter(agent, flow, step.next, now);
         break;
     case RP_FLOW_DO_CHECK:
         flow->deadline = now + silence_us(agent);
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -51,6 +51,7 @@
 
 struct rp_agent_config {
     struct rp_endpoint self; /* this agent, as chains name it */
+    int64_t started;         /* when the agent started */
     uint32_t slots;          /* requests the host serves at once */
     int64_t ramp_until;      /* end of the host's cold start */
     int64_t ramp_from;       /* its begin */
--- a/lib/flow/rp_agent_chain.c
+++ b/lib/flow/rp_agent_chain.c
@@ -55,9 +55,11 @@
            next_from_table(agent, chain, caller, opens, next);
 }
 
-/* Whether a member at this endpoint may still have flows. */
+/* Whether a new flow may go to this endpoint. An open flow follows its
+ * owner wherever that is: this table may be older than the one by which the
+ * flow was placed, and an upstream out of lease still serves its flows. */
 static bool
-still_serves(const struct rp_agent *agent, struct rp_endpoint endpoint)
+takes_new_flows(const struct rp_agent *agent, struct rp_endpoint endpoint)
 {
     const struct rp_service *service = agent->service;
 
@@ -81,7 +83,7 @@
         place++;
     }
     bool visited = place < chain->visited;
-    if (visited || !still_serves(agent, wanted) ||
+    if (visited || (opens && !takes_new_flows(agent, wanted)) ||
         (place == chain->count && !RpChain_Append(chain, wanted))) {
         return RpAgent_NextHop(agent, chain, caller, opens, next);
     }
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -16,6 +16,12 @@
 #define RP_ASK_PATIENCE_US RP_SYN_PATIENCE_US
 /* How long a slot is kept for the first request of a new flow. */
 #define RP_RESERVE_US RP_SYN_PATIENCE_US
+/* How long a copy of a SYN may wander about. An agent that has run longer
+ * knows every flow whose SYN it can still see. */
+#define RP_SYN_LIFETIME_US (120 * RP_US_PER_SECOND)
+/* How long an owner is looked for. Tables reach agents at different times,
+ * so a flow that nobody seems to have may be found a moment later. */
+#define RP_OWNER_PATIENCE_US (3 * RP_US_PER_SECOND)
 /* How long an answered SYN may stay unconfirmed. */
 #define RP_CONFIRM_PATIENCE_US (60 * RP_US_PER_SECOND)
 /* How long a closed flow and an unused redirect are remembered. */
@@ -150,6 +156,10 @@
 void RpAgent_AdoptFromHost(struct rp_agent *agent, int64_t now,
                            const struct rp_packet *packet,
                            struct rp_actions *actions);
+void RpAgent_AskAgain(struct rp_agent *agent, int64_t now,
+                      struct rp_flow *flow, const struct rp_packet *packet,
+                      const struct rp_chain *chain,
+                      struct rp_actions *actions);
 void RpAgent_Adopt(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
                    int64_t now);
 void RpAgent_Release(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
--- a/lib/flow/rp_agent_learn.c
+++ b/lib/flow/rp_agent_learn.c
@@ -15,6 +15,15 @@
         return;
     }
     struct rp_flow *flow = RpFlowTable_Insert(agent->flows, caller);
+    RpAgent_AskAgain(agent, now, flow, packet, chain, actions);
+}
+
+void
+RpAgent_AskAgain(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                 const struct rp_packet *packet, const struct rp_chain *chain,
+                 struct rp_actions *actions)
+{
+    flow->flags = 0;
     flow->caller_next = packet->seq;
     flow->host_acked = packet->seq;
     flow->host_next = packet->ack;
@@ -22,7 +31,7 @@
     flow->host_seen = now;
     RpAgent_Enter(agent, flow, RP_FLOW_ASKING, now);
     RpAgent_TrackCaller(agent, flow, packet, now);
-    RpHold_Put(agent->hold, caller, chain, packet->data, packet->len);
+    RpHold_Put(agent->hold, flow->caller, chain, packet->data, packet->len);
     RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, RP_COUNT_FLOW_ASKED,
                  packet->data, packet->len);
 }
@@ -78,7 +87,6 @@
 
     RpCounters_Add(agent->counters, RP_COUNT_FLOW_NOT_HOSTS);
     RpAgent_Enter(agent, flow, RP_FLOW_REDIRECT, now);
-    flow->next_hop = (struct rp_endpoint){0};
     if (!held || !RpPacket_Parse(held->data, held->len, &packet, &reason)) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOLD_FULL);
         return;
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -146,6 +146,9 @@
     if (flow) {
         start_flow(flow, packet, now);
         redirect_to(agent, flow, next, now);
+        if (now < agent->config.started + RP_SYN_LIFETIME_US) {
+            flow->flags |= RP_FLOW_UNSURE;
+        }
     }
     uint8_t *scratch = actions->scratch[actions->count];
     size_t len = trim_syn(agent, packet, scratch);
@@ -286,6 +289,23 @@
                         0);
 }
 
+/* Nobody is left to pass a packet to. */
+static void
+give_up(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+        const struct rp_packet *packet, struct rp_actions *actions)
+{
+    if (flow && !(flow->flags & RP_FLOW_ORPHAN)) {
+        flow->flags |= RP_FLOW_ORPHAN;
+        flow->host_seen = now;
+    }
+    bool waits = flow && now < flow->host_seen + RP_OWNER_PATIENCE_US;
+    if (waits || (packet->flags & RP_TCP_RST)) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_NO_OWNER);
+        return;
+    }
+    RpAgent_ResetCaller(agent, actions, RP_COUNT_RESET_OWNER_GONE, packet);
+}
+
 void
 RpAgent_Pass(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
              const struct rp_packet *packet, const struct rp_chain *chain,
@@ -303,16 +323,12 @@
                        : RpAgent_NextHop(agent, &rest, caller, opens, &next);
 
     if (!found) {
-        if (packet->flags & RP_TCP_RST) {
-            RpAgent_Act(agent, actions, RP_ACTION_DROP,
-                        RP_COUNT_RESET_OWNER_GONE);
-            return;
-        }
-        RpAgent_ResetCaller(agent, actions, RP_COUNT_RESET_OWNER_GONE, packet);
+        give_up(agent, now, flow, packet, actions);
         return;
     }
     if (flow && flow->state == RP_FLOW_REDIRECT) {
         flow->next_hop = next;
+        flow->flags &= (uint16_t)~RP_FLOW_ORPHAN;
         flow->deadline = now + RP_REDIRECT_LINGER_US;
     }
     const uint8_t *data = packet->data;
--- a/lib/flow/rp_flow_chart.c
+++ b/lib/flow/rp_flow_chart.c
@@ -3,18 +3,19 @@
 #include "rp_chart_files.h"
 
 static const char *const state_names[RP_FLOW_STATE_COUNT + 1] = {
-    "none",      "opening", "answered", "established", "caller_done",
-    "host_done", "closed",  "redirect", "asking",      NULL};
+    "none",        "opening",   "answered", "established",
+    "caller_done", "host_done", "closed",   "redirect",
+    "asking",      "presumed",  NULL};
 
 static const char *const event_names[RP_FLOW_EVENT_COUNT + 1] = {
-    "syn",  "reuse",  "back",  "data", "fin",  "rst",   "alien",
-    "late", "synack", "hdata", "hfin", "hrst", "timer", NULL};
+    "syn",  "reuse",  "back",  "unsure", "data", "fin",   "rst", "alien",
+    "late", "synack", "hdata", "hfin",   "hrst", "timer", NULL};
 
 static const char *const action_names[RP_FLOW_ACTION_COUNT + 1] = {
-    "nothing",   "to_host",       "to_caller", "pass",  "to_host_and_pass",
-    "decide",    "renew",         "retry",     "yield", "quash",
-    "adopt",     "adopt_quietly", "release",   "check", "expire",
-    "drop_late", "drop_stray",    NULL};
+    "nothing", "to_host",   "to_caller",  "pass",    "to_host_and_pass",
+    "decide",  "renew",     "retry",      "yield",   "quash",
+    "ask",     "adopt",     "presume",    "release", "check",
+    "expire",  "drop_late", "drop_stray", NULL};
 
 enum rp_code
 RpFlowChart_Load(struct rp_chart *chart, struct rp_error *error)
--- a/lib/flow/rp_flow_chart.h
+++ b/lib/flow/rp_flow_chart.h
@@ -14,6 +14,7 @@
     RP_FLOW_CLOSED,
     RP_FLOW_REDIRECT,
     RP_FLOW_ASKING,
+    RP_FLOW_PRESUMED,
     RP_FLOW_STATE_COUNT
 };
 
@@ -21,6 +22,7 @@
     RP_FLOW_EV_SYN,
     RP_FLOW_EV_REUSE,
     RP_FLOW_EV_BACK,
+    RP_FLOW_EV_UNSURE,
     RP_FLOW_EV_DATA,
     RP_FLOW_EV_FIN,
     RP_FLOW_EV_RST,
@@ -45,8 +47,9 @@
     RP_FLOW_DO_RETRY,
     RP_FLOW_DO_YIELD,
     RP_FLOW_DO_QUASH,
+    RP_FLOW_DO_ASK,
     RP_FLOW_DO_ADOPT,
-    RP_FLOW_DO_ADOPT_QUIETLY,
+    RP_FLOW_DO_PRESUME,
     RP_FLOW_DO_RELEASE,
     RP_FLOW_DO_CHECK,
     RP_FLOW_DO_EXPIRE,
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -23,12 +23,14 @@
 #define RP_FLOW_PROBED 0x08   /* both ends were probed, no answer yet */
 #define RP_FLOW_OWNED 0x10    /* counts against the limits here */
 #define RP_FLOW_RESERVED 0x20 /* busy for a request that has not come yet */
+#define RP_FLOW_UNSURE 0x40   /* passed on, but may be the host's own */
+#define RP_FLOW_ORPHAN 0x80   /* nobody has it, since `host_seen` */
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
     struct rp_endpoint caller;
     uint8_t state; /* enum rp_flow_state; 0 marks a free place */
-    uint8_t flags;
+    uint16_t flags;
     uint32_t caller_isn;
     uint32_t host_isn;
     uint32_t caller_next;  /* end of what the caller sent */
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -422,6 +422,7 @@
     int64_t now = g_get_monotonic_time();
     struct rp_agent_config config = {
         .self = agent->settings.listen,
+        .started = now,
         .slots = agent->settings.slots,
         .ramp_from = now,
         .ramp_until = now + agent->settings.ramp_seconds * RP_US_PER_SECOND};
--- a/tests/measure/model.c
+++ b/tests/measure/model.c
@@ -247,7 +247,7 @@
 struct summary
 median_summary(const struct summary *runs, size_t count)
 {
-    struct summary result;
+    struct summary result = {0};
     double *out = (double *)&result;
     const size_t figures = sizeof result / sizeof(double);
 
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -173,9 +173,10 @@
         for (int event = 0; event < RP_FLOW_EVENT_COUNT; event++) {
             bool impossible =
                 (event == RP_FLOW_EV_ALIEN && from != RP_FLOW_ANSWERED) ||
+                (event == RP_FLOW_EV_UNSURE && from != RP_FLOW_REDIRECT) ||
                 (event == RP_FLOW_EV_BACK && from != RP_FLOW_REDIRECT) ||
-                (event == RP_FLOW_EV_LATE && from == RP_FLOW_ASKING) ||
-                (event == RP_FLOW_EV_HFIN && from == RP_FLOW_OPENING);
+                (event == RP_FLOW_EV_LATE &&
+                 (from == RP_FLOW_ASKING || from == RP_FLOW_PRESUMED));
             assert_int_equal(
                 RpChart_Step(&chart, (uint8_t)from, (uint8_t)event).listed,
                 !impossible);
