Silent flows and health by evidence

Cause: a flow whose ends lost track of each other kept its slot for ever, and a host that refused or ignored its flows went on getting them. Ruled out: an idle limit (quiet but healthy flows must live for hours); trusting the host's own word (it may be wrong); taking an ill upstream out of the tables (evidence is local and would travel slowly). Change: an open flow is suspect when one end owes an acknowledgement and has been silent for the service's silence time; both ends are probed and, 5 s later, both are reset if one did not answer. Three failed new flows in a row make a host ill: one trial a second, others pass on, unless it is the last candidate (fail open).

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -17,15 +17,19 @@
 {
     struct rp_agent *agent = g_new0(struct rp_agent, 1);
 
+    g_queue_init(&agent->short_timers);
+    g_queue_init(&agent->reserves);
     agent->config = *config;
     agent->chart = chart;
     agent->policy = policy;
     agent->counters = counters;
     agent->flows = RpFlowTable_Create(config->seed);
     agent->hold = RpHold_Create();
+    if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
+        RpAgent_Free(agent);
+        return NULL;
+    }
     agent->retry_cents = RP_RETRY_BURST_CENTS;
-    g_queue_init(&agent->short_timers);
-    g_queue_init(&agent->reserves);
     return agent;
 }
 
@@ -160,12 +164,6 @@
     }
 }
 
-static int64_t
-silence_us(const struct rp_agent *agent)
-{
-    return agent->service->silence_ms * RP_US_PER_MS;
-}
-
 static int64_t
 deadline_of(const struct rp_agent *agent, uint8_t state, int64_t now)
 {
@@ -181,7 +179,7 @@
     case RP_FLOW_CLOSED:
         return now + RP_CLOSED_LINGER_US;
     default:
-        return now + silence_us(agent);
+        return now + agent->service->silence_ms * RP_US_PER_MS;
     }
 }
 
@@ -548,6 +546,9 @@
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_TO_CALLER:
+        if (flow->state == RP_FLOW_OPENING) {
+            RpHealth_Answered(&agent->health, now);
+        }
         change_state(agent, flow, step.next, now);
         to_caller(agent, now, flow, packet, actions);
         break;
@@ -559,6 +560,7 @@
         RpAgent_Release(agent, now, flow, actions);
         break;
     case RP_FLOW_DO_RETRY:
+        RpHealth_Failed(&agent->health, now);
         RpAgent_Retry(agent, now, flow, packet, actions);
         break;
     case RP_FLOW_DO_QUASH:
@@ -605,13 +607,14 @@
 
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_RETRY:
+        RpHealth_Failed(&agent->health, now);
         RpAgent_Retry(agent, now, flow, NULL, actions);
         break;
     case RP_FLOW_DO_PRESUME:
         RpAgent_Enter(agent, flow, step.next, now);
         break;
     case RP_FLOW_DO_CHECK:
-        flow->deadline = now + silence_us(agent);
+        RpAgent_CheckSilence(agent, now, flow, actions);
         break;
     default:
         RpCounters_Add(agent->counters, RP_COUNT_FLOW_EXPIRED);
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -67,7 +67,8 @@
 
 struct rp_agent;
 
-/* `policy` is taken over; `chart` and `counters` are borrowed. */
+/* `policy` is taken over; `chart` and `counters` are borrowed. NULL if a
+ * chart of the agent's own cannot be read. */
 struct rp_agent *RpAgent_Create(const struct rp_agent_config *config,
                                 const struct rp_chart *chart,
                                 struct rp_admission *policy,
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -7,6 +7,7 @@
 #include "rp_agent.h"
 #include "rp_flow_chart.h"
 #include "rp_flow_table.h"
+#include "rp_health.h"
 #include "rp_hold.h"
 #include "rp_time.h"
 
@@ -47,6 +48,7 @@
     const struct rp_table *table;
     const struct rp_service *service;
     bool draining;
+    struct rp_health health;
     struct rp_flow_table *flows;
     struct rp_hold *hold;
     struct rp_held *taken; /* what the last actions may point into */
@@ -165,4 +167,8 @@
 void RpAgent_Release(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
                      struct rp_actions *actions);
 
+/* rp_agent_silence.c: the time of an open flow's check has come. */
+void RpAgent_CheckSilence(struct rp_agent *agent, int64_t now,
+                          struct rp_flow *flow, struct rp_actions *actions);
+
 #endif
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -53,6 +53,11 @@
         return RP_VERDICT_PASS;
     }
     RpAgent_FillLoad(agent, now, chain, &load);
+    /* When all others passed, an ill host is better than none. */
+    if (!load.last && !RpHealth_Allows(&agent->health, now)) {
+        *reason = RP_COUNT_PASS_UNHEALTHY;
+        return RP_VERDICT_PASS;
+    }
     if (chain->forced && load.flows < load.flow_limit) {
         *reason = RP_COUNT_FLOW_ADMITTED_LAST;
         return RP_VERDICT_TAKE;
--- a/tests/measure/flow_model.c
+++ b/tests/measure/flow_model.c
@@ -263,7 +263,7 @@
                                  .last = request->position + 1 == length};
     enum rp_counter reason;
     enum rp_verdict verdict = RP_VERDICT_TAKE;
-    uint32_t next = host;
+    uint32_t next;
 
     if (model->policy == POLICY_ADAPT3) {
         verdict = adaptive_verdict(model, host, &load);
