The gate: short requests go in first on connections already placed

Cause: a connection is placed once, its requests come at any time; left to the host they queue first come, first served. Change: the agent keeps the packets of a request for which its host has no slot, at most 2 s, in order, lets short work in first and long work (flows whose last answer took over 200 ms) into at most long-slots-percent of the slots. Off unless the document asks for it.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -25,6 +25,7 @@
     agent->counters = counters;
     agent->flows = RpFlowTable_Create(config->seed);
     agent->hold = RpHold_Create();
+    RpAgent_GateCreate(agent);
     if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
         RpAgent_Free(agent);
         return NULL;
@@ -41,6 +42,7 @@
     }
     g_queue_clear_full(&agent->short_timers, g_free);
     g_queue_clear_full(&agent->reserves, g_free);
+    RpAgent_GateFree(agent);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
     g_free(agent->taken);
@@ -54,6 +56,7 @@
 {
     agent->table = table;
     agent->service = service;
+    RpAgent_GateConfigure(agent);
 }
 
 void
@@ -141,6 +144,9 @@
         flow->flags |= RP_FLOW_BUSY;
         agent->busy++;
     }
+    if (!busy) {
+        RpAgent_GateLeave(agent, flow);
+    }
     if (!busy && was) {
         flow->flags &= (uint16_t) ~(RP_FLOW_BUSY | RP_FLOW_RESERVED);
         assert(agent->busy > 0);
@@ -312,6 +318,7 @@
     /* A sender marks the end of what it had to say with PSH. */
     bool ends = packet->flags & (RP_TCP_PSH | RP_TCP_FIN);
     if (ends && (packet->payload_len || (packet->flags & RP_TCP_FIN))) {
+        RpAgent_GateLearn(flow, now);
         RpAgent_SetBusy(agent, flow, false);
     }
 }
@@ -409,6 +416,10 @@
     size_t len = packet->len;
 
     RpAgent_TrackCaller(agent, flow, packet, now);
+    if (!(packet->flags & RP_TCP_RST) &&
+        RpAgent_GateHolds(agent, now, flow, packet)) {
+        return;
+    }
     if ((packet->flags & RP_TCP_SYN) && packet->payload_len > 0) {
         uint8_t *scratch = actions->scratch[actions->count];
         len = RpPacket_TrimPayload(packet, scratch);
@@ -688,6 +699,9 @@
         return false;
     }
     end_reserves(agent, now);
+    if (RpAgent_GatePump(agent, now, actions)) {
+        return true;
+    }
     struct rp_flow *flow = due_short(agent, now);
     if (!flow) {
         flow = due_long(agent, now);
--- /dev/null
+++ b/lib/flow/rp_agent_gate.c
@@ -0,0 +1,197 @@
+/* Requests that wait at the gate (rp_gate.h): their packets are kept in
+ * order and go to the host together. Nothing of a flow overtakes them. */
+#include <assert.h>
+#include <string.h>
+
+#include "rp_agent_internal.h"
+
+#define MAX_KEPT_PACKETS 64       /* of one flow */
+#define MAX_KEPT_BYTES (16 << 20) /* of all flows */
+#define ALL_PERCENT 100
+
+static guint64
+key_of(struct rp_endpoint caller)
+{
+    return (guint64)caller.ip << 16 | caller.port;
+}
+
+static void
+free_packets(gpointer data)
+{
+    g_queue_free_full(data, g_free);
+}
+
+void
+RpAgent_GateCreate(struct rp_agent *agent)
+{
+    agent->gate = RpGate_Create(UINT32_MAX, UINT32_MAX);
+    agent->kept = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                        free_packets);
+    g_queue_init(&agent->released);
+}
+
+void
+RpAgent_GateFree(struct rp_agent *agent)
+{
+    RpGate_Free(agent->gate);
+    g_hash_table_destroy(agent->kept);
+    g_queue_clear_full(&agent->released, g_free);
+}
+
+void
+RpAgent_GateConfigure(struct rp_agent *agent)
+{
+    uint32_t percent = agent->service ? agent->service->long_slots_percent
+                                      : ALL_PERCENT;
+    uint32_t slots = agent->config.slots;
+
+    if (percent >= ALL_PERCENT) {
+        RpGate_SetSlots(agent->gate, UINT32_MAX, UINT32_MAX);
+        return;
+    }
+    RpGate_SetSlots(agent->gate, slots, slots * percent / ALL_PERCENT);
+}
+
+static struct rp_held *
+copy_packet(const struct rp_packet *packet)
+{
+    struct rp_held *copy = g_malloc0(sizeof *copy + packet->len);
+
+    copy->len = packet->len;
+    memcpy(copy->data, packet->data, packet->len);
+    return copy;
+}
+
+/* Adds a packet to those kept for a flow; false if there is no room. */
+static bool
+keep(struct rp_agent *agent, const struct rp_flow *flow,
+     const struct rp_packet *packet)
+{
+    guint64 key = key_of(flow->caller);
+    GQueue *packets = g_hash_table_lookup(agent->kept, &key);
+
+    if (!packets) {
+        packets = g_queue_new();
+        g_hash_table_insert(agent->kept, g_memdup2(&key, sizeof key), packets);
+    }
+    if (packets->length >= MAX_KEPT_PACKETS ||
+        agent->kept_bytes + packet->len > MAX_KEPT_BYTES) {
+        return false;
+    }
+    g_queue_push_tail(packets, copy_packet(packet));
+    agent->kept_bytes += packet->len;
+    return true;
+}
+
+static void
+mark_inside(struct rp_flow *flow, bool is_long, int64_t now)
+{
+    flow->flags &= (uint16_t)~RP_FLOW_GATED;
+    flow->flags |= RP_FLOW_INSIDE;
+    flow->flags |= is_long ? RP_FLOW_INSIDE_LONG : 0;
+    flow->request_since = now;
+}
+
+/* Moves a flow's kept packets on to the host. */
+static void
+release(struct rp_agent *agent, struct rp_flow *flow)
+{
+    guint64 key = key_of(flow->caller);
+    GQueue *packets = g_hash_table_lookup(agent->kept, &key);
+    struct rp_held *packet;
+
+    while (packets && (packet = g_queue_pop_head(packets)) != NULL) {
+        agent->kept_bytes -= packet->len;
+        g_queue_push_tail(&agent->released, packet);
+    }
+    g_hash_table_remove(agent->kept, &key);
+}
+
+bool
+RpAgent_GateHolds(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                  const struct rp_packet *packet)
+{
+    bool is_long = flow->flags & RP_FLOW_LONG;
+
+    if (flow->flags & RP_FLOW_GATED) {
+        if (keep(agent, flow, packet)) {
+            return true;
+        }
+        /* No room to keep more: it goes in as it is. What was kept goes
+         * first; this packet is left to the caller to repeat. */
+        RpGate_Cancel(agent->gate, flow->caller);
+        flow->flags &= (uint16_t)~RP_FLOW_GATED;
+        release(agent, flow);
+        return true;
+    }
+    if (packet->payload_len == 0 || (flow->flags & RP_FLOW_INSIDE) ||
+        !(flow->flags & RP_FLOW_OWNED)) {
+        return false;
+    }
+    if (RpGate_Enter(agent->gate, now, flow->caller, is_long)) {
+        mark_inside(flow, is_long, now);
+        return false;
+    }
+    RpCounters_Add(agent->counters, RP_COUNT_REQUEST_HELD);
+    flow->flags |= RP_FLOW_GATED;
+    keep(agent, flow, packet);
+    return true;
+}
+
+void
+RpAgent_GateLeave(struct rp_agent *agent, struct rp_flow *flow)
+{
+    if (flow->flags & RP_FLOW_INSIDE) {
+        RpGate_Leave(agent->gate, flow->flags & RP_FLOW_INSIDE_LONG);
+    }
+    if (flow->flags & RP_FLOW_GATED) {
+        RpGate_Cancel(agent->gate, flow->caller);
+        release(agent, flow);
+    }
+    flow->flags &= (uint16_t) ~(RP_FLOW_INSIDE | RP_FLOW_INSIDE_LONG |
+                                RP_FLOW_GATED);
+}
+
+void
+RpAgent_GateLearn(struct rp_flow *flow, int64_t now)
+{
+    if (!(flow->flags & RP_FLOW_INSIDE)) {
+        return;
+    }
+    flow->flags &= (uint16_t)~RP_FLOW_LONG;
+    if (now - flow->request_since >= RP_LONG_AFTER_US) {
+        flow->flags |= RP_FLOW_LONG;
+    }
+}
+
+/* Lets the next waiting request in, if there is one. */
+static bool
+let_next_in(struct rp_agent *agent, int64_t now)
+{
+    struct rp_endpoint caller;
+    bool is_long;
+
+    if (!RpGate_Next(agent->gate, now, &caller, &is_long)) {
+        return false;
+    }
+    struct rp_flow *flow = RpFlowTable_Find(agent->flows, caller);
+    assert(flow && (flow->flags & RP_FLOW_GATED));
+    mark_inside(flow, is_long, now);
+    release(agent, flow);
+    return true;
+}
+
+bool
+RpAgent_GatePump(struct rp_agent *agent, int64_t now,
+                 struct rp_actions *actions)
+{
+    while (agent->released.length == 0 && let_next_in(agent, now)) {
+    }
+    agent->taken = g_queue_pop_head(&agent->released);
+    if (!agent->taken) {
+        return false;
+    }
+    RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, RP_COUNT_PACKETS_OUT,
+                 agent->taken->data, agent->taken->len);
+    return true;
+}
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -7,6 +7,7 @@
 #include "rp_agent.h"
 #include "rp_flow_chart.h"
 #include "rp_flow_table.h"
+#include "rp_gate.h"
 #include "rp_health.h"
 #include "rp_hold.h"
 #include "rp_time.h"
@@ -28,6 +29,8 @@
 /* How long a closed flow and an unused redirect are remembered. */
 #define RP_CLOSED_LINGER_US (60 * RP_US_PER_SECOND)
 #define RP_REDIRECT_LINGER_US (120 * RP_US_PER_SECOND)
+/* An answer that takes longer than this makes its flow one for long work. */
+#define RP_LONG_AFTER_US (200 * RP_US_PER_MS)
 /* Entries of any kind; a SYN flood gets no further than this. */
 #define RP_AGENT_MAX_ENTRIES 1000000
 /* Retries that may be saved up, in hundredths of a retry. */
@@ -52,8 +55,12 @@
     struct rp_flow_table *flows;
     struct rp_hold *hold;
     struct rp_held *taken; /* what the last actions may point into */
-    GQueue short_timers;   /* of struct rp_short_timer, for states */
-    GQueue reserves;       /* of struct rp_short_timer, for kept slots */
+    struct rp_gate *gate;
+    GHashTable *kept; /* caller -> GQueue of struct rp_held, at the gate */
+    size_t kept_bytes;
+    GQueue released;     /* of struct rp_held, on their way to the host */
+    GQueue short_timers; /* of struct rp_short_timer, for states */
+    GQueue reserves;     /* of struct rp_short_timer, for kept slots */
     uint32_t owned;
     uint32_t busy;
     int32_t retry_cents;
@@ -167,6 +174,27 @@
 void RpAgent_Release(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
                      struct rp_actions *actions);
 
+/* rp_agent_gate.c: requests that wait for a slot. */
+void RpAgent_GateCreate(struct rp_agent *agent);
+void RpAgent_GateFree(struct rp_agent *agent);
+
+/* Takes the slots from the service's document. */
+void RpAgent_GateConfigure(struct rp_agent *agent);
+
+/* Whether a packet for the host is kept at the gate. */
+bool RpAgent_GateHolds(struct rp_agent *agent, int64_t now,
+                       struct rp_flow *flow, const struct rp_packet *packet);
+
+/* The flow's request is over, or the flow is. */
+void RpAgent_GateLeave(struct rp_agent *agent, struct rp_flow *flow);
+
+/* The host has answered: learns whether that took long. */
+void RpAgent_GateLearn(struct rp_flow *flow, int64_t now);
+
+/* Sends at most one released packet; false when there is none. */
+bool RpAgent_GatePump(struct rp_agent *agent, int64_t now,
+                      struct rp_actions *actions);
+
 /* rp_agent_silence.c: the time of an open flow's check has come. */
 void RpAgent_CheckSilence(struct rp_agent *agent, int64_t now,
                           struct rp_flow *flow, struct rp_actions *actions);
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -25,6 +25,10 @@
 #define RP_FLOW_RESERVED 0x20 /* busy for a request that has not come yet */
 #define RP_FLOW_UNSURE 0x40   /* passed on, but may be the host's own */
 #define RP_FLOW_ORPHAN 0x80   /* nobody has it, since `host_seen` */
+#define RP_FLOW_GATED 0x100   /* its request waits at the gate */
+#define RP_FLOW_INSIDE 0x200  /* its request is counted by the gate */
+#define RP_FLOW_INSIDE_LONG 0x400 /* and counted as long */
+#define RP_FLOW_LONG 0x800        /* its last answer took long */
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
@@ -40,6 +44,7 @@
     int64_t deadline;      /* of the state's timer */
     int64_t caller_seen;
     int64_t host_seen;
+    int64_t request_since;       /* when the outstanding request went in */
     struct rp_endpoint next_hop; /* of a redirected flow */
 };
 
--- a/lib/flow/rp_gate.c
+++ b/lib/flow/rp_gate.c
@@ -86,13 +86,6 @@
     gate->long_inside -= is_long;
 }
 
-void
-RpGate_Reclassify(struct rp_gate *gate)
-{
-    assert(gate->long_inside < gate->inside);
-    gate->long_inside++;
-}
-
 static bool
 is_due(const GQueue *queue, int64_t now)
 {
--- a/lib/flow/rp_gate.h
+++ b/lib/flow/rp_gate.h
@@ -39,9 +39,6 @@
 /* A request that was in has its answer. */
 void RpGate_Leave(struct rp_gate *gate, bool is_long);
 
-/* A request that was in turns out to be long. */
-void RpGate_Reclassify(struct rp_gate *gate);
-
 /* The next kept request that goes in now; it counts as in. False if none
  * does. `*is_long` is how it was entered. */
 bool RpGate_Next(struct rp_gate *gate, int64_t now, struct rp_endpoint *caller,
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -202,6 +202,14 @@
     }
 }
 
+static void
+run_timers(struct agent *agent, int64_t now)
+{
+    while (RpAgent_OnTimer(agent->flows, now, &agent->actions)) {
+        carry_out_all(agent);
+    }
+}
+
 static void
 on_balancer_datagram(void *user, const uint8_t *data, size_t len,
                      struct rp_endpoint from)
@@ -211,10 +219,13 @@
     struct rp_packet packet;
 
     if (parse(agent, data, len, from, &geneve, &packet)) {
-        RpAgent_FromCaller(agent->flows, g_get_monotonic_time(), &packet,
-                           &geneve, &agent->actions);
+        int64_t now = g_get_monotonic_time();
+        RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
+                           &agent->actions);
         log_drops(agent, from);
         carry_out_all(agent);
+        /* What the gate lets go must not be overtaken by the next packet. */
+        run_timers(agent, now);
     }
 }
 
@@ -227,10 +238,12 @@
     struct rp_packet packet;
 
     if (parse(agent, data, len, from, &geneve, &packet)) {
-        RpAgent_FromHost(agent->flows, g_get_monotonic_time(), &packet,
-                         &agent->actions);
+        int64_t now = g_get_monotonic_time();
+        RpAgent_FromHost(agent->flows, now, &packet, &agent->actions);
         log_drops(agent, from);
         carry_out_all(agent);
+        /* An answer may have freed a slot that a request waits for. */
+        run_timers(agent, now);
     }
 }
 
@@ -352,9 +365,7 @@
     struct agent *agent = data;
     int64_t now = g_get_monotonic_time();
 
-    while (RpAgent_OnTimer(agent->flows, now, &agent->actions)) {
-        carry_out_all(agent);
-    }
+    run_timers(agent, now);
     if (now >= agent->announce_deadline) {
         announce(agent);
     }
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -3,6 +3,7 @@
  * A script has one command a line; '#' starts a comment.
  *
  *   service ID INCARNATION ADDR:PORT FLOW-LIMIT RETRIES-PERCENT
+ *           [LONG-SLOTS-PERCENT]
  *   member NAME SLOTS STATE       upstream NAME, whose agent is NAME
  *   agent NAME SLOTS              starts the agent of that member
  *   at MS                         sets the time
@@ -168,6 +169,7 @@
     session->service.flows_per_upstream = number(words[4]);
     session->service.retries_percent = number(words[5]);
     session->service.silence_ms = 30000;
+    session->service.long_slots_percent = words[6][0] ? number(words[6]) : 100;
 }
 
 static void
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -134,6 +134,7 @@
 # document SERVICE ADDRESS: writes a service document and prints its name.
 document() {
     printf '[service]\nname = %s\naddress = %s\n' "$1" "$2" > "$RUN/$1.conf"
+    printf '[placement]\nlong-slots-percent = 50\n' >> "$RUN/$1.conf"
     echo "$RUN/$1.conf"
 }
 
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -136,6 +136,7 @@
             .flows_per_upstream = 1000,
             .retries_percent = 100,
             .silence_ms = 30000,
+            .long_slots_percent = 50,
             .members = RpSchema_NewList(&rp_msg_member_schema)};
         for (unsigned j = 0; j < UPSTREAMS; j++) {
             const struct upstream *upstream = &world->upstreams[i][j];
