--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -11,6 +11,7 @@
     uint8_t id[RP_CHANGE_ID_SIZE];
     uint8_t code;
     uint64_t revision;
+    uint32_t service_id;
     struct rp_name service;
 };
 
@@ -47,6 +48,7 @@
     RP_FIELD(RP_FIELD_BLOB, answer, id),
     RP_FIELD(RP_FIELD_UINT, answer, code),
     RP_FIELD(RP_FIELD_UINT, answer, revision),
+    RP_FIELD(RP_FIELD_UINT, answer, service_id),
     RP_FIELD(RP_FIELD_NAME, answer, service),
 };
 static const struct rp_schema answer_schema = RP_SCHEMA(answer, answer_fields);
@@ -214,6 +216,8 @@
     reply->repeated = repeated;
     reply->revision = answer->revision;
     reply->service = answer->service;
+    reply->service_id = answer->service_id;
+    reply->is_change = 1;
 }
 
 bool
@@ -350,6 +354,7 @@
     RP_FORWARD_IF_ERROR(check_address(catalog, &document, error));
     put_entry(catalog, &document, change->document);
     answer->revision = catalog->revision;
+    answer->service_id = RpCatalog_Find(catalog, &document.name)->id;
     return RP_OK;
 }
 
@@ -372,6 +377,7 @@
                            change->base, entry->revision);
     }
     catalog->revision++;
+    answer->service_id = entry->id;
     quarantine_address(catalog, entry);
     g_hash_table_remove(catalog->entries, &change->service);
     answer->revision = catalog->revision;
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -38,6 +38,7 @@
     struct pending pending;
     uint64_t generation;
     uint64_t sent_revision;
+    uint64_t withheld;
     bool fresh;
 };
 
@@ -344,6 +345,18 @@
     }
 }
 
+/* Whether this replica's whole table may go to a node. */
+static bool
+may_serve(const struct rp_distribution *distribution, const struct node *node)
+{
+    uint64_t revision = RpCatalog_Revision(distribution->catalog);
+
+    if (revision == 0 || node->confirmed > revision) {
+        return false;
+    }
+    return distribution->fresh || node->confirmed > 0;
+}
+
 static void
 serve_nodes(struct rp_distribution *distribution)
 {
@@ -357,9 +370,13 @@
             continue;
         }
         if (!node->served || distribution->pending.everything) {
-            if (distribution->fresh) {
+            node->served = false;
+            if (may_serve(distribution, node)) {
                 send_whole(distribution, node);
             }
+            else {
+                distribution->withheld++;
+            }
         }
         else {
             send_change(distribution, node);
@@ -380,7 +397,7 @@
     review_nodes(distribution, now);
     g_hash_table_remove_all(pending->touched);
     g_array_set_size(pending->removed, 0);
-    pending->everything = pending->everything && !distribution->fresh;
+    pending->everything = false;
     pending->revision = false;
     pending->deadline = RP_NEVER;
     distribution->sent_revision = RpCatalog_Revision(distribution->catalog);
@@ -397,11 +414,36 @@
     g_hash_table_iter_init(&iter, distribution->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct node *node = value;
-        lowest = MIN(lowest, node->confirmed);
+        if (node->connection != 0) {
+            lowest = MIN(lowest, node->confirmed);
+        }
     }
     return lowest;
 }
 
+GArray *
+RpDistribution_Connections(const struct rp_distribution *distribution)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, distribution->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct node *node = value;
+        if (node->connection != 0) {
+            g_array_append_val(list, node->connection);
+        }
+    }
+    return list;
+}
+
+uint64_t
+RpDistribution_Withheld(const struct rp_distribution *distribution)
+{
+    return distribution->withheld;
+}
+
 GArray *
 RpDistribution_Nodes(const struct rp_distribution *distribution, int64_t now)
 {
@@ -418,6 +460,7 @@
             .zone = node->zone,
             .role = node->role,
             .confirmed = node->confirmed,
+            .connected = node->connection != 0,
             .behind_ms = (uint32_t)(behind / RP_US_PER_MS)};
         g_array_append_val(rows, row);
     }
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -61,8 +61,9 @@
 void RpDistribution_TouchAll(struct rp_distribution *distribution,
                              int64_t now);
 
-/* Whether this replica may give out first tables; while it may not, new
- * subscribers wait. */
+/* Whether this replica may give out first tables. While it may not, a node
+ * that has no table yet waits, and one that runs a table already gets this
+ * replica's if that is not older. */
 void RpDistribution_SetFresh(struct rp_distribution *distribution, int64_t now,
                              bool fresh);
 
@@ -70,8 +71,14 @@
 int64_t RpDistribution_Flush(struct rp_distribution *distribution,
                              int64_t now);
 
-/* The lowest revision that all known nodes have confirmed (the catalogue's
- * own if there is no node). */
+/* The connections of nodes, as a list of uint64_t; free it. */
+GArray *RpDistribution_Connections(const struct rp_distribution *distribution);
+
+/* How often a first table was held back. */
+uint64_t RpDistribution_Withheld(const struct rp_distribution *distribution);
+
+/* The lowest revision that all connected nodes have confirmed (the
+ * catalogue's own if there is no node). */
 uint64_t
 RpDistribution_LowestConfirmed(const struct rp_distribution *distribution);
 
--- a/lib/control/rp_registry.c
+++ b/lib/control/rp_registry.c
@@ -5,6 +5,7 @@
 struct rp_registry {
     GHashTable *upstreams; /* name -> struct rp_upstream */
     int64_t next_deadline; /* nothing is over before this */
+    bool cut_off;
 };
 
 static guint
@@ -116,7 +117,7 @@
 
 enum rp_registry_change
 RpRegistry_Merge(struct rp_registry *registry, int64_t now,
-                 const struct rp_msg_announce *news)
+                 const struct rp_msg_announce *news, bool direct)
 {
     struct rp_upstream *known = g_hash_table_lookup(registry->upstreams,
                                                     &news->upstream);
@@ -141,6 +142,7 @@
     known->state = (enum rp_upstream_state)news->state;
     known->lease_deadline = now + news->lease_ms * RP_US_PER_MS;
     known->drop_deadline = RP_NEVER;
+    known->direct = direct;
     if (known->state == RP_UPSTREAM_GONE) {
         known->drop_deadline = known->lease_deadline;
     }
@@ -149,13 +151,44 @@
     return changed ? RP_REGISTRY_CHANGED : RP_REGISTRY_RENEWED;
 }
 
+static bool
+is_leased(const struct rp_upstream *upstream)
+{
+    return upstream->state == RP_UPSTREAM_READY ||
+           upstream->state == RP_UPSTREAM_DRAINING;
+}
+
+void
+RpRegistry_SetCutOff(struct rp_registry *registry, int64_t now, bool cut_off)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (registry->cut_off == cut_off) {
+        return;
+    }
+    registry->cut_off = cut_off;
+    registry->next_deadline = now;
+    g_hash_table_iter_init(&iter, registry->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rp_upstream *upstream = value;
+        if (!cut_off && is_leased(upstream) && !upstream->direct) {
+            upstream->lease_deadline = now +
+                                       upstream->last.lease_ms * RP_US_PER_MS;
+        }
+    }
+}
+
 /* When something about this entry is over. */
 static int64_t
-deadline_of(const struct rp_upstream *upstream)
+deadline_of(const struct rp_registry *registry,
+            const struct rp_upstream *upstream)
 {
-    bool leased = upstream->state == RP_UPSTREAM_READY ||
-                  upstream->state == RP_UPSTREAM_DRAINING;
+    bool leased = is_leased(upstream);
 
+    if (leased && registry->cut_off && !upstream->direct) {
+        return RP_NEVER;
+    }
     return leased ? upstream->lease_deadline : upstream->drop_deadline;
 }
 
@@ -173,7 +206,7 @@
     g_hash_table_iter_init(&iter, registry->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rp_upstream *upstream = value;
-        int64_t deadline = deadline_of(upstream);
+        int64_t deadline = deadline_of(registry, upstream);
         if (deadline > now) {
             next = MIN(next, deadline);
             continue;
--- a/lib/control/rp_registry.h
+++ b/lib/control/rp_registry.h
@@ -26,6 +26,7 @@
     enum rp_upstream_state state; /* LOST once the lease is over */
     int64_t lease_deadline;
     int64_t drop_deadline; /* of a lost one */
+    bool direct;           /* heard from its agent, not from a replica */
 };
 
 enum rp_registry_change {
@@ -41,10 +42,17 @@
 
 void RpRegistry_Free(struct rp_registry *registry);
 
-/* Merges an announcement. */
+/* Merges an announcement. `direct`: it came from the agent itself. */
 enum rp_registry_change RpRegistry_Merge(struct rp_registry *registry,
                                          int64_t now,
-                                         const struct rp_msg_announce *news);
+                                         const struct rp_msg_announce *news,
+                                         bool direct);
+
+/* Says whether this replica hears the others. While it is cut off, leases
+ * of upstreams that it knows through others do not run out: their silence
+ * says nothing. When it hears them again, those get a whole new lease. */
+void RpRegistry_SetCutOff(struct rp_registry *registry, int64_t now,
+                          bool cut_off);
 
 /* Handles at most one lease or entry whose time is over; its service goes
  * to `*service`. Call it until it returns false. */
--- /dev/null
+++ b/lib/state/rp_replica.c
@@ -0,0 +1,505 @@
+#include "rp_replica.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "rp_replica_internal.h"
+
+static void
+free_entry(gpointer data)
+{
+    struct rp_log_entry *entry = data;
+
+    g_string_free(entry->data, TRUE);
+    g_free(entry);
+}
+
+static void
+clear_action(gpointer data)
+{
+    struct rp_replica_action *action = data;
+
+    RpMsg_Clear(&action->msg);
+}
+
+static GArray *
+new_actions(void)
+{
+    GArray *actions = g_array_new(FALSE, TRUE,
+                                  sizeof(struct rp_replica_action));
+
+    g_array_set_clear_func(actions, clear_action);
+    return actions;
+}
+
+struct rp_replica *
+RpReplica_Create(uint64_t id, uint64_t seed, int64_t now)
+{
+    struct rp_replica *replica = g_new0(struct rp_replica, 1);
+    const guint32 seeds[2] = {(guint32)seed, (guint32)(seed >> 32)};
+
+    assert(id != 0);
+    replica->id = id;
+    replica->dice = g_rand_new_with_seed_array(seeds, 2);
+    replica->actions = new_actions();
+    replica->log = g_ptr_array_new_with_free_func(free_entry);
+    replica->members = g_array_new(FALSE, TRUE,
+                                   sizeof(struct rp_replica_member));
+    replica->peers = g_array_new(FALSE, TRUE, sizeof(struct rp_peer));
+    replica->round_times = g_array_new(FALSE, TRUE, sizeof(int64_t));
+    /* It may have answered a leader just before it was stopped: that
+     * leader's lease must run out before this replica votes again. */
+    replica->leader_seen = now;
+    RpReplica_ResetElection(replica, now);
+    return replica;
+}
+
+void
+RpReplica_Free(struct rp_replica *replica)
+{
+    if (!replica) {
+        return;
+    }
+    g_rand_free(replica->dice);
+    g_array_free(replica->actions, TRUE);
+    g_ptr_array_unref(replica->log);
+    g_array_free(replica->members, TRUE);
+    g_array_free(replica->peers, TRUE);
+    g_array_free(replica->round_times, TRUE);
+    RpLog_FreeSnapshot(replica->snapshot);
+    if (replica->snapshot_bytes) {
+        g_string_free(replica->snapshot_bytes, TRUE);
+    }
+    if (replica->incoming) {
+        g_string_free(replica->incoming, TRUE);
+    }
+    g_free(replica);
+}
+
+void
+RpReplica_LoadVote(struct rp_replica *replica, uint64_t term,
+                   uint64_t voted_for)
+{
+    replica->term = term;
+    replica->voted_for = voted_for;
+}
+
+void
+RpReplica_LoadEntry(struct rp_replica *replica,
+                    const struct rp_log_entry *entry)
+{
+    if (entry->index == RpLog_LastIndex(replica) + 1) {
+        RpLog_Add(replica, entry);
+    }
+}
+
+void
+RpReplica_LoadTruncate(struct rp_replica *replica, uint64_t index)
+{
+    RpLog_Truncate(replica, index);
+}
+
+void
+RpReplica_LoadSnapshot(struct rp_replica *replica,
+                       const struct rp_snapshot *snapshot)
+{
+    RpLog_SetSnapshot(replica, snapshot);
+    replica->committed = snapshot->index;
+    replica->applied = snapshot->index;
+}
+
+struct rp_replica_action *
+RpReplica_Act(struct rp_replica *replica, enum rp_replica_action_kind kind)
+{
+    guint last = replica->actions->len;
+
+    g_array_set_size(replica->actions, last + 1);
+    struct rp_replica_action *action = &g_array_index(
+        replica->actions, struct rp_replica_action, last);
+    action->kind = kind;
+    return action;
+}
+
+void
+RpReplica_SendTo(struct rp_replica *replica, uint64_t to, struct rp_msg *msg)
+{
+    struct rp_replica_action *action = RpReplica_Act(replica, RP_REPLICA_SEND);
+
+    action->to = to;
+    action->msg = *msg;
+    msg->type = RP_MSG_NONE;
+}
+
+GArray *
+RpReplica_TakeActions(struct rp_replica *replica)
+{
+    GArray *actions = replica->actions;
+
+    replica->actions = new_actions();
+    return actions;
+}
+
+void
+RpReplica_FreeActions(GArray *actions)
+{
+    g_array_free(actions, TRUE);
+}
+
+void
+RpReplica_StoreVote(struct rp_replica *replica)
+{
+    struct rp_replica_action *action = RpReplica_Act(replica,
+                                                     RP_REPLICA_STORE_VOTE);
+
+    action->term = replica->term;
+    action->voted_for = replica->voted_for;
+}
+
+void
+RpReplica_ResetElection(struct rp_replica *replica, int64_t now)
+{
+    double spread = g_rand_double(replica->dice);
+
+    replica->election_deadline = now + RP_ELECTION_US +
+                                 (int64_t)(spread * (double)RP_ELECTION_US);
+}
+
+void
+RpReplica_BecomeFollower(struct rp_replica *replica, int64_t now,
+                         uint64_t term, uint64_t leader)
+{
+    if (term > replica->term) {
+        replica->term = term;
+        replica->voted_for = 0;
+        RpReplica_StoreVote(replica);
+    }
+    if (replica->role != RP_REPLICA_FOLLOWER) {
+        RpReplica_ResetElection(replica, now);
+    }
+    replica->role = RP_REPLICA_FOLLOWER;
+    replica->leader = leader;
+}
+
+const struct rp_replica_member *
+RpReplica_FindMember(const struct rp_replica *replica, uint64_t id)
+{
+    for (guint i = 0; i < replica->members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            replica->members, struct rp_replica_member, i);
+        if (member->id == id) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+struct rp_peer *
+RpReplica_FindPeer(struct rp_replica *replica, uint64_t id)
+{
+    for (guint i = 0; i < replica->peers->len; i++) {
+        struct rp_peer *peer = &g_array_index(replica->peers, struct rp_peer,
+                                              i);
+        if (peer->id == id) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+bool
+RpReplica_IsVoter(const struct rp_replica *replica, uint64_t id)
+{
+    const struct rp_replica_member *member = RpReplica_FindMember(replica, id);
+
+    return member && member->voter;
+}
+
+size_t
+RpReplica_Quorum(const struct rp_replica *replica)
+{
+    size_t voters = 0;
+
+    for (guint i = 0; i < replica->members->len; i++) {
+        voters += g_array_index(replica->members, struct rp_replica_member, i)
+                      .voter != 0;
+    }
+    return voters / 2 + 1;
+}
+
+void
+RpReplica_ApplyCommitted(struct rp_replica *replica)
+{
+    while (replica->applied < replica->committed) {
+        const struct rp_log_entry *entry = RpLog_At(replica,
+                                                    replica->applied + 1);
+        assert(entry);
+        RpReplica_Act(replica, RP_REPLICA_APPLY)->entry = entry;
+        replica->applied++;
+    }
+}
+
+const struct rp_log_entry *
+RpReplica_AppendOwn(struct rp_replica *replica, enum rp_entry_kind kind,
+                    const GString *data)
+{
+    GString *nothing = g_string_new(NULL);
+    const struct rp_log_entry entry = {.index = RpLog_LastIndex(replica) + 1,
+                                       .term = replica->term,
+                                       .kind = (uint8_t)kind,
+                                       .data = data ? (GString *)data
+                                                    : nothing};
+    const struct rp_log_entry *added = RpLog_Add(replica, &entry);
+
+    RpReplica_Act(replica, RP_REPLICA_STORE_ENTRY)->entry = added;
+    g_string_free(nothing, TRUE);
+    return added;
+}
+
+void
+RpReplica_Bootstrap(struct rp_replica *replica,
+                    const struct rp_replica_member *self)
+{
+    struct rp_replica_members members = {
+        .list = RpSchema_NewList(&rp_replica_member_schema)};
+    struct rp_replica_member voter = *self;
+
+    assert(RpLog_LastIndex(replica) == 0 && self->id == replica->id);
+    voter.voter = 1;
+    g_array_append_val(members.list, voter);
+    GString *data = RpSchema_Encode(&rp_replica_members_schema, &members);
+    replica->term = 1;
+    replica->voted_for = replica->id;
+    RpReplica_StoreVote(replica);
+    RpReplica_AppendOwn(replica, RP_ENTRY_MEMBERS, data);
+    g_string_free(data, TRUE);
+    RpSchema_Clear(&rp_replica_members_schema, &members);
+}
+
+/* Whether nobody else has a vote. */
+static bool
+votes_alone(const struct rp_replica *replica)
+{
+    return RpReplica_Quorum(replica) == 1 &&
+           RpReplica_IsVoter(replica, replica->id);
+}
+
+void
+RpReplica_Tick(struct rp_replica *replica, int64_t now)
+{
+    if (replica->role == RP_REPLICA_LEADER) {
+        RpReplica_LeaderTick(replica, now);
+        return;
+    }
+    if (!RpReplica_IsVoter(replica, replica->id)) {
+        return;
+    }
+    if (now >= replica->election_deadline || votes_alone(replica)) {
+        RpReplica_StartTrial(replica, now);
+    }
+}
+
+/* Whom a message between replicas is for; 0 if it is none of those. */
+static uint64_t
+addressee(const struct rp_msg *msg)
+{
+    switch (msg->type) {
+    case RP_MSG_VOTE:
+        return msg->vote.to;
+    case RP_MSG_VOTE_REPLY:
+        return msg->vote_reply.to;
+    case RP_MSG_APPEND:
+        return msg->append.to;
+    case RP_MSG_APPEND_REPLY:
+        return msg->append_reply.to;
+    case RP_MSG_SNAPSHOT:
+        return msg->snapshot.to;
+    case RP_MSG_SNAPSHOT_REPLY:
+        return msg->snapshot_reply.to;
+    default:
+        return 0;
+    }
+}
+
+uint64_t
+RpReplica_Sender(const struct rp_msg *msg)
+{
+    switch (msg->type) {
+    case RP_MSG_VOTE:
+        return msg->vote.from;
+    case RP_MSG_VOTE_REPLY:
+        return msg->vote_reply.from;
+    case RP_MSG_APPEND:
+        return msg->append.from;
+    case RP_MSG_APPEND_REPLY:
+        return msg->append_reply.from;
+    case RP_MSG_SNAPSHOT:
+        return msg->snapshot.from;
+    case RP_MSG_SNAPSHOT_REPLY:
+        return msg->snapshot_reply.from;
+    default:
+        return 0;
+    }
+}
+
+void
+RpReplica_Receive(struct rp_replica *replica, int64_t now,
+                  const struct rp_msg *msg)
+{
+    if (addressee(msg) != replica->id) {
+        return;
+    }
+    switch (msg->type) {
+    case RP_MSG_VOTE:
+        RpReplica_OnVote(replica, now, &msg->vote);
+        break;
+    case RP_MSG_VOTE_REPLY:
+        RpReplica_OnVoteReply(replica, now, &msg->vote_reply);
+        break;
+    case RP_MSG_APPEND:
+        RpReplica_OnAppend(replica, now, &msg->append);
+        break;
+    case RP_MSG_APPEND_REPLY:
+        RpReplica_OnAppendReply(replica, now, &msg->append_reply);
+        break;
+    case RP_MSG_SNAPSHOT:
+        RpReplica_OnSnapshot(replica, now, &msg->snapshot);
+        break;
+    default:
+        RpReplica_OnSnapshotReply(replica, now, &msg->snapshot_reply);
+    }
+}
+
+enum rp_code
+RpReplica_Propose(struct rp_replica *replica, int64_t now,
+                  const GString *command, uint64_t *index)
+{
+    if (replica->role != RP_REPLICA_LEADER) {
+        return RP_ERR_NO_LEADER;
+    }
+    *index = RpReplica_AppendOwn(replica, RP_ENTRY_COMMAND, command)->index;
+    RpReplica_AdvanceCommit(replica);
+    RpReplica_Broadcast(replica, now, false);
+    return RP_OK;
+}
+
+void
+RpReplica_Compact(struct rp_replica *replica, const GString *data)
+{
+    struct rp_snapshot snapshot = {
+        .index = replica->applied,
+        .members = RpLog_MembersAt(replica, replica->applied),
+        .data = (GString *)data};
+    bool known = RpLog_TermAt(replica, replica->applied, &snapshot.term);
+
+    assert(known);
+    RpLog_SetSnapshot(replica, &snapshot);
+    g_array_free(snapshot.members, TRUE);
+}
+
+bool
+RpReplica_IsFresh(const struct rp_replica *replica, int64_t now)
+{
+    if (replica->role == RP_REPLICA_LEADER) {
+        uint64_t term = 0;
+        RpLog_TermAt(replica, replica->committed, &term);
+        return term == replica->term &&
+               RpReplica_QuorumContact(replica) > now - RP_LEASE_US;
+    }
+    return replica->leader != 0 && now - replica->leader_seen < RP_LEASE_US &&
+           replica->applied >= replica->leader_committed;
+}
+
+uint64_t
+RpReplica_Id(const struct rp_replica *replica)
+{
+    return replica->id;
+}
+
+enum rp_replica_role
+RpReplica_Role(const struct rp_replica *replica)
+{
+    return replica->role;
+}
+
+const char *
+RpReplica_RoleName(const struct rp_replica *replica)
+{
+    switch (replica->role) {
+    case RP_REPLICA_LEADER:
+        return "leader";
+    case RP_REPLICA_TRIAL:
+    case RP_REPLICA_CANDIDATE:
+        return "candidate";
+    default:
+        return RpReplica_IsVoter(replica, replica->id) ? "follower"
+                                                       : "learner";
+    }
+}
+
+uint64_t
+RpReplica_Term(const struct rp_replica *replica)
+{
+    return replica->term;
+}
+
+uint64_t
+RpReplica_Leader(const struct rp_replica *replica)
+{
+    return replica->role == RP_REPLICA_LEADER ? replica->id : replica->leader;
+}
+
+uint64_t
+RpReplica_Committed(const struct rp_replica *replica)
+{
+    return replica->committed;
+}
+
+uint64_t
+RpReplica_LastIndex(const struct rp_replica *replica)
+{
+    return RpLog_LastIndex(replica);
+}
+
+const GArray *
+RpReplica_Members(const struct rp_replica *replica)
+{
+    return replica->members;
+}
+
+bool
+RpReplica_IsMember(const struct rp_replica *replica)
+{
+    return RpReplica_FindMember(replica, replica->id) != NULL;
+}
+
+bool
+RpReplica_WantsToJoin(const struct rp_replica *replica, int64_t now)
+{
+    return !RpReplica_IsMember(replica) ||
+           (replica->role != RP_REPLICA_LEADER &&
+            now - replica->leader_seen > RP_REJOIN_US);
+}
+
+uint64_t
+RpReplica_VotedFor(const struct rp_replica *replica)
+{
+    return replica->voted_for;
+}
+
+const struct rp_snapshot *
+RpReplica_Snapshot(const struct rp_replica *replica)
+{
+    return replica->snapshot;
+}
+
+size_t
+RpReplica_EntryCount(const struct rp_replica *replica)
+{
+    return replica->log->len;
+}
+
+const struct rp_log_entry *
+RpReplica_Entry(const struct rp_replica *replica, size_t position)
+{
+    return g_ptr_array_index(replica->log, position);
+}
--- /dev/null
+++ b/lib/state/rp_replica.h
@@ -0,0 +1,147 @@
+/* Agreement: one replica of a replicated log, without I/O or clock.
+ *
+ * The replicas elect a leader, which orders entries and commits those that
+ * a majority of the voters has stored. What is committed is never lost or
+ * changed, on any replica, whatever else fails. In short:
+ *
+ * - terms, with a trial round of votes first, so that a replica that was
+ *   cut off does not disturb the others when it returns;
+ * - a replica that heard from a leader lately votes for nobody else, and a
+ *   leader that lost its majority steps down: so a leader may answer reads
+ *   by itself while its lease holds;
+ * - one change of the members at a time; a new one learns before it votes;
+ * - a replica whose disk was lost has a new id and is let in again.
+ *
+ * Every call may leave actions, to be carried out in their order. Those
+ * that store something must be durable (one sync for a run of them) before
+ * any later action that sends or applies.
+ */
+#ifndef RP_REPLICA_H
+#define RP_REPLICA_H
+
+#include <glib.h>
+
+#include "rp_error.h"
+#include "rp_msg.h"
+#include "rp_time.h"
+
+#define RP_REPLICA_MAX 15 /* members */
+#define RP_HEARTBEAT_US (200 * RP_US_PER_MS)
+/* A follower waits one to two times this long for its leader. */
+#define RP_ELECTION_US (1000 * RP_US_PER_MS)
+/* How long a leader may trust its last contact with a majority. Shorter
+ * than RP_ELECTION_US by what clocks may differ in speed. */
+#define RP_LEASE_US (800 * RP_US_PER_MS)
+/* After this long without a leader a replica asks to be let in again. */
+#define RP_REJOIN_US (5 * RP_ELECTION_US)
+#define RP_APPEND_MAX_ENTRIES 64
+#define RP_SNAPSHOT_CHUNK (256u << 10) /* bytes */
+
+enum rp_replica_role {
+    RP_REPLICA_FOLLOWER,
+    RP_REPLICA_TRIAL, /* asks whether an election could be won */
+    RP_REPLICA_CANDIDATE,
+    RP_REPLICA_LEADER
+};
+
+enum rp_replica_action_kind {
+    RP_REPLICA_STORE_VOTE,     /* term and voted_for */
+    RP_REPLICA_STORE_ENTRY,    /* entry */
+    RP_REPLICA_STORE_TRUNCATE, /* drop entries from index on */
+    RP_REPLICA_STORE_SNAPSHOT, /* snapshot replaces all up to its index */
+    RP_REPLICA_SEND,           /* msg, to the member with id `to` */
+    RP_REPLICA_APPLY           /* entry is committed: apply it */
+};
+
+/* One thing to do. Pointers are valid until the next call. */
+struct rp_replica_action {
+    enum rp_replica_action_kind kind;
+    uint64_t term;
+    uint64_t voted_for;
+    uint64_t index;
+    uint64_t to;
+    const struct rp_log_entry *entry;
+    const struct rp_snapshot *snapshot;
+    struct rp_msg msg; /* owned by the action */
+};
+
+struct rp_replica;
+
+/* A replica with nothing stored. `id` is not 0; `seed` spreads elections. */
+struct rp_replica *RpReplica_Create(uint64_t id, uint64_t seed, int64_t now);
+
+void RpReplica_Free(struct rp_replica *replica);
+
+/* What was stored before, in the order in which it was stored. */
+void RpReplica_LoadVote(struct rp_replica *replica, uint64_t term,
+                        uint64_t voted_for);
+void RpReplica_LoadEntry(struct rp_replica *replica,
+                         const struct rp_log_entry *entry);
+void RpReplica_LoadTruncate(struct rp_replica *replica, uint64_t index);
+void RpReplica_LoadSnapshot(struct rp_replica *replica,
+                            const struct rp_snapshot *snapshot);
+
+/* Makes the first replica of a new system, with itself as only member. */
+void RpReplica_Bootstrap(struct rp_replica *replica,
+                         const struct rp_replica_member *self);
+
+/* Time has passed. */
+void RpReplica_Tick(struct rp_replica *replica, int64_t now);
+
+/* A message of another replica. Messages to another id are ignored. */
+void RpReplica_Receive(struct rp_replica *replica, int64_t now,
+                       const struct rp_msg *msg);
+
+/* The id of the replica that sent a message between replicas; else 0. */
+uint64_t RpReplica_Sender(const struct rp_msg *msg);
+
+/* Leader: adds a command. Its index goes to `*index`; it is accepted once
+ * RP_REPLICA_APPLY names that index with this term. RP_ERR_NO_LEADER on
+ * any other replica. */
+enum rp_code RpReplica_Propose(struct rp_replica *replica, int64_t now,
+                               const GString *command, uint64_t *index);
+
+/* Leader: a replica wants to be a member. Done in steps; it asks again
+ * until it is. */
+void RpReplica_Join(struct rp_replica *replica, int64_t now,
+                    const struct rp_replica_member *member);
+
+/* Replaces the log up to the last applied entry by `data`, the state that
+ * they lead to. Store RpReplica_Snapshot and the entries left. */
+void RpReplica_Compact(struct rp_replica *replica, const GString *data);
+
+/* The actions since the last call; free with RpReplica_FreeActions. */
+GArray *RpReplica_TakeActions(struct rp_replica *replica);
+void RpReplica_FreeActions(GArray *actions);
+
+/* Whether this replica's applied state is fresh: a leader whose lease
+ * holds, or a follower that a leader reached within the lease and that has
+ * applied all that was committed then. */
+bool RpReplica_IsFresh(const struct rp_replica *replica, int64_t now);
+
+uint64_t RpReplica_Id(const struct rp_replica *replica);
+enum rp_replica_role RpReplica_Role(const struct rp_replica *replica);
+const char *RpReplica_RoleName(const struct rp_replica *replica);
+uint64_t RpReplica_Term(const struct rp_replica *replica);
+uint64_t RpReplica_Leader(const struct rp_replica *replica); /* 0: none */
+uint64_t RpReplica_Committed(const struct rp_replica *replica);
+uint64_t RpReplica_LastIndex(const struct rp_replica *replica);
+
+/* Whether this replica should ask others to let it in: it is no member as
+ * far as it knows, or it has not heard from a leader for so long that the
+ * entry which made it one may have been lost. */
+bool RpReplica_WantsToJoin(const struct rp_replica *replica, int64_t now);
+
+/* The members in force; the replica itself may not be among them. */
+const GArray *RpReplica_Members(const struct rp_replica *replica);
+bool RpReplica_IsMember(const struct rp_replica *replica);
+
+/* What to store after RpReplica_Compact: the vote, the snapshot (NULL if
+ * there is none) and the entries behind it, by position. */
+uint64_t RpReplica_VotedFor(const struct rp_replica *replica);
+const struct rp_snapshot *RpReplica_Snapshot(const struct rp_replica *replica);
+size_t RpReplica_EntryCount(const struct rp_replica *replica);
+const struct rp_log_entry *RpReplica_Entry(const struct rp_replica *replica,
+                                           size_t position);
+
+#endif
--- /dev/null
+++ b/lib/state/rp_replica_log.c
@@ -0,0 +1,180 @@
+/* The log in memory: entries behind a snapshot. */
+#include <assert.h>
+
+#include "rp_replica_internal.h"
+
+static uint64_t
+snapshot_index(const struct rp_replica *replica)
+{
+    return replica->snapshot ? replica->snapshot->index : 0;
+}
+
+uint64_t
+RpLog_LastIndex(const struct rp_replica *replica)
+{
+    return snapshot_index(replica) + replica->log->len;
+}
+
+uint64_t
+RpLog_LastTerm(const struct rp_replica *replica)
+{
+    uint64_t term = 0;
+
+    RpLog_TermAt(replica, RpLog_LastIndex(replica), &term);
+    return term;
+}
+
+const struct rp_log_entry *
+RpLog_At(const struct rp_replica *replica, uint64_t index)
+{
+    uint64_t first = snapshot_index(replica) + 1;
+
+    if (index < first || index > RpLog_LastIndex(replica)) {
+        return NULL;
+    }
+    return g_ptr_array_index(replica->log, index - first);
+}
+
+bool
+RpLog_TermAt(const struct rp_replica *replica, uint64_t index, uint64_t *term)
+{
+    const struct rp_log_entry *entry = RpLog_At(replica, index);
+
+    if (entry) {
+        *term = entry->term;
+        return true;
+    }
+    if (index == snapshot_index(replica)) {
+        *term = replica->snapshot ? replica->snapshot->term : 0;
+        return true;
+    }
+    return false;
+}
+
+const struct rp_log_entry *
+RpLog_Add(struct rp_replica *replica, const struct rp_log_entry *entry)
+{
+    struct rp_log_entry *copy = g_memdup2(entry, sizeof *entry);
+
+    assert(entry->index == RpLog_LastIndex(replica) + 1);
+    copy->data = g_string_new_len(entry->data->str, (gssize)entry->data->len);
+    g_ptr_array_add(replica->log, copy);
+    if (entry->kind == RP_ENTRY_MEMBERS) {
+        RpLog_RefreshMembers(replica);
+    }
+    return copy;
+}
+
+void
+RpLog_Truncate(struct rp_replica *replica, uint64_t index)
+{
+    uint64_t first = snapshot_index(replica) + 1;
+
+    assert(index >= first && index > replica->committed);
+    if (index <= RpLog_LastIndex(replica)) {
+        g_ptr_array_set_size(replica->log, (gint)(index - first));
+        RpLog_RefreshMembers(replica);
+    }
+}
+
+void
+RpLog_FreeSnapshot(struct rp_snapshot *snapshot)
+{
+    if (snapshot) {
+        RpSchema_Clear(&rp_snapshot_schema, snapshot);
+        g_free(snapshot);
+    }
+}
+
+struct rp_snapshot *
+RpLog_CopySnapshot(const struct rp_snapshot *snapshot)
+{
+    struct rp_snapshot *copy = g_new0(struct rp_snapshot, 1);
+
+    copy->index = snapshot->index;
+    copy->term = snapshot->term;
+    copy->members = RpSchema_NewList(&rp_replica_member_schema);
+    g_array_append_vals(copy->members, snapshot->members->data,
+                        snapshot->members->len);
+    copy->data = g_string_new_len(snapshot->data->str,
+                                  (gssize)snapshot->data->len);
+    return copy;
+}
+
+void
+RpLog_SetSnapshot(struct rp_replica *replica,
+                  const struct rp_snapshot *snapshot)
+{
+    uint64_t first = snapshot_index(replica) + 1;
+    uint64_t term = 0;
+    bool agrees = RpLog_TermAt(replica, snapshot->index, &term) &&
+                  term == snapshot->term;
+
+    if (agrees && snapshot->index >= first) {
+        /* Keep the entries behind it. */
+        g_ptr_array_remove_range(replica->log, 0,
+                                 (guint)(snapshot->index - first + 1));
+    }
+    else {
+        g_ptr_array_set_size(replica->log, 0);
+    }
+    struct rp_snapshot *copy = RpLog_CopySnapshot(snapshot);
+    RpLog_FreeSnapshot(replica->snapshot);
+    replica->snapshot = copy;
+    if (replica->snapshot_bytes) {
+        g_string_free(replica->snapshot_bytes, TRUE);
+    }
+    replica->snapshot_bytes = RpSchema_Encode(&rp_snapshot_schema, copy);
+    RpLog_RefreshMembers(replica);
+}
+
+/* Appends the members that an entry holds; false if it has none. */
+static bool
+take_members(const struct rp_log_entry *entry, GArray *list)
+{
+    struct rp_replica_members members;
+    struct rp_str bytes = {.data = entry->data->str, .len = entry->data->len};
+
+    if (entry->kind != RP_ENTRY_MEMBERS ||
+        !RpSchema_Decode(&rp_replica_members_schema, bytes, &members)) {
+        return false;
+    }
+    g_array_append_vals(list, members.list->data, members.list->len);
+    RpSchema_Clear(&rp_replica_members_schema, &members);
+    return true;
+}
+
+/* As RpLog_MembersAt; `*source` gets the entry that they come from. */
+static GArray *
+find_members(const struct rp_replica *replica, uint64_t index,
+             uint64_t *source)
+{
+    GArray *list = RpSchema_NewList(&rp_replica_member_schema);
+
+    for (*source = index; *source > snapshot_index(replica); (*source)--) {
+        if (take_members(RpLog_At(replica, *source), list)) {
+            return list;
+        }
+    }
+    if (replica->snapshot) {
+        g_array_append_vals(list, replica->snapshot->members->data,
+                            replica->snapshot->members->len);
+    }
+    return list;
+}
+
+GArray *
+RpLog_MembersAt(const struct rp_replica *replica, uint64_t index)
+{
+    uint64_t source;
+
+    return find_members(replica, index, &source);
+}
+
+void
+RpLog_RefreshMembers(struct rp_replica *replica)
+{
+    g_array_free(replica->members, TRUE);
+    replica->members = find_members(replica, RpLog_LastIndex(replica),
+                                    &replica->members_index);
+}
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -109,6 +109,8 @@
     UINT(rp_msg_change_reply, revision),
     NAME(rp_msg_change_reply, service),
     LIST(rp_msg_change_reply, findings, rp_msg_finding_schema),
+    UINT(rp_msg_change_reply, service_id),
+    UINT(rp_msg_change_reply, is_change),
 };
 const struct rp_schema rp_msg_change_reply_schema = RP_SCHEMA(
     rp_msg_change_reply, change_reply_fields);
@@ -150,7 +152,7 @@
 static const struct rp_field node_info_fields[] = {
     NAME(rp_msg_node_info, name),      NAME(rp_msg_node_info, zone),
     UINT(rp_msg_node_info, role),      UINT(rp_msg_node_info, confirmed),
-    UINT(rp_msg_node_info, behind_ms),
+    UINT(rp_msg_node_info, behind_ms), UINT(rp_msg_node_info, connected),
 };
 const struct rp_schema rp_msg_node_info_schema = RP_SCHEMA(rp_msg_node_info,
                                                            node_info_fields);
@@ -188,6 +190,100 @@
 static const struct rp_schema rp_msg_status_schema = RP_SCHEMA(rp_msg_status,
                                                                status_fields);
 
+static const struct rp_field log_entry_fields[] = {
+    UINT(rp_log_entry, index),
+    UINT(rp_log_entry, term),
+    UINT(rp_log_entry, kind),
+    TEXT(rp_log_entry, data),
+};
+const struct rp_schema rp_log_entry_schema = RP_SCHEMA(rp_log_entry,
+                                                       log_entry_fields);
+
+static const struct rp_field replica_member_fields[] = {
+    UINT(rp_replica_member, id),    NAME(rp_replica_member, name),
+    UINT(rp_replica_member, ip),    UINT(rp_replica_member, port),
+    UINT(rp_replica_member, voter),
+};
+const struct rp_schema rp_replica_member_schema = RP_SCHEMA(
+    rp_replica_member, replica_member_fields);
+
+static const struct rp_field replica_members_fields[] = {
+    LIST(rp_replica_members, list, rp_replica_member_schema),
+};
+const struct rp_schema rp_replica_members_schema = RP_SCHEMA(
+    rp_replica_members, replica_members_fields);
+
+static const struct rp_field snapshot_fields[] = {
+    UINT(rp_snapshot, index),
+    UINT(rp_snapshot, term),
+    LIST(rp_snapshot, members, rp_replica_member_schema),
+    TEXT(rp_snapshot, data),
+};
+const struct rp_schema rp_snapshot_schema = RP_SCHEMA(rp_snapshot,
+                                                      snapshot_fields);
+
+static const struct rp_field vote_fields[] = {
+    UINT(rp_msg_vote, from),       UINT(rp_msg_vote, to),
+    UINT(rp_msg_vote, term),       UINT(rp_msg_vote, trial),
+    UINT(rp_msg_vote, last_index), UINT(rp_msg_vote, last_term),
+};
+static const struct rp_schema rp_msg_vote_schema = RP_SCHEMA(rp_msg_vote,
+                                                             vote_fields);
+
+static const struct rp_field vote_reply_fields[] = {
+    UINT(rp_msg_vote_reply, from),    UINT(rp_msg_vote_reply, to),
+    UINT(rp_msg_vote_reply, term),    UINT(rp_msg_vote_reply, trial),
+    UINT(rp_msg_vote_reply, granted),
+};
+static const struct rp_schema rp_msg_vote_reply_schema = RP_SCHEMA(
+    rp_msg_vote_reply, vote_reply_fields);
+
+static const struct rp_field append_fields[] = {
+    UINT(rp_msg_append, from),
+    UINT(rp_msg_append, to),
+    UINT(rp_msg_append, term),
+    UINT(rp_msg_append, previous_index),
+    UINT(rp_msg_append, previous_term),
+    UINT(rp_msg_append, committed),
+    UINT(rp_msg_append, round),
+    LIST(rp_msg_append, entries, rp_log_entry_schema),
+};
+static const struct rp_schema rp_msg_append_schema = RP_SCHEMA(rp_msg_append,
+                                                               append_fields);
+
+static const struct rp_field append_reply_fields[] = {
+    UINT(rp_msg_append_reply, from),     UINT(rp_msg_append_reply, to),
+    UINT(rp_msg_append_reply, term),     UINT(rp_msg_append_reply, round),
+    UINT(rp_msg_append_reply, accepted), UINT(rp_msg_append_reply, match),
+};
+static const struct rp_schema rp_msg_append_reply_schema = RP_SCHEMA(
+    rp_msg_append_reply, append_reply_fields);
+
+static const struct rp_field snapshot_msg_fields[] = {
+    UINT(rp_msg_snapshot, from),   UINT(rp_msg_snapshot, to),
+    UINT(rp_msg_snapshot, term),   UINT(rp_msg_snapshot, index),
+    UINT(rp_msg_snapshot, offset), UINT(rp_msg_snapshot, total),
+    TEXT(rp_msg_snapshot, data),
+};
+static const struct rp_schema rp_msg_snapshot_schema = RP_SCHEMA(
+    rp_msg_snapshot, snapshot_msg_fields);
+
+static const struct rp_field snapshot_reply_fields[] = {
+    UINT(rp_msg_snapshot_reply, from),   UINT(rp_msg_snapshot_reply, to),
+    UINT(rp_msg_snapshot_reply, term),   UINT(rp_msg_snapshot_reply, index),
+    UINT(rp_msg_snapshot_reply, offset),
+};
+static const struct rp_schema rp_msg_snapshot_reply_schema = RP_SCHEMA(
+    rp_msg_snapshot_reply, snapshot_reply_fields);
+
+static const struct rp_field join_fields[] = {
+    UINT(rp_msg_join, member.id),    NAME(rp_msg_join, member.name),
+    UINT(rp_msg_join, member.ip),    UINT(rp_msg_join, member.port),
+    UINT(rp_msg_join, member.voter),
+};
+static const struct rp_schema rp_msg_join_schema = RP_SCHEMA(rp_msg_join,
+                                                             join_fields);
+
 static const struct rp_schema *const schemas[RP_MSG_TYPE_COUNT] = {
 #define RP_MSG_SCHEMA(symbol, member)                                         \
     [RP_MSG_##symbol] = &rp_msg_##member##_schema,
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -140,6 +140,8 @@
     uint64_t revision; /* applied: the new one; conflict: the current one */
     struct rp_name service;
     GArray *findings; /* of struct rp_msg_finding */
+    uint32_t service_id;
+    uint8_t is_change; /* 0: the command was not a change */
 };
 
 enum rp_query_kind {
@@ -189,6 +191,7 @@
     uint8_t role; /* enum rp_role */
     uint64_t confirmed;
     uint32_t behind_ms; /* how long it has been behind; 0 if it is not */
+    uint8_t connected;  /* to the replica that says this */
 };
 
 /* One upstream as operators see it. */
@@ -225,6 +228,105 @@
     uint64_t number;
 };
 
+/* What an entry of the replicated log holds. */
+enum rp_entry_kind {
+    RP_ENTRY_COMMAND = 1, /* for the state machine */
+    RP_ENTRY_MEMBERS,     /* an encoded struct rp_replica_members */
+    RP_ENTRY_NOTHING      /* marks the begin of a leader's term */
+};
+
+struct rp_log_entry {
+    uint64_t index;
+    uint64_t term;
+    uint8_t kind; /* enum rp_entry_kind */
+    GString *data;
+};
+
+/* One replica of the control state. A replica that lost its disk comes
+ * back under a new id. */
+struct rp_replica_member {
+    uint64_t id;
+    struct rp_name name;
+    uint32_t ip;
+    uint16_t port;
+    uint8_t voter; /* 0: a learner */
+};
+
+struct rp_replica_members {
+    GArray *list; /* of struct rp_replica_member */
+};
+
+/* Messages between replicas name both ids, so that none meant for an
+ * earlier replica of the same name is taken. */
+struct rp_msg_vote {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint8_t trial; /* pre-vote: asks only, changes no term */
+    uint64_t last_index;
+    uint64_t last_term;
+};
+
+struct rp_msg_vote_reply {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint8_t trial;
+    uint8_t granted;
+};
+
+struct rp_msg_append {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint64_t previous_index;
+    uint64_t previous_term;
+    uint64_t committed;
+    uint64_t round;  /* numbers the leader's contacts, echoed in the reply */
+    GArray *entries; /* of struct rp_log_entry */
+};
+
+struct rp_msg_append_reply {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint64_t round;
+    uint8_t accepted;
+    uint64_t match; /* accepted: last index known to agree; else the last */
+};
+
+/* A part of an encoded struct rp_snapshot. */
+struct rp_msg_snapshot {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint64_t index; /* the last entry that the snapshot covers */
+    uint64_t offset;
+    uint64_t total;
+    GString *data;
+};
+
+struct rp_msg_snapshot_reply {
+    uint64_t from;
+    uint64_t to;
+    uint64_t term;
+    uint64_t index;
+    uint64_t offset; /* how much of it has arrived */
+};
+
+/* A replica asks any other to be let in. */
+struct rp_msg_join {
+    struct rp_replica_member member;
+};
+
+/* A whole state: what a log is cut down to. */
+struct rp_snapshot {
+    uint64_t index;
+    uint64_t term;
+    GArray *members; /* of struct rp_replica_member */
+    GString *data;
+};
+
 /* clang-format off */
 #define RP_MSG_LIST(X)                                                        \
     X(HELLO, hello)                                                           \
@@ -238,7 +340,14 @@
     X(QUERY, query)                                                           \
     X(SERVICES, services)                                                     \
     X(DOCUMENT, document)                                                     \
-    X(STATUS, status)
+    X(STATUS, status)                                                         \
+    X(VOTE, vote)                                                             \
+    X(VOTE_REPLY, vote_reply)                                                 \
+    X(APPEND, append)                                                         \
+    X(APPEND_REPLY, append_reply)                                             \
+    X(SNAPSHOT, snapshot)                                                     \
+    X(SNAPSHOT_REPLY, snapshot_reply)                                         \
+    X(JOIN, join)
 /* clang-format on */
 
 enum rp_msg_type {
@@ -270,6 +379,10 @@
 extern const struct rp_schema rp_msg_node_info_schema;
 extern const struct rp_schema rp_msg_upstream_info_schema;
 extern const struct rp_schema rp_msg_replica_info_schema;
+extern const struct rp_schema rp_log_entry_schema;
+extern const struct rp_schema rp_replica_member_schema;
+extern const struct rp_schema rp_replica_members_schema;
+extern const struct rp_schema rp_snapshot_schema;
 
 /* Appends the message's wire form to `out`. */
 void RpMsg_Encode(const struct rp_msg *msg, GString *out);
--- a/programs/cli/cli.c
+++ b/programs/cli/cli.c
@@ -6,7 +6,10 @@
 
 #include "rp_keyfile.h"
 
-#define RETRY_PAUSE_MS 200
+#define RETRY_PAUSE_MS 100
+/* A control instance that has not answered by then may be frozen: another
+ * one is asked. Changes carry an id, so that asking twice does no harm. */
+#define TRY_TIMEOUT_MS 1000
 
 /* One question to one control instance after the other. */
 struct question {
@@ -57,8 +60,13 @@
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
     struct question *question = user;
+    /* Only the leader decides changes and hands out documents. */
+    bool elsewhere = (msg->type == RP_MSG_CHANGE_REPLY &&
+                      msg->change_reply.code == RP_ERR_NO_LEADER) ||
+                     (msg->type == RP_MSG_DOCUMENT &&
+                      msg->document.code == RP_ERR_NO_LEADER);
 
-    if (msg->type == question->wanted && !question->answered) {
+    if (msg->type == question->wanted && !elsewhere && !question->answered) {
         *question->answer = *msg;
         msg->type = RP_MSG_NONE;
         question->answered = true;
@@ -84,6 +92,13 @@
     return G_SOURCE_CONTINUE;
 }
 
+static gboolean
+on_try_over(gpointer data)
+{
+    RpConn_Close(data);
+    return G_SOURCE_CONTINUE;
+}
+
 static gboolean
 on_pause_over(gpointer data)
 {
@@ -98,8 +113,10 @@
     static const struct rp_conn_ops ops = {
         .ready = on_ready, .message = on_message, .closed = on_closed};
 
-    RpConn_Open(context, to, &ops, question);
+    struct rp_conn *conn = RpConn_Open(context, to, &ops, question);
+    guint limit = g_timeout_add(TRY_TIMEOUT_MS, on_try_over, conn);
     g_main_loop_run(question->loop);
+    g_source_remove(limit);
     if (!question->answered && !question->over) {
         g_timeout_add(RETRY_PAUSE_MS, on_pause_over, question->loop);
         g_main_loop_run(question->loop);
@@ -140,9 +157,12 @@
     question.loop = g_main_loop_new(NULL, FALSE);
     guint deadline = g_timeout_add_seconds(settings->timeout_seconds,
                                            on_deadline, &question);
-    for (size_t i = 0; !question.answered && !question.over; i++) {
-        ask_one(&question, &context,
-                settings->controls.item[i % settings->controls.count]);
+    /* Start with the one that answered last. */
+    static size_t preferred;
+    while (!question.answered && !question.over) {
+        preferred %= settings->controls.count;
+        ask_one(&question, &context, settings->controls.item[preferred]);
+        preferred += !question.answered;
     }
     g_source_remove(deadline);
     g_main_loop_unref(question.loop);
--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -60,6 +60,18 @@
                const struct rp_msg *request, enum rp_msg_type wanted,
                struct rp_msg *answer, int *exit_code);
 
+/* Asks every control instance for its status and puts the answers together:
+ * each knows the nodes that are connected to it. `only` may be empty. The
+ * answer must be cleared. */
+bool RpCli_AskStatus(const struct rp_cli_settings *settings,
+                     const struct rp_name *only, struct rp_msg *answer,
+                     int *exit_code);
+
+/* How many nodes are connected, and how many of them run less than
+ * `revision`. */
+size_t RpCli_CountNodes(const struct rp_msg_status *status, uint64_t revision,
+                        size_t *behind);
+
 /* Prints a JSON tree built with `builder` and frees the builder. */
 void RpCli_PrintJson(JsonBuilder *builder);
 
--- a/programs/cli/service_change.c
+++ b/programs/cli/service_change.c
@@ -164,25 +164,10 @@
     }
 }
 
-static size_t
-count_behind(const struct rp_msg_status *status, uint64_t revision)
-{
-    size_t behind = 0;
-
-    for (guint i = 0; i < status->nodes->len; i++) {
-        const struct rp_msg_node_info *node = &g_array_index(
-            status->nodes, struct rp_msg_node_info, i);
-        behind += node->confirmed < revision;
-    }
-    return behind;
-}
-
 /* Waits until all nodes run the revision, and says how far it got. */
 static void
 wait_in_force(const struct change_settings *settings, uint64_t revision)
 {
-    const struct rp_msg request = {.type = RP_MSG_QUERY,
-                                   .query = {.kind = RP_QUERY_STATUS}};
     int64_t deadline = g_get_monotonic_time() +
                        settings->wait_seconds * RP_US_PER_SECOND;
     size_t nodes = 0;
@@ -191,14 +176,10 @@
     do {
         struct rp_msg answer;
         int ignored;
-        if (!RpCli_Ask(&settings->cli, &request, RP_MSG_STATUS, &answer,
-                       &ignored)) {
+        if (!RpCli_AskStatus(&settings->cli, NULL, &answer, &ignored)) {
             return;
         }
-        nodes = answer.status.nodes->len;
-        behind = answer.status.revision < revision
-                     ? nodes
-                     : count_behind(&answer.status, revision);
+        nodes = RpCli_CountNodes(&answer.status, revision, &behind);
         RpMsg_Clear(&answer);
         if (behind) {
             g_usleep(POLL_US);
--- a/programs/cli/show.c
+++ b/programs/cli/show.c
@@ -184,6 +184,7 @@
         RpCli_AddText(builder, "role", RpRole_Name((enum rp_role)row->role));
         RpCli_AddNumber(builder, "confirmed", row->confirmed);
         RpCli_AddNumber(builder, "behind_ms", row->behind_ms);
+        RpCli_AddNumber(builder, "connected", row->connected);
         json_builder_end_object(builder);
     }
     json_builder_end_array(builder);
@@ -236,9 +237,11 @@
     uint64_t lowest = status->revision;
 
     for (guint i = 0; i < status->nodes->len; i++) {
-        lowest = MIN(lowest,
-                     g_array_index(status->nodes, struct rp_msg_node_info, i)
-                         .confirmed);
+        const struct rp_msg_node_info *node = &g_array_index(
+            status->nodes, struct rp_msg_node_info, i);
+        if (node->connected) {
+            lowest = MIN(lowest, node->confirmed);
+        }
     }
     return lowest;
 }
@@ -262,23 +265,26 @@
 static void
 print_nodes_behind(const struct rp_msg_status *status)
 {
-    size_t behind = 0;
+    size_t behind;
+    size_t connected = RpCli_CountNodes(status, status->revision, &behind);
 
     for (guint i = 0; i < status->nodes->len; i++) {
         const struct rp_msg_node_info *node = &g_array_index(
             status->nodes, struct rp_msg_node_info, i);
-        if (node->confirmed >= status->revision) {
-            continue;
+        const char *role = RpRole_Name((enum rp_role)node->role);
+        if (!node->connected) {
+            printf("away: %s %s\n", role, node->name.data);
+        }
+        else if (node->confirmed < status->revision) {
+            printf("behind: %s %s runs revision %" G_GUINT64_FORMAT
+                   ", for %.1f s\n",
+                   role, node->name.data, node->confirmed,
+                   node->behind_ms / 1000.0);
         }
-        behind++;
-        printf("behind: %s %s runs revision %" G_GUINT64_FORMAT
-               ", for %.1f s\n",
-               RpRole_Name((enum rp_role)node->role), node->name.data,
-               node->confirmed, node->behind_ms / 1000.0);
     }
-    printf("revision %" G_GUINT64_FORMAT ", in force on %zu of %u "
+    printf("revision %" G_GUINT64_FORMAT ", in force on %zu of %zu "
            "instances\n",
-           status->revision, status->nodes->len - behind, status->nodes->len);
+           status->revision, connected - behind, connected);
 }
 
 static void
@@ -335,8 +341,8 @@
                  "Shows a service's upstreams, the lowest revision in force "
                  "and who is behind.",
                  &settings, &request, &exit_code) ||
-        !RpCli_Ask(&settings.cli, &request, RP_MSG_STATUS, &answer,
-                   &exit_code)) {
+        !RpCli_AskStatus(&settings.cli, &request.query.service, &answer,
+                         &exit_code)) {
         return exit_code;
     }
     exit_code = RP_CLI_OK;
@@ -357,8 +363,6 @@
 int
 RpCli_Status(int argc, char **argv)
 {
-    const struct rp_msg request = {.type = RP_MSG_QUERY,
-                                   .query = {.kind = RP_QUERY_STATUS}};
     struct show_settings settings = {0};
     struct rp_msg answer;
     int exit_code;
@@ -367,8 +371,7 @@
                             "radishport status",
                             "One look at the whole system.", argc, argv,
                             &settings, &exit_code) ||
-        !RpCli_Ask(&settings.cli, &request, RP_MSG_STATUS, &answer,
-                   &exit_code)) {
+        !RpCli_AskStatus(&settings.cli, NULL, &answer, &exit_code)) {
         return exit_code;
     }
     if (settings.cli.json) {
--- /dev/null
+++ b/programs/cli/status_merge.c
@@ -0,0 +1,115 @@
+/* One status out of the answers of all control instances. */
+#include "cli.h"
+
+#define EACH_TIMEOUT_SECONDS 1
+
+static struct rp_msg_node_info *
+find_node(GArray *nodes, const struct rp_name *name)
+{
+    for (guint i = 0; i < nodes->len; i++) {
+        struct rp_msg_node_info *node = &g_array_index(
+            nodes, struct rp_msg_node_info, i);
+        if (RpName_Equal(&node->name, name)) {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/* A node may be known to several instances: the one it is connected to
+ * knows best, then the one that has seen it run the most. */
+static void
+merge_nodes(GArray *into, const GArray *from)
+{
+    for (guint i = 0; i < from->len; i++) {
+        const struct rp_msg_node_info *news = &g_array_index(
+            from, struct rp_msg_node_info, i);
+        struct rp_msg_node_info *known = find_node(into, &news->name);
+        if (!known) {
+            g_array_append_val(into, *news);
+        }
+        else if (news->connected > known->connected ||
+                 (news->connected == known->connected &&
+                  news->confirmed > known->confirmed)) {
+            *known = *news;
+        }
+    }
+}
+
+static void
+swap_lists(GArray **a, GArray **b)
+{
+    GArray *kept = *a;
+
+    *a = *b;
+    *b = kept;
+}
+
+/* Takes one more answer in; services and upstreams are those of the
+ * instance with the highest revision. */
+static void
+merge_status(struct rp_msg_status *into, struct rp_msg_status *from)
+{
+    g_array_append_vals(into->replicas, from->replicas->data,
+                        from->replicas->len);
+    merge_nodes(into->nodes, from->nodes);
+    if (from->revision > into->revision) {
+        into->revision = from->revision;
+        swap_lists(&into->services, &from->services);
+        swap_lists(&into->upstreams, &from->upstreams);
+    }
+}
+
+bool
+RpCli_AskStatus(const struct rp_cli_settings *settings,
+                const struct rp_name *only, struct rp_msg *answer,
+                int *exit_code)
+{
+    struct rp_msg request = {.type = RP_MSG_QUERY,
+                             .query = {.kind = RP_QUERY_STATUS}};
+    static bool silent[RP_ENDPOINTS_MAX]; /* did not answer before */
+    bool answered = false;
+
+    if (only) {
+        request.query.service = *only;
+    }
+    for (size_t i = 0; i < settings->controls.count; i++) {
+        struct rp_cli_settings one = *settings;
+        struct rp_msg part;
+        if (silent[i]) {
+            continue;
+        }
+        one.controls.count = 1;
+        one.controls.item[0] = settings->controls.item[i];
+        one.timeout_seconds = MIN(settings->timeout_seconds,
+                                  EACH_TIMEOUT_SECONDS);
+        if (!RpCli_Ask(&one, &request, RP_MSG_STATUS, &part, exit_code)) {
+            silent[i] = true;
+            continue;
+        }
+        if (!answered) {
+            *answer = part;
+            answered = true;
+            continue;
+        }
+        merge_status(&answer->status, &part.status);
+        RpMsg_Clear(&part);
+    }
+    return answered;
+}
+
+size_t
+RpCli_CountNodes(const struct rp_msg_status *status, uint64_t revision,
+                 size_t *behind)
+{
+    size_t connected = 0;
+
+    *behind = 0;
+    for (guint i = 0; i < status->nodes->len; i++) {
+        const struct rp_msg_node_info *node = &g_array_index(
+            status->nodes, struct rp_msg_node_info, i);
+        connected += node->connected;
+        *behind += node->connected && node->confirmed < revision;
+    }
+    return connected;
+}
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -1,39 +1,17 @@
 /* The control role: keeps the configuration, gathers announcements and
  * hands tables to nodes. */
+#include "control.h"
+
 #include <sodium.h>
 
-#include "control_store.h"
-#include "rp_daemon.h"
 #include "rp_journal.h"
-#include "rp_status.h"
-
-#define TICK_MS 25
-#define MAX_CONNECTIONS 30000
-#define LISTEN_BACKLOG 1024
-
-struct control_settings {
-    struct rp_common_settings common;
-    struct rp_endpoint listen;
-    GString *data;
-    bool check_data;
-};
 
-struct control {
-    struct control_settings settings;
-    struct rp_daemon daemon;
-    struct rp_control_store *store;
-    struct rp_registry *registry;
-    struct rp_distribution *distribution;
-    GSocketService *listener;
-    GHashTable *peers; /* connection number -> struct peer */
-};
-
-/* One connection and who is at its other end. */
-struct peer {
-    struct control *control;
-    struct rp_conn *conn;
-    struct rp_msg_hello hello;
-};
+#define TICK_MS 20
+#define REPORT_US (1 * RP_US_PER_SECOND)
+/* How long a replica that is cut off waits before it sends its nodes to
+ * others, the first time and at most. */
+#define SEND_AWAY_MIN_US (1 * RP_US_PER_SECOND)
+#define SEND_AWAY_MAX_US (60 * RP_US_PER_SECOND)
 
 static const struct rp_setting settings_table[] = {
     RP_COMMON_SETTINGS(control_settings, common),
@@ -41,290 +19,178 @@
      .kind = RP_SETTING_ENDPOINT,
      .offset = offsetof(struct control_settings, listen),
      .value = "ADDR:PORT",
-     .help = "serve nodes and operators here"},
+     .help = "serve nodes, operators and other replicas here"},
     {.flag = "data",
      .kind = RP_SETTING_TEXT,
      .offset = offsetof(struct control_settings, data),
      .value = "FOLDER",
      .help = "keep the durable state here"},
+    {.flag = "control",
+     .kind = RP_SETTING_ENDPOINTS,
+     .offset = offsetof(struct control_settings, peers),
+     .value = "ADDR:PORT,…",
+     .help = "the control instances, this one too",
+     .optional = true},
+    {.flag = "create",
+     .kind = RP_SETTING_SWITCH,
+     .offset = offsetof(struct control_settings, create),
+     .help = "make the first replica of a new system, then exit"},
     {.flag = "check-data",
      .kind = RP_SETTING_SWITCH,
      .offset = offsetof(struct control_settings, check_data),
      .help = "check the data folder, print what was found and exit"},
 };
 
-static const struct rp_catalog *
-catalog_of(const struct control *control)
+static struct rp_replica *
+replica_of(const struct control *control)
 {
-    return RpControlStore_Catalog(control->store);
+    return RpControlReplica_Replica(control->replica);
 }
 
-/* The disk failed: what was acknowledged is safe, nothing new would be. */
-static void
-give_up(struct control *control, struct rp_error *error)
+static const struct rp_catalog *
+catalog_of(const struct control *control)
 {
-    RpDaemon_PrintFindings(error);
-    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "storage_failed", "%s", "");
-    RpDaemon_Quit(&control->daemon, RP_EXIT_FAILED);
+    return RpControlReplica_Catalog(control->replica);
 }
 
 static void
-send_table(void *user, uint64_t connection, const struct rp_msg *msg)
+on_send(void *user, uint64_t to, const struct rp_msg *msg)
 {
-    struct control *control = user;
-    const struct peer *peer = g_hash_table_lookup(control->peers, &connection);
-
-    if (peer) {
-        RpCounters_Add(&control->daemon.counters, RP_COUNT_TABLE_SENT);
-        RpConn_Send(peer->conn, msg);
-    }
-}
+    const struct control *control = user;
 
-static enum rp_counter
-counter_for(const struct rp_msg_change_reply *reply)
-{
-    if (reply->repeated) {
-        return RP_COUNT_CHANGE_REPEATED;
-    }
-    switch (reply->code) {
-    case RP_OK:
-        return RP_COUNT_CHANGE_APPLIED;
-    case RP_ERR_CONFLICT:
-        return RP_COUNT_CHANGE_CONFLICT;
-    case RP_ERR_NOT_FOUND:
-        return RP_COUNT_CHANGE_NOT_FOUND;
-    default:
-        return RP_COUNT_CHANGE_BAD_DOCUMENT;
+    if (control->links) {
+        RpControlLinks_Send(control->links, to, msg);
     }
 }
 
 static void
-publish_change(struct control *control, const struct rp_msg_change *change,
-               uint32_t old_id, const struct rp_msg_change_reply *reply)
+on_applied(void *user, const struct rp_log_entry *entry,
+           const struct rp_msg_change_reply *reply)
 {
-    int64_t now = g_get_monotonic_time();
+    const struct control *control = user;
 
-    RpCounters_Add(&control->daemon.counters, counter_for(reply));
-    RpLog_Event(control->daemon.log, RP_LOG_INFO, "change_decided",
-                "service=%s kind=%s result=%s revision=%" G_GUINT64_FORMAT
-                " repeated=%d",
-                reply->service.len ? reply->service.data : "unknown",
-                change->kind == RP_CHANGE_DELETE ? "delete" : "apply",
-                RpCode_Name((enum rp_code)reply->code), reply->revision,
-                reply->repeated);
-    if (reply->code != RP_OK || reply->repeated) {
-        return;
-    }
-    if (change->kind == RP_CHANGE_DELETE) {
-        RpDistribution_Remove(control->distribution, now, &reply->service,
-                              old_id);
-    }
-    else {
-        RpDistribution_Touch(control->distribution, now, &reply->service);
+    /* Before the role runs (--create) there is nobody to tell. */
+    if (control->distribution) {
+        RpControl_Applied(user, entry, reply);
     }
 }
 
 static void
-on_change(struct control *control, struct peer *peer,
-          const struct rp_msg_change *change)
+on_restored(void *user)
 {
-    struct rp_msg reply = {.type = RP_MSG_CHANGE_REPLY};
-    const struct rp_entry *old = RpCatalog_Find(catalog_of(control),
-                                                &change->service);
-    uint32_t old_id = old ? old->id : 0;
-    GString *command = RpCatalog_EncodeChange(change);
-    struct rp_error error;
+    const struct control *control = user;
 
-    RpError_Init(&error);
-    enum rp_code code = RpControlStore_Commit(control->store, command,
-                                              &reply.change_reply, &error);
-    if (code == RP_OK) {
-        publish_change(control, change, old_id, &reply.change_reply);
-        RpConn_Send(peer->conn, &reply);
-    }
-    else {
-        give_up(control, &error);
-    }
-    RpMsg_Clear(&reply);
-    g_string_free(command, TRUE);
-    RpError_Clear(&error);
+    RpDistribution_TouchAll(control->distribution, g_get_monotonic_time());
 }
 
 static void
-on_announce(struct control *control, const struct rp_msg_announce *announce)
+on_failed(void *user, const struct rp_error *error)
 {
-    int64_t now = g_get_monotonic_time();
-    struct rp_counters *counters = &control->daemon.counters;
-    const struct rp_upstream *known = RpRegistry_Find(control->registry,
-                                                      &announce->upstream);
-    struct rp_name old_service = {0};
+    struct control *control = user;
 
-    if (known) {
-        old_service = known->last.service;
-    }
-    switch (RpRegistry_Merge(control->registry, now, announce)) {
-    case RP_REGISTRY_STALE:
-    case RP_REGISTRY_REFUSED:
-        RpCounters_Add(counters, RP_COUNT_ANNOUNCE_STALE);
-        break;
-    case RP_REGISTRY_CHANGED:
-        RpLog_Event(
-            control->daemon.log, RP_LOG_INFO, "upstream_announced",
-            "upstream=%s service=%s state=%s slots=%u",
-            announce->upstream.data, announce->service.data,
-            RpUpstreamState_Name((enum rp_upstream_state)announce->state),
-            announce->slots);
-        RpDistribution_Touch(control->distribution, now, &announce->service);
-        if (old_service.len) {
-            RpDistribution_Touch(control->distribution, now, &old_service);
-        }
-        RpCounters_Add(counters, RP_COUNT_ANNOUNCE_ACCEPTED);
-        break;
-    case RP_REGISTRY_RENEWED:
-        RpCounters_Add(counters, RP_COUNT_ANNOUNCE_ACCEPTED);
-        break;
+    RpDaemon_PrintFindings(error);
+    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "storage_failed", "%s", "");
+    if (control->daemon.loop) {
+        RpDaemon_Quit(&control->daemon, RP_EXIT_FAILED);
     }
 }
 
-static GArray *
-list_replicas(const struct control *control)
-{
-    GArray *rows = RpSchema_NewList(&rp_msg_replica_info_schema);
-    struct rp_msg_replica_info row = {
-        .name = control->settings.common.name,
-        .committed = RpCatalog_Revision(catalog_of(control))};
-
-    RpName_Set(&row.role, RP_STR("leader"));
-    g_array_append_val(rows, row);
-    return rows;
-}
+static const struct rp_control_replica_ops replica_ops = {
+    .send = on_send,
+    .applied = on_applied,
+    .restored = on_restored,
+    .failed = on_failed};
 
 static void
-on_query(struct control *control, struct peer *peer,
-         const struct rp_msg_query *query)
+propose(struct control *control, GString *command)
 {
-    struct rp_msg msg = {0};
-
-    switch (query->kind) {
-    case RP_QUERY_SERVICES:
-        RpStatus_Services(catalog_of(control), control->registry, &msg);
-        break;
-    case RP_QUERY_DOCUMENT:
-        RpStatus_Document(catalog_of(control), &query->service, &msg);
-        break;
-    default:
-        RpStatus_Status(catalog_of(control), control->registry,
-                        control->distribution, g_get_monotonic_time(),
-                        &query->service, &msg);
-        g_array_free(msg.status.replicas, TRUE);
-        msg.status.replicas = list_replicas(control);
-    }
-    RpConn_Send(peer->conn, &msg);
-    RpMsg_Clear(&msg);
-}
+    uint64_t index;
+    uint64_t term;
 
-/* Whether a peer of this role may send this message. */
-static bool
-is_allowed(uint8_t role, enum rp_msg_type type)
-{
-    switch (type) {
-    case RP_MSG_CHANGE:
-    case RP_MSG_QUERY:
-        return role == RP_ROLE_OPERATOR;
-    case RP_MSG_ANNOUNCE:
-        return role == RP_ROLE_AGENT;
-    case RP_MSG_SUBSCRIBE:
-    case RP_MSG_CONFIRM:
-        return role == RP_ROLE_AGENT || role == RP_ROLE_BALANCER;
-    default:
-        return false;
+    if (RpControlReplica_Propose(control->replica, g_get_monotonic_time(),
+                                 command, &index, &term) == RP_OK) {
+        RpControlReplica_CarryOut(control->replica);
     }
+    g_string_free(command, TRUE);
 }
 
+/* What a leader does of itself: a new system gets its hash key; addresses
+ * that nobody uses any more are released. */
 static void
-on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
+lead(struct control *control, int64_t now)
 {
-    struct peer *peer = user;
-    struct control *control = peer->control;
-    int64_t now = g_get_monotonic_time();
+    const struct rp_catalog *catalog = catalog_of(control);
+    uint8_t hash_key[RP_HASH_KEY_SIZE];
 
-    if (!is_allowed(peer->hello.role, msg->type)) {
-        RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
-        RpLog_Event(control->daemon.log, RP_LOG_WARN, "message_refused",
-                    "peer=%s role=%s type=%s", peer->hello.name.data,
-                    RpRole_Name((enum rp_role)peer->hello.role),
-                    RpMsg_Name(msg->type));
-        RpConn_Close(conn);
+    if (!RpReplica_IsFresh(replica_of(control), now)) {
+        return;
+    }
+    if (!RpCatalog_IsInitialised(catalog)) {
+        randombytes_buf(hash_key, sizeof hash_key);
+        propose(control, RpCatalog_EncodeInit(hash_key));
         return;
     }
-    switch (msg->type) {
-    case RP_MSG_CHANGE:
-        on_change(control, peer, &msg->change);
-        break;
-    case RP_MSG_QUERY:
-        on_query(control, peer, &msg->query);
-        break;
-    case RP_MSG_ANNOUNCE:
-        on_announce(control, &msg->announce);
-        break;
-    case RP_MSG_SUBSCRIBE:
-        RpDistribution_Subscribe(control->distribution, now,
-                                 RpConn_Number(conn), &peer->hello,
-                                 &msg->subscribe);
-        break;
-    default:
-        RpDistribution_Confirm(control->distribution, now, RpConn_Number(conn),
-                               msg->confirm.revision);
+    uint64_t wanted = RpCatalog_QuarantineRevision(catalog);
+    uint64_t own = RpDistribution_LowestConfirmed(control->distribution);
+    if (wanted && RpControlLinks_Lowest(control->links, now, own) >= wanted) {
+        propose(control, RpCatalog_EncodeRelease(wanted));
     }
 }
 
+/* Tells the other replicas what this one's nodes run at least. */
 static void
-on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
+report(struct control *control, int64_t now)
 {
-    struct peer *peer = user;
-
-    (void)conn;
-    peer->hello = *hello;
-    RpLog_Event(peer->control->daemon.log, RP_LOG_DEBUG, "peer_connected",
-                "peer=%s role=%s", hello->name.data,
-                RpRole_Name((enum rp_role)hello->role));
+    if (now < control->next_report) {
+        return;
+    }
+    control->next_report = now + REPORT_US;
+    const struct rp_msg msg = {
+        .type = RP_MSG_CONFIRM,
+        .confirm = {.revision = RpDistribution_LowestConfirmed(
+                        control->distribution)}};
+    RpControlLinks_SendAll(control->links, &msg);
+    if (RpReplica_Role(replica_of(control)) == RP_REPLICA_LEADER) {
+        lead(control, now);
+    }
 }
 
+/* A replica that is cut off sends its nodes away, at growing intervals: one
+ * of the others may be better connected. */
 static void
-on_closed(void *user, struct rp_conn *conn)
+review_freshness(struct control *control, int64_t now)
 {
-    struct peer *peer = user;
-    struct control *control = peer->control;
-    uint64_t number = RpConn_Number(conn);
-
-    RpDistribution_Disconnect(control->distribution, g_get_monotonic_time(),
-                              number);
-    g_hash_table_remove(control->peers, &number);
+    bool fresh = RpReplica_IsFresh(replica_of(control), now);
+
+    if (fresh != control->was_fresh) {
+        control->was_fresh = fresh;
+        RpDistribution_SetFresh(control->distribution, now, fresh);
+        RpRegistry_SetCutOff(control->registry, now, !fresh);
+        RpLog_Event(control->daemon.log, fresh ? RP_LOG_INFO : RP_LOG_WARN,
+                    fresh ? "replica_fresh" : "replica_cut_off", "role=%s",
+                    RpReplica_RoleName(replica_of(control)));
+        control->cut_off_since = now;
+        control->next_send_away = now + SEND_AWAY_MIN_US;
+    }
+    if (!fresh && now >= control->next_send_away) {
+        int64_t wait = CLAMP(now - control->cut_off_since, SEND_AWAY_MIN_US,
+                             SEND_AWAY_MAX_US);
+        control->next_send_away = now + wait;
+        RpControl_SendNodesAway(control);
+    }
 }
 
-static const struct rp_conn_ops conn_ops = {
-    .ready = on_ready, .message = on_message, .closed = on_closed};
-
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *stream,
-            GObject *source, gpointer data)
+static void
+expire_leases(struct control *control, int64_t now)
 {
-    struct control *control = data;
+    struct rp_name service;
 
-    (void)service;
-    (void)source;
-    if (g_hash_table_size(control->peers) >= MAX_CONNECTIONS) {
-        RpCounters_Add(&control->daemon.counters, RP_COUNT_PEER_LIMIT);
-        return TRUE;
+    while (RpRegistry_Expire(control->registry, now, &service)) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_LEASE_EXPIRED);
+        RpLog_Event(control->daemon.log, RP_LOG_WARN, "upstream_lease_over",
+                    "service=%s", service.data);
+        RpDistribution_Touch(control->distribution, now, &service);
     }
-    struct peer *peer = g_new0(struct peer, 1);
-    peer->control = control;
-    peer->conn = RpConn_Accept(&control->daemon.context, stream, &conn_ops,
-                               peer);
-    guint64 number = RpConn_Number(peer->conn);
-    g_hash_table_insert(control->peers, g_memdup2(&number, sizeof number),
-                        peer);
-    return TRUE;
 }
 
 static gboolean
@@ -332,22 +198,27 @@
 {
     struct control *control = data;
     int64_t now = g_get_monotonic_time();
-    struct rp_name service;
 
-    while (RpRegistry_Expire(control->registry, now, &service)) {
-        RpCounters_Add(&control->daemon.counters, RP_COUNT_LEASE_EXPIRED);
-        RpLog_Event(control->daemon.log, RP_LOG_WARN, "upstream_lease_over",
-                    "service=%s", service.data);
-        RpDistribution_Touch(control->distribution, now, &service);
-    }
+    RpControlReplica_Tick(control->replica, now);
+    RpControlLinks_Tick(control->links, now);
+    review_freshness(control, now);
+    expire_leases(control, now);
+    report(control, now);
     RpDistribution_Flush(control->distribution, now);
+    control->daemon.counters.value[RP_COUNT_TABLE_WITHHELD] =
+        RpDistribution_Withheld(control->distribution);
     return G_SOURCE_CONTINUE;
 }
 
 static bool
 is_healthy(void *user, GString *why)
 {
-    (void)user;
+    const struct control *control = user;
+
+    if (!control->was_fresh) {
+        g_string_append(why, "cut off from the leader");
+        return false;
+    }
     g_string_append(why, "ok");
     return true;
 }
@@ -356,14 +227,18 @@
 write_gauges(void *user, GString *out)
 {
     const struct control *control = user;
+    const struct rp_replica *replica = replica_of(control);
 
     g_string_append_printf(
         out,
         "revision %" G_GUINT64_FORMAT "\nlowest_confirmed %" G_GUINT64_FORMAT
-        "\nconnections %u\n",
+        "\nconnections %u\nterm %" G_GUINT64_FORMAT
+        "\ncommitted %" G_GUINT64_FORMAT "\nleads %d\nfresh %d\n",
         RpCatalog_Revision(catalog_of(control)),
         RpDistribution_LowestConfirmed(control->distribution),
-        g_hash_table_size(control->peers));
+        g_hash_table_size(control->clients), RpReplica_Term(replica),
+        RpReplica_Committed(replica),
+        RpReplica_Role(replica) == RP_REPLICA_LEADER, control->was_fresh);
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
@@ -378,92 +253,81 @@
 }
 
 static bool
-open_listener(struct control *control)
-{
-    char ip[RP_ENDPOINT_TEXT_MAX];
-    GError *failure = NULL;
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        RpIp_Format(control->settings.listen.ip, ip),
-        control->settings.listen.port);
-
-    control->listener = g_socket_service_new();
-    g_socket_listener_set_backlog(G_SOCKET_LISTENER(control->listener),
-                                  LISTEN_BACKLOG);
-    gboolean good = g_socket_listener_add_address(
-        G_SOCKET_LISTENER(control->listener), address, G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, NULL, NULL, &failure);
-    g_object_unref(address);
-    if (!good) {
-        fprintf(stderr, "--listen: %s\n", failure->message);
-        g_error_free(failure);
-        return false;
-    }
-    g_signal_connect(control->listener, "incoming", G_CALLBACK(on_incoming),
-                     control);
-    return true;
-}
-
-/* A new system gets its hash key as the first command. */
-static enum rp_code
-initialise(struct control *control, struct rp_error *error)
-{
-    uint8_t hash_key[RP_HASH_KEY_SIZE];
-
-    if (RpCatalog_IsInitialised(catalog_of(control))) {
-        return RP_OK;
-    }
-    randombytes_buf(hash_key, sizeof hash_key);
-    GString *command = RpCatalog_EncodeInit(hash_key);
-    enum rp_code code = RpControlStore_Commit(control->store, command, NULL,
-                                              error);
-    g_string_free(command, TRUE);
-    return code;
-}
-
-static bool
-open_store(struct control *control)
+open_replica(struct control *control)
 {
     struct rp_error error;
 
     RpError_Init(&error);
-    control->store = RpControlStore_Open(control->settings.data->str, &error);
-    bool good = control->store && initialise(control, &error) == RP_OK;
+    control->replica = RpControlReplica_Open(control->settings.data->str,
+                                             g_get_monotonic_time(),
+                                             &replica_ops, control, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
-    return good;
+    return control->replica != NULL;
 }
 
 static int
 check_data(const struct control_settings *settings)
 {
-    struct rp_journal_report report;
+    struct rp_journal_report report_of_data;
     struct rp_error error;
 
     RpError_Init(&error);
-    enum rp_code code = RpJournal_Check(settings->data->str, &report, &error);
+    enum rp_code code = RpJournal_Check(settings->data->str, &report_of_data,
+                                        &error);
     printf("records=%" G_GUINT64_FORMAT " bytes=%" G_GUINT64_FORMAT
            " torn_bytes=%" G_GUINT64_FORMAT " result=%s\n",
-           report.records, report.bytes, report.torn_bytes, RpCode_Name(code));
+           report_of_data.records, report_of_data.bytes,
+           report_of_data.torn_bytes, RpCode_Name(code));
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return code == RP_OK ? RP_EXIT_OK : RP_EXIT_FAILED;
 }
 
+static int
+create(struct control *control)
+{
+    const struct rp_replica_member self = {
+        .name = control->settings.common.name,
+        .ip = control->settings.listen.ip,
+        .port = control->settings.listen.port};
+    struct rp_error error;
+
+    if (sodium_init() < 0 || !open_replica(control)) {
+        return RP_EXIT_FAILED;
+    }
+    RpError_Init(&error);
+    enum rp_code code = RpControlReplica_Create(control->replica, &self,
+                                                &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    RpControlReplica_Close(control->replica);
+    if (code != RP_OK) {
+        return RP_EXIT_FAILED;
+    }
+    printf("created; now start this replica without --create\n");
+    return RP_EXIT_OK;
+}
+
 static bool
 start(struct control *control)
 {
-    if (!open_store(control)) {
+    if (!open_replica(control)) {
         return false;
     }
     control->registry = RpRegistry_Create();
+    RpRegistry_SetCutOff(control->registry, g_get_monotonic_time(), true);
     control->distribution = RpDistribution_Create(
-        catalog_of(control), control->registry, send_table, control);
-    RpDistribution_SetFresh(control->distribution, g_get_monotonic_time(),
-                            true);
-    control->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                           g_free);
+        catalog_of(control), control->registry, RpControl_SendTable, control);
+    control->clients = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                             g_free, g_free);
+    control->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                             g_free, g_free);
+    control->links = RpControlLinks_Create(control);
+    control->cut_off_since = g_get_monotonic_time();
+    control->next_send_away = control->cut_off_since + SEND_AWAY_MIN_US;
     g_timeout_add(TICK_MS, on_tick, control);
-    return open_listener(control) &&
+    return RpControl_Listen(control) &&
            RpDaemon_OpenAdmin(&control->daemon, &control->settings.common,
                               &admin_ops, control);
 }
@@ -478,13 +342,17 @@
             settings_table, G_N_ELEMENTS(settings_table),
             "radishportd control",
             "Keeps the configuration on disk, gathers announcements and "
-            "hands tables to nodes.",
+            "hands tables to nodes.\nThe first replica of a system is made "
+            "with --create, once; others join by themselves.",
             argc, argv, &control.settings, &exit_code)) {
         return exit_code;
     }
     if (control.settings.check_data) {
         return check_data(&control.settings);
     }
+    if (control.settings.create) {
+        return create(&control);
+    }
     if (!RpDaemon_Start(&control.daemon, RP_ROLE_CONTROL,
                         &control.settings.common, on_stop, &control)) {
         return control.daemon.exit_code;
@@ -494,7 +362,7 @@
     }
     exit_code = RpDaemon_Run(&control.daemon);
     g_socket_service_stop(control.listener);
-    RpControlStore_Close(control.store);
+    RpControlReplica_Close(control.replica);
     RpDaemon_End(&control.daemon);
     return exit_code;
 }
--- /dev/null
+++ b/programs/daemon/control_nodes.c
@@ -0,0 +1,431 @@
+/* What connects to a control instance: nodes, operators, other replicas. */
+#include "control.h"
+#include "rp_status.h"
+
+#define MAX_CONNECTIONS 30000
+#define LISTEN_BACKLOG 1024
+
+/* One connection and who is at its other end. */
+struct client {
+    struct control *control;
+    struct rp_conn *conn;
+    struct rp_msg_hello hello;
+};
+
+/* A change that was proposed and is not decided yet. */
+struct pending_change {
+    uint64_t term;
+    uint64_t connection;
+};
+
+static const struct rp_catalog *
+catalog_of(const struct control *control)
+{
+    return RpControlReplica_Catalog(control->replica);
+}
+
+static struct rp_replica *
+replica_of(const struct control *control)
+{
+    return RpControlReplica_Replica(control->replica);
+}
+
+static struct client *
+find_client(const struct control *control, uint64_t connection)
+{
+    return g_hash_table_lookup(control->clients, &connection);
+}
+
+void
+RpControl_SendTable(void *user, uint64_t connection, const struct rp_msg *msg)
+{
+    struct control *control = user;
+    const struct client *client = find_client(control, connection);
+
+    if (client) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_TABLE_SENT);
+        RpConn_Send(client->conn, msg);
+    }
+}
+
+void
+RpControl_SendNodesAway(struct control *control)
+{
+    GArray *list = RpDistribution_Connections(control->distribution);
+
+    for (guint i = 0; i < list->len; i++) {
+        const struct client *client = find_client(
+            control, g_array_index(list, uint64_t, i));
+        if (client) {
+            RpConn_Close(client->conn);
+        }
+    }
+    g_array_free(list, TRUE);
+}
+
+static enum rp_counter
+counter_for(const struct rp_msg_change_reply *reply)
+{
+    if (reply->repeated) {
+        return RP_COUNT_CHANGE_REPEATED;
+    }
+    switch (reply->code) {
+    case RP_OK:
+        return RP_COUNT_CHANGE_APPLIED;
+    case RP_ERR_CONFLICT:
+        return RP_COUNT_CHANGE_CONFLICT;
+    case RP_ERR_NOT_FOUND:
+        return RP_COUNT_CHANGE_NOT_FOUND;
+    default:
+        return RP_COUNT_CHANGE_BAD_DOCUMENT;
+    }
+}
+
+/* Hands an applied change to the nodes. */
+static void
+publish(struct control *control, const struct rp_msg_change_reply *reply)
+{
+    int64_t now = g_get_monotonic_time();
+
+    RpCounters_Add(&control->daemon.counters, counter_for(reply));
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "change_decided",
+                "service=%s result=%s revision=%" G_GUINT64_FORMAT
+                " repeated=%d",
+                reply->service.len ? reply->service.data : "unknown",
+                RpCode_Name((enum rp_code)reply->code), reply->revision,
+                reply->repeated);
+    if (reply->code != RP_OK || reply->repeated) {
+        return;
+    }
+    if (RpCatalog_Find(catalog_of(control), &reply->service)) {
+        RpDistribution_Touch(control->distribution, now, &reply->service);
+    }
+    else {
+        RpDistribution_Remove(control->distribution, now, &reply->service,
+                              reply->service_id);
+    }
+}
+
+void
+RpControl_Applied(void *user, const struct rp_log_entry *entry,
+                  const struct rp_msg_change_reply *reply)
+{
+    struct control *control = user;
+    const struct pending_change *pending = g_hash_table_lookup(
+        control->pending, &entry->index);
+
+    if (reply->is_change) {
+        publish(control, reply);
+    }
+    if (!pending) {
+        return;
+    }
+    const struct client *client = find_client(control, pending->connection);
+    if (client && pending->term == entry->term) {
+        /* The message borrows the reply's list. */
+        const struct rp_msg msg = {.type = RP_MSG_CHANGE_REPLY,
+                                   .change_reply = *reply};
+        RpConn_Send(client->conn, &msg);
+    }
+    else if (client) {
+        /* Another leader's entry took its place: not known to have failed,
+         * so the operator asks again under the same id. */
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_CHANGE_TIMEOUT);
+        RpConn_Close(client->conn);
+    }
+    g_hash_table_remove(control->pending, &entry->index);
+}
+
+static void
+refuse_change(struct control *control, const struct client *client,
+              enum rp_code code)
+{
+    const struct rp_msg msg = {.type = RP_MSG_CHANGE_REPLY,
+                               .change_reply = {.code = (uint8_t)code}};
+
+    RpCounters_Add(&control->daemon.counters, RP_COUNT_CHANGE_NO_LEADER);
+    RpConn_Send(client->conn, &msg);
+}
+
+static void
+on_change(struct control *control, struct client *client,
+          const struct rp_msg_change *change)
+{
+    struct pending_change *pending = g_new0(struct pending_change, 1);
+    GString *command = RpCatalog_EncodeChange(change);
+    guint64 index;
+
+    pending->connection = RpConn_Number(client->conn);
+    enum rp_code code = RpControlReplica_Propose(
+        control->replica, g_get_monotonic_time(), command, &index,
+        &pending->term);
+    if (code == RP_OK) {
+        g_hash_table_replace(control->pending, g_memdup2(&index, sizeof index),
+                             pending);
+        RpControlReplica_CarryOut(control->replica);
+    }
+    else {
+        g_free(pending);
+        refuse_change(control, client, code);
+    }
+    g_string_free(command, TRUE);
+}
+
+void
+RpControl_Announce(struct control *control,
+                   const struct rp_msg_announce *announce, bool direct)
+{
+    int64_t now = g_get_monotonic_time();
+    struct rp_counters *counters = &control->daemon.counters;
+    const struct rp_upstream *known = RpRegistry_Find(control->registry,
+                                                      &announce->upstream);
+    struct rp_name old_service = {0};
+
+    if (known) {
+        old_service = known->last.service;
+    }
+    enum rp_registry_change change = RpRegistry_Merge(control->registry, now,
+                                                      announce, direct);
+    if (change == RP_REGISTRY_STALE || change == RP_REGISTRY_REFUSED) {
+        RpCounters_Add(counters, RP_COUNT_ANNOUNCE_STALE);
+        return;
+    }
+    RpCounters_Add(counters, RP_COUNT_ANNOUNCE_ACCEPTED);
+    const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE, .announce = *announce};
+    RpControlLinks_SendAll(control->links, &msg);
+    if (change != RP_REGISTRY_CHANGED) {
+        return;
+    }
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "upstream_announced",
+                "upstream=%s service=%s state=%s slots=%u",
+                announce->upstream.data, announce->service.data,
+                RpUpstreamState_Name((enum rp_upstream_state)announce->state),
+                announce->slots);
+    RpDistribution_Touch(control->distribution, now, &announce->service);
+    if (old_service.len) {
+        RpDistribution_Touch(control->distribution, now, &old_service);
+    }
+}
+
+static GArray *
+list_replicas(const struct control *control)
+{
+    GArray *rows = RpSchema_NewList(&rp_msg_replica_info_schema);
+    const struct rp_replica *replica = replica_of(control);
+    struct rp_msg_replica_info row = {
+        .name = control->settings.common.name,
+        .term = RpReplica_Term(replica),
+        .committed = RpReplica_Committed(replica)};
+
+    RpName_Set(&row.role, RpStr_FromC(RpReplica_RoleName(replica)));
+    g_array_append_val(rows, row);
+    return rows;
+}
+
+/* A document is the base of the next change, so only a leader that is sure
+ * to be one may hand it out. */
+static void
+answer_document(const struct control *control, const struct rp_name *service,
+                struct rp_msg *msg)
+{
+    const struct rp_replica *replica = replica_of(control);
+
+    RpStatus_Document(catalog_of(control), service, msg);
+    if (RpReplica_Role(replica) != RP_REPLICA_LEADER ||
+        !RpReplica_IsFresh(replica, g_get_monotonic_time())) {
+        msg->document.code = RP_ERR_NO_LEADER;
+    }
+}
+
+static void
+on_query(struct control *control, struct client *client,
+         const struct rp_msg_query *query)
+{
+    struct rp_msg msg = {0};
+
+    switch (query->kind) {
+    case RP_QUERY_SERVICES:
+        RpStatus_Services(catalog_of(control), control->registry, &msg);
+        break;
+    case RP_QUERY_DOCUMENT:
+        answer_document(control, &query->service, &msg);
+        break;
+    default:
+        RpStatus_Status(catalog_of(control), control->registry,
+                        control->distribution, g_get_monotonic_time(),
+                        &query->service, &msg);
+        g_array_free(msg.status.replicas, TRUE);
+        msg.status.replicas = list_replicas(control);
+    }
+    RpConn_Send(client->conn, &msg);
+    RpMsg_Clear(&msg);
+}
+
+/* Whether a peer of this role may send this message. */
+static bool
+is_allowed(uint8_t role, enum rp_msg_type type)
+{
+    switch (type) {
+    case RP_MSG_CHANGE:
+    case RP_MSG_QUERY:
+        return role == RP_ROLE_OPERATOR;
+    case RP_MSG_ANNOUNCE:
+        return role == RP_ROLE_AGENT || role == RP_ROLE_CONTROL;
+    case RP_MSG_SUBSCRIBE:
+        return role == RP_ROLE_AGENT || role == RP_ROLE_BALANCER;
+    case RP_MSG_CONFIRM:
+        return role != RP_ROLE_OPERATOR;
+    case RP_MSG_VOTE:
+    case RP_MSG_VOTE_REPLY:
+    case RP_MSG_APPEND:
+    case RP_MSG_APPEND_REPLY:
+    case RP_MSG_SNAPSHOT:
+    case RP_MSG_SNAPSHOT_REPLY:
+    case RP_MSG_JOIN:
+        return role == RP_ROLE_CONTROL;
+    default:
+        return false;
+    }
+}
+
+static void
+on_confirm(struct control *control, const struct client *client,
+           uint64_t revision)
+{
+    int64_t now = g_get_monotonic_time();
+
+    if (client->hello.role == RP_ROLE_CONTROL) {
+        RpControlLinks_Report(control->links, now, &client->hello.name,
+                              revision);
+        return;
+    }
+    RpDistribution_Confirm(control->distribution, now,
+                           RpConn_Number(client->conn), revision);
+}
+
+static void
+dispatch(struct control *control, struct client *client,
+         const struct rp_msg *msg)
+{
+    int64_t now = g_get_monotonic_time();
+
+    switch (msg->type) {
+    case RP_MSG_CHANGE:
+        on_change(control, client, &msg->change);
+        break;
+    case RP_MSG_QUERY:
+        on_query(control, client, &msg->query);
+        break;
+    case RP_MSG_ANNOUNCE:
+        RpControl_Announce(control, &msg->announce,
+                           client->hello.role == RP_ROLE_AGENT);
+        break;
+    case RP_MSG_SUBSCRIBE:
+        RpDistribution_Subscribe(control->distribution, now,
+                                 RpConn_Number(client->conn), &client->hello,
+                                 &msg->subscribe);
+        break;
+    case RP_MSG_CONFIRM:
+        on_confirm(control, client, msg->confirm.revision);
+        break;
+    case RP_MSG_JOIN:
+        RpControlReplica_Join(control->replica, now, &msg->join.member);
+        break;
+    default:
+        RpControlLinks_Heard(control->links, RpReplica_Sender(msg),
+                             &client->hello.name);
+        RpControlReplica_Receive(control->replica, now, msg);
+    }
+}
+
+static void
+on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
+{
+    struct client *client = user;
+    struct control *control = client->control;
+
+    if (!is_allowed(client->hello.role, msg->type)) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
+        RpLog_Event(control->daemon.log, RP_LOG_WARN, "message_refused",
+                    "peer=%s role=%s type=%s", client->hello.name.data,
+                    RpRole_Name((enum rp_role)client->hello.role),
+                    RpMsg_Name(msg->type));
+        RpConn_Close(conn);
+        return;
+    }
+    dispatch(control, client, msg);
+}
+
+static void
+on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
+{
+    struct client *client = user;
+
+    (void)conn;
+    client->hello = *hello;
+    RpLog_Event(client->control->daemon.log, RP_LOG_DEBUG, "peer_connected",
+                "peer=%s role=%s", hello->name.data,
+                RpRole_Name((enum rp_role)hello->role));
+}
+
+static void
+on_closed(void *user, struct rp_conn *conn)
+{
+    struct client *client = user;
+    struct control *control = client->control;
+    uint64_t number = RpConn_Number(conn);
+
+    RpDistribution_Disconnect(control->distribution, g_get_monotonic_time(),
+                              number);
+    g_hash_table_remove(control->clients, &number);
+}
+
+static gboolean
+on_incoming(GSocketService *service, GSocketConnection *stream,
+            GObject *source, gpointer data)
+{
+    static const struct rp_conn_ops ops = {
+        .ready = on_ready, .message = on_message, .closed = on_closed};
+    struct control *control = data;
+
+    (void)service;
+    (void)source;
+    if (g_hash_table_size(control->clients) >= MAX_CONNECTIONS) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_PEER_LIMIT);
+        return TRUE;
+    }
+    struct client *client = g_new0(struct client, 1);
+    client->control = control;
+    client->conn = RpConn_Accept(&control->daemon.context, stream, &ops,
+                                 client);
+    guint64 number = RpConn_Number(client->conn);
+    g_hash_table_insert(control->clients, g_memdup2(&number, sizeof number),
+                        client);
+    return TRUE;
+}
+
+bool
+RpControl_Listen(struct control *control)
+{
+    char ip[RP_ENDPOINT_TEXT_MAX];
+    GError *failure = NULL;
+    GSocketAddress *address = g_inet_socket_address_new_from_string(
+        RpIp_Format(control->settings.listen.ip, ip),
+        control->settings.listen.port);
+
+    control->listener = g_socket_service_new();
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(control->listener),
+                                  LISTEN_BACKLOG);
+    gboolean good = g_socket_listener_add_address(
+        G_SOCKET_LISTENER(control->listener), address, G_SOCKET_TYPE_STREAM,
+        G_SOCKET_PROTOCOL_TCP, NULL, NULL, &failure);
+    g_object_unref(address);
+    if (!good) {
+        fprintf(stderr, "--listen: %s\n", failure->message);
+        g_error_free(failure);
+        return false;
+    }
+    g_signal_connect(control->listener, "incoming", G_CALLBACK(on_incoming),
+                     control);
+    return true;
+}
--- /dev/null
+++ b/programs/daemon/control_replica.c
@@ -0,0 +1,451 @@
+#include "control_replica.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "rp_bytes.h"
+#include "rp_journal.h"
+
+/* Growth of the journal, in bytes, that asks for a snapshot. */
+#define COMPACT_BYTES (4u << 20)
+#define VOTE_SIZE 16
+#define NUMBER_SIZE 8
+
+enum record_kind {
+    RECORD_IDENTITY = 1, /* the replica's id */
+    RECORD_VOTE,         /* term, voted for */
+    RECORD_ENTRY,        /* struct rp_log_entry */
+    RECORD_TRUNCATE,     /* index */
+    RECORD_SNAPSHOT      /* struct rp_snapshot */
+};
+
+struct rp_control_replica {
+    const struct rp_control_replica_ops *ops;
+    void *user;
+    struct rp_journal *journal;
+    struct rp_replica *replica;
+    struct rp_catalog *catalog;
+    uint64_t id;
+    uint64_t compact_at;
+    int64_t opened;
+    bool unsynced;
+    bool failed;
+    bool busy; /* carrying out actions: events wait for their end */
+};
+
+static struct rp_str
+view(const GString *text)
+{
+    return (struct rp_str){.data = text->str, .len = text->len};
+}
+
+static enum rp_code
+load_identity(struct rp_control_replica *self, struct rp_str payload)
+{
+    uint64_t seed;
+
+    if (payload.len != NUMBER_SIZE || self->replica) {
+        return RP_ERR_FORMAT;
+    }
+    self->id = RpBytes_Get64((const uint8_t *)payload.data);
+    randombytes_buf(&seed, sizeof seed);
+    self->replica = RpReplica_Create(self->id, seed, self->opened);
+    return RP_OK;
+}
+
+static enum rp_code
+load_vote(struct rp_control_replica *self, struct rp_str payload)
+{
+    const uint8_t *bytes = (const uint8_t *)payload.data;
+
+    if (payload.len != VOTE_SIZE) {
+        return RP_ERR_FORMAT;
+    }
+    RpReplica_LoadVote(self->replica, RpBytes_Get64(bytes),
+                       RpBytes_Get64(bytes + NUMBER_SIZE));
+    return RP_OK;
+}
+
+static enum rp_code
+load_entry(struct rp_control_replica *self, struct rp_str payload)
+{
+    struct rp_log_entry entry;
+
+    if (!RpSchema_Decode(&rp_log_entry_schema, payload, &entry)) {
+        return RP_ERR_FORMAT;
+    }
+    RpReplica_LoadEntry(self->replica, &entry);
+    RpSchema_Clear(&rp_log_entry_schema, &entry);
+    return RP_OK;
+}
+
+static enum rp_code
+load_snapshot(struct rp_control_replica *self, struct rp_str payload)
+{
+    struct rp_snapshot snapshot;
+
+    if (!RpSchema_Decode(&rp_snapshot_schema, payload, &snapshot)) {
+        return RP_ERR_FORMAT;
+    }
+    RpReplica_LoadSnapshot(self->replica, &snapshot);
+    enum rp_code code = RpCatalog_Restore(self->catalog, view(snapshot.data));
+    RpSchema_Clear(&rp_snapshot_schema, &snapshot);
+    return code;
+}
+
+static enum rp_code
+load(struct rp_control_replica *self, const struct rp_record *record)
+{
+    if (record->kind != RECORD_IDENTITY && !self->replica) {
+        return RP_ERR_FORMAT;
+    }
+    switch ((enum record_kind)record->kind) {
+    case RECORD_IDENTITY:
+        return load_identity(self, record->payload);
+    case RECORD_VOTE:
+        return load_vote(self, record->payload);
+    case RECORD_ENTRY:
+        return load_entry(self, record->payload);
+    case RECORD_TRUNCATE:
+        if (record->payload.len != NUMBER_SIZE) {
+            return RP_ERR_FORMAT;
+        }
+        RpReplica_LoadTruncate(
+            self->replica,
+            RpBytes_Get64((const uint8_t *)record->payload.data));
+        return RP_OK;
+    case RECORD_SNAPSHOT:
+        return load_snapshot(self, record->payload);
+    }
+    return RP_ERR_FORMAT;
+}
+
+static enum rp_code
+visit(void *user, const struct rp_record *record, struct rp_error *error)
+{
+    if (load(user, record) != RP_OK) {
+        return RpError_Add(error, RP_ERR_CORRUPT, "journal",
+                           "holds a record that cannot be read");
+    }
+    return RP_OK;
+}
+
+static void
+append_record(struct rp_control_replica *self, enum record_kind kind,
+              struct rp_str payload)
+{
+    const struct rp_record record = {.kind = (uint8_t)kind,
+                                     .payload = payload};
+
+    RpJournal_Append(self->journal, &record);
+    self->unsynced = true;
+}
+
+static void
+fail(struct rp_control_replica *self, struct rp_error *error)
+{
+    self->failed = true;
+    self->ops->failed(self->user, error);
+}
+
+/* Makes durable what was stored; false if that failed. */
+static bool
+sync_now(struct rp_control_replica *self)
+{
+    struct rp_error error;
+    bool good = true;
+
+    if (!self->unsynced) {
+        return true;
+    }
+    RpError_Init(&error);
+    if (RpJournal_Sync(self->journal, &error) != RP_OK) {
+        fail(self, &error);
+        good = false;
+    }
+    RpError_Clear(&error);
+    self->unsynced = false;
+    return good;
+}
+
+/* A new folder gets an id of its own: whoever lost its disk is another
+ * replica from then on. */
+static bool
+create_identity(struct rp_control_replica *self, struct rp_error *error)
+{
+    uint8_t bytes[NUMBER_SIZE];
+
+    do {
+        randombytes_buf(bytes, sizeof bytes);
+    } while (RpBytes_Get64(bytes) == 0);
+    struct rp_str payload = {.data = (char *)bytes, .len = sizeof bytes};
+    append_record(self, RECORD_IDENTITY, payload);
+    self->unsynced = false;
+    return RpJournal_Sync(self->journal, error) == RP_OK &&
+           load_identity(self, payload) == RP_OK;
+}
+
+struct rp_control_replica *
+RpControlReplica_Open(const char *folder, int64_t now,
+                      const struct rp_control_replica_ops *ops, void *user,
+                      struct rp_error *error)
+{
+    struct rp_control_replica *self = g_new0(struct rp_control_replica, 1);
+
+    self->ops = ops;
+    self->user = user;
+    self->opened = now;
+    self->catalog = RpCatalog_Create();
+    self->journal = RpJournal_Open(folder, visit, self, error);
+    if (!self->journal || (!self->replica && !create_identity(self, error))) {
+        RpControlReplica_Close(self);
+        return NULL;
+    }
+    self->compact_at = RpJournal_Size(self->journal) + COMPACT_BYTES;
+    return self;
+}
+
+void
+RpControlReplica_Close(struct rp_control_replica *self)
+{
+    if (self) {
+        RpJournal_Close(self->journal);
+        RpReplica_Free(self->replica);
+        RpCatalog_Free(self->catalog);
+        g_free(self);
+    }
+}
+
+/* Writes the journal anew: identity, vote, snapshot, entries behind it. */
+static void
+rewrite(struct rp_control_replica *self)
+{
+    size_t entries = RpReplica_EntryCount(self->replica);
+    const struct rp_snapshot *snapshot = RpReplica_Snapshot(self->replica);
+    GPtrArray *texts = g_ptr_array_new();
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(struct rp_record));
+    uint8_t id[NUMBER_SIZE];
+    uint8_t vote[VOTE_SIZE];
+    struct rp_error error;
+
+    RpBytes_Put64(id, self->id);
+    RpBytes_Put64(vote, RpReplica_Term(self->replica));
+    RpBytes_Put64(vote + NUMBER_SIZE, RpReplica_VotedFor(self->replica));
+    struct rp_record record = {.kind = RECORD_IDENTITY,
+                               .payload = {(char *)id, sizeof id}};
+    g_array_append_val(records, record);
+    record = (struct rp_record){.kind = RECORD_VOTE,
+                                .payload = {(char *)vote, sizeof vote}};
+    g_array_append_val(records, record);
+    if (snapshot) {
+        g_ptr_array_add(texts, RpSchema_Encode(&rp_snapshot_schema, snapshot));
+        record = (struct rp_record){
+            .kind = RECORD_SNAPSHOT,
+            .payload = view(g_ptr_array_index(texts, 0))};
+        g_array_append_val(records, record);
+    }
+    for (size_t i = 0; i < entries; i++) {
+        GString *text = RpSchema_Encode(&rp_log_entry_schema,
+                                        RpReplica_Entry(self->replica, i));
+        g_ptr_array_add(texts, text);
+        record = (struct rp_record){.kind = RECORD_ENTRY,
+                                    .payload = view(text)};
+        g_array_append_val(records, record);
+    }
+    RpError_Init(&error);
+    if (RpJournal_Rewrite(self->journal,
+                          (const struct rp_record *)records->data,
+                          records->len, &error) != RP_OK) {
+        fail(self, &error);
+    }
+    RpError_Clear(&error);
+    self->unsynced = false;
+    self->compact_at = RpJournal_Size(self->journal) + COMPACT_BYTES;
+    for (guint i = 0; i < texts->len; i++) {
+        g_string_free(g_ptr_array_index(texts, i), TRUE);
+    }
+    g_ptr_array_unref(texts);
+    g_array_free(records, TRUE);
+}
+
+static void
+store_vote(struct rp_control_replica *self,
+           const struct rp_replica_action *action)
+{
+    uint8_t vote[VOTE_SIZE];
+
+    RpBytes_Put64(vote, action->term);
+    RpBytes_Put64(vote + NUMBER_SIZE, action->voted_for);
+    append_record(self, RECORD_VOTE,
+                  (struct rp_str){(char *)vote, sizeof vote});
+}
+
+static void
+store_truncate(struct rp_control_replica *self, uint64_t index)
+{
+    uint8_t bytes[NUMBER_SIZE];
+
+    RpBytes_Put64(bytes, index);
+    append_record(self, RECORD_TRUNCATE,
+                  (struct rp_str){(char *)bytes, sizeof bytes});
+}
+
+static void
+store_entry(struct rp_control_replica *self, const struct rp_log_entry *entry)
+{
+    GString *text = RpSchema_Encode(&rp_log_entry_schema, entry);
+
+    append_record(self, RECORD_ENTRY, view(text));
+    g_string_free(text, TRUE);
+}
+
+static void
+apply(struct rp_control_replica *self, const struct rp_log_entry *entry)
+{
+    struct rp_msg_change_reply reply = {0};
+
+    if (entry->kind == RP_ENTRY_COMMAND) {
+        RpCatalog_Apply(self->catalog, view(entry->data), &reply);
+    }
+    self->ops->applied(self->user, entry, &reply);
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+}
+
+static void
+carry_out_one(struct rp_control_replica *self,
+              const struct rp_replica_action *action)
+{
+    switch (action->kind) {
+    case RP_REPLICA_STORE_VOTE:
+        store_vote(self, action);
+        break;
+    case RP_REPLICA_STORE_ENTRY:
+        store_entry(self, action->entry);
+        break;
+    case RP_REPLICA_STORE_TRUNCATE:
+        store_truncate(self, action->index);
+        break;
+    case RP_REPLICA_STORE_SNAPSHOT:
+        rewrite(self);
+        if (RpCatalog_Restore(self->catalog, view(action->snapshot->data)) ==
+            RP_OK) {
+            self->ops->restored(self->user);
+        }
+        break;
+    case RP_REPLICA_SEND:
+        if (sync_now(self)) {
+            self->ops->send(self->user, action->to, &action->msg);
+        }
+        break;
+    case RP_REPLICA_APPLY:
+        if (sync_now(self)) {
+            apply(self, action->entry);
+        }
+        break;
+    }
+}
+
+static void
+compact_if_due(struct rp_control_replica *self)
+{
+    if (RpJournal_Size(self->journal) < self->compact_at) {
+        return;
+    }
+    GString *state = RpCatalog_Snapshot(self->catalog);
+    RpReplica_Compact(self->replica, state);
+    g_string_free(state, TRUE);
+    rewrite(self);
+}
+
+static void
+carry_out(struct rp_control_replica *self)
+{
+    if (self->busy) {
+        return;
+    }
+    self->busy = true;
+    for (;;) {
+        GArray *actions = RpReplica_TakeActions(self->replica);
+        guint count = actions->len;
+        for (guint i = 0; i < count && !self->failed; i++) {
+            carry_out_one(
+                self, &g_array_index(actions, struct rp_replica_action, i));
+        }
+        RpReplica_FreeActions(actions);
+        if (count == 0 || self->failed) {
+            break;
+        }
+    }
+    if (!self->failed && sync_now(self)) {
+        compact_if_due(self);
+    }
+    self->busy = false;
+}
+
+enum rp_code
+RpControlReplica_Create(struct rp_control_replica *self,
+                        const struct rp_replica_member *member,
+                        struct rp_error *error)
+{
+    struct rp_replica_member mine = *member;
+
+    if (RpReplica_LastIndex(self->replica) > 0 ||
+        RpReplica_Term(self->replica) > 0) {
+        return RpError_Add(error, RP_ERR_SETTING, "--create",
+                           "the data folder belongs to a system already");
+    }
+    mine.id = self->id;
+    RpReplica_Bootstrap(self->replica, &mine);
+    carry_out(self);
+    return self->failed ? RP_ERR_IO : RP_OK;
+}
+
+const struct rp_catalog *
+RpControlReplica_Catalog(const struct rp_control_replica *self)
+{
+    return self->catalog;
+}
+
+struct rp_replica *
+RpControlReplica_Replica(const struct rp_control_replica *self)
+{
+    return self->replica;
+}
+
+void
+RpControlReplica_Tick(struct rp_control_replica *self, int64_t now)
+{
+    RpReplica_Tick(self->replica, now);
+    carry_out(self);
+}
+
+void
+RpControlReplica_Receive(struct rp_control_replica *self, int64_t now,
+                         const struct rp_msg *msg)
+{
+    RpReplica_Receive(self->replica, now, msg);
+    carry_out(self);
+}
+
+void
+RpControlReplica_Join(struct rp_control_replica *self, int64_t now,
+                      const struct rp_replica_member *member)
+{
+    RpReplica_Join(self->replica, now, member);
+    carry_out(self);
+}
+
+enum rp_code
+RpControlReplica_Propose(struct rp_control_replica *self, int64_t now,
+                         const GString *command, uint64_t *index,
+                         uint64_t *term)
+{
+    *term = RpReplica_Term(self->replica);
+    return RpReplica_Propose(self->replica, now, command, index);
+}
+
+void
+RpControlReplica_CarryOut(struct rp_control_replica *self)
+{
+    carry_out(self);
+}
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -4,6 +4,7 @@
 
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 2000
+#define FIRST_TABLE_MS 3000 /* then another control instance is tried */
 
 struct rp_uplink {
     struct rp_daemon *daemon;
@@ -17,11 +18,33 @@
     size_t next;
     uint32_t retry_ms;
     guint retry_source;
+    guint table_source; /* runs out while the first table is awaited */
     struct rp_table *table;
 };
 
 static void connect_next(struct rp_uplink *uplink);
 
+static void
+stop_waiting(struct rp_uplink *uplink)
+{
+    if (uplink->table_source) {
+        g_source_remove(uplink->table_source);
+        uplink->table_source = 0;
+    }
+}
+
+/* This control instance gives no table: it may be cut off itself. */
+static gboolean
+on_no_table(gpointer data)
+{
+    struct rp_uplink *uplink = data;
+
+    uplink->table_source = 0;
+    RpLog_Event(uplink->daemon->log, RP_LOG_WARN, "table_not_sent", "%s", "");
+    RpConn_Close(uplink->conn);
+    return G_SOURCE_REMOVE;
+}
+
 static void
 on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
 {
@@ -36,6 +59,7 @@
     RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_connected",
                 "control=%s", hello->name.data);
     RpConn_Send(conn, &msg);
+    uplink->table_source = g_timeout_add(FIRST_TABLE_MS, on_no_table, uplink);
     uplink->ops->connected(uplink->user);
 }
 
@@ -44,6 +68,7 @@
 {
     struct rp_counters *counters = &uplink->daemon->counters;
 
+    stop_waiting(uplink);
     if (RpTable_Apply(uplink->table, table) != RP_OK) {
         RpCounters_Add(counters, RP_COUNT_TABLE_STALE);
         RpLog_Event(uplink->daemon->log, RP_LOG_WARN, "table_stale",
@@ -94,6 +119,7 @@
     (void)conn;
     uplink->conn = NULL;
     uplink->ready = false;
+    stop_waiting(uplink);
     if (uplink->ending) {
         return;
     }
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -20,6 +20,7 @@
 
 prepare_run
 say "1 control, $BALANCERS balancers; logs in $RUN/"
+create_system || exit 1
 start_control 0
 for i in 0 1 2; do start_balancer $i; done
 
--- a/tests/runs/bad-input.sh
+++ b/tests/runs/bad-input.sh
@@ -37,6 +37,7 @@
 }
 
 prepare_run
+create_system || exit 1
 start_control 0
 start_balancer 0
 start_host lens-desk 10.80.0.1:7000 0
--- /dev/null
+++ b/tests/runs/control.sh
@@ -0,0 +1,178 @@
+#!/usr/bin/env bash
+# Scripted run: three control replicas under kills, freezes, a lost disk and
+# racing operators. No acknowledged change may be lost, reverted or applied
+# twice, and each must be in force on all reachable instances within 7 s.
+set -u
+cd "$(dirname "$0")/../.."
+BIN=${BUILD:-build}
+RUN=${RUN:-demo-run/control}
+BASE=${BASE:-22000}
+CONTROLS=3
+RACE=${RACE:-250}
+. tests/system.sh
+trap stop_system EXIT
+
+fail() {
+    say "FAILED: $*"
+    exit 1
+}
+
+metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
+
+# leader: the number of the control instance that leads.
+leader() {
+    local i
+    for i in 0 1 2; do
+        [ "$(metric "$(admin_port $i)" leads)" = 1 ] && echo $i && return 0
+    done
+    return 1
+}
+voters() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
+all_fresh() { voters 0 && voters 1 && voters 2; }
+
+acked=0
+refused=0
+unknown=0
+last_revision=0
+last_doc=""
+slowest=0
+
+# change SERVICE: one change, acknowledged and in force everywhere.
+change() {
+    local n=$((acked + refused + unknown + 1)) file before code out took
+    file="$RUN/change.conf"
+    printf '[service]\nname = %s\naddress = 10.80.0.1:7000\n# %s\n' \
+        "$1" "$n" > "$file"
+    before=$(date +%s%N)
+    out=$(cli service apply "$file" --json --timeout-seconds 20 2> "$RUN/apply.txt")
+    code=$?
+    took=$((($(date +%s%N) - before) / 1000000))
+    case $code in
+    0)
+        acked=$((acked + 1))
+        local revision
+        revision=$(echo "$out" | tr -d ' \n' | sed -n 's/.*"revision":\([0-9]*\).*/\1/p')
+        [ "$revision" -gt "$last_revision" ] ||
+            fail "revision $revision after $last_revision"
+        last_revision=$revision
+        last_doc=$n
+        [ "$took" -gt "$slowest" ] && slowest=$took
+        ;;
+    1) refused=$((refused + 1)) ;;
+    *) unknown=$((unknown + 1)) ;;
+    esac
+    return $code
+}
+
+check_last() {
+    cli service get lens-desk > "$RUN/now.conf" || fail "no answer"
+    grep -q "^# $last_doc\$" "$RUN/now.conf" ||
+        fail "acknowledged change $last_doc is gone: $(tail -1 "$RUN/now.conf")"
+}
+
+prepare_run
+create_system || fail "create"
+for i in 0 1 2; do start_control $i; done
+for i in 0 1 2; do start_balancer $i; done
+for i in 0 1; do
+    start_host lens-desk 10.80.0.1:7000 $i
+    start_agent lens-desk $i
+done
+wait_until 20 all_fresh || fail "the replicas do not come together"
+sleep 2
+say "3 replicas, leader control-$(leader)"
+for i in 1 2 3 4 5; do change lens-desk || fail "change"; done
+
+say "kill -9 of the leader during a stream of changes"
+(sleep 0.5; kill -KILL "${PIDS[control-$(leader)]}") &
+killed=$(leader)
+for i in 1 2 3 4 5 6 7 8; do change lens-desk; done
+check_last
+wait "${PIDS[control-$killed]}" 2> /dev/null
+start_control "$killed"
+wait_until 20 all_fresh || fail "control-$killed does not come back"
+
+say "kill of two of three: no change is taken, nothing is lost"
+stop control-1 KILL
+stop control-2 KILL
+sleep 2
+cli service apply "$RUN/change.conf" --timeout-seconds 3 > "$RUN/none.txt" 2>&1
+[ $? = 4 ] || fail "without a quorum somebody answered for the base"
+cli service apply "$RUN/change.conf" --base 1 --timeout-seconds 3 \
+    > "$RUN/none.txt" 2>&1
+[ $? = 3 ] || fail "a change without a quorum did not end as unknown"
+start_control 1
+start_control 2
+wait_until 20 all_fresh || fail "the quorum does not come back"
+# The unknown one may have been taken meanwhile; it does not count.
+last_revision=$(metric "$(admin_port "$(leader)")" revision)
+for i in 1 2 3; do change lens-desk; done
+check_last
+
+say "freeze of the leader, then of a follower"
+frozen=$(leader)
+kill -STOP "${PIDS[control-$frozen]}"
+for i in 1 2 3; do change lens-desk; done
+kill -CONT "${PIDS[control-$frozen]}"
+sleep 1
+check_last
+follower=$((($(leader) + 1) % 3))
+kill -STOP "${PIDS[control-$follower]}"
+for i in 1 2 3; do change lens-desk; done
+kill -CONT "${PIDS[control-$follower]}"
+check_last
+
+say "a lost data folder: the replica comes back as a new one"
+wait_until 20 all_fresh || fail "not fresh after the freeze"
+lost=$((($(leader) + 1) % 3))
+stop "control-$lost" KILL
+rm -rf "${RUN:?}/control-$lost"
+start_control "$lost"
+change lens-desk
+wait_until 20 all_fresh || fail "control-$lost is not let in again"
+say "a second instance lost right after that repair"
+sleep 3
+other=$((($(leader) + 2) % 3))
+[ "$other" = "$lost" ] && other=$((($(leader) + 1) % 3))
+stop "control-$other" KILL
+for i in 1 2 3; do change lens-desk || fail "no quorum after the repair"; done
+check_last
+start_control "$other"
+wait_until 20 all_fresh || fail "control-$other does not come back"
+
+say "two operators race for $((2 * RACE)) changes"
+before=$(metric "$(admin_port "$(leader)")" revision)
+race() {
+    local i wins=0
+    for ((i = 0; i < RACE; i++)); do
+        printf '[service]\nname = lens-desk\naddress = 10.80.0.1:7000\n# %s %s\n' \
+            "$1" "$i" > "$RUN/race-$1.conf"
+        cli service apply "$RUN/race-$1.conf" --wait-seconds 0 \
+            > /dev/null 2>&1 && wins=$((wins + 1))
+    done
+    echo "$wins" > "$RUN/wins-$1"
+}
+race a &
+first=$!
+race b &
+second=$!
+wait $first $second
+wins=$(($(cat "$RUN/wins-a") + $(cat "$RUN/wins-b")))
+after=$(metric "$(admin_port "$(leader)")" revision)
+[ $((after - before)) = "$wins" ] ||
+    fail "$wins changes acknowledged, $((after - before)) applied"
+say "race: $wins of $((2 * RACE)) won, the others were told"
+
+wait_until 7 cli status
+cli status | tee "$RUN/status.txt" | head -8
+grep -q "revision $after, in force on 5 of 5" "$RUN/status.txt" ||
+    fail "not in force everywhere"
+for i in 0 1 2; do
+    stop "control-$i"
+    "$BIN/programs/radishportd" control --check-data --name "control-$i" \
+        --listen "127.0.0.1:$(control_port $i)" --data "$RUN/control-$i" ||
+        fail "the data folder of control-$i is damaged"
+done
+echo "control: acknowledged=$acked refused=$refused unknown=$unknown" \
+    "slowest_ms=$slowest lost=0 reverted=0 twice=0 race_won=$wins"
+[ "$slowest" -lt 7000 ] || fail "a change took $slowest ms"
--- a/tests/runs/flows.sh
+++ b/tests/runs/flows.sh
@@ -22,6 +22,7 @@
 metric() { curl -s "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
 
 prepare_run
+create_system || exit 1
 start_control 0
 for i in 0 1 2; do start_balancer $i; done
 for i in 0 1 2; do
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -83,6 +83,12 @@
     export RADISHPORT_CONTROL
 }
 
+# create_system: makes control-0 the first replica of a new system.
+create_system() {
+    "$BIN/programs/radishportd" control --create --name control-0 \
+        --listen "127.0.0.1:$(control_port 0)" --data "$RUN/control-0"
+}
+
 start_control() {
     start "control-$1" "$BIN/programs/radishportd" control \
         --name "control-$1" --listen "127.0.0.1:$(control_port "$1")" \
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -213,9 +213,10 @@
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct rp_msg_announce news = make_announce(
             cases[i].incarnation, cases[i].sequence, cases[i].said);
-        assert_int_equal(
-            RpRegistry_Merge(registry, cases[i].now_ms * RP_US_PER_MS, &news),
-            cases[i].change);
+        assert_int_equal(RpRegistry_Merge(registry,
+                                          cases[i].now_ms * RP_US_PER_MS,
+                                          &news, true),
+                         cases[i].change);
     }
     int64_t end = 3000 * RP_US_PER_MS;
     assert_false(RpRegistry_Expire(registry, end - 1, &service));
@@ -228,7 +229,7 @@
                      RP_UPSTREAM_LOST);
     /* A lost one that speaks again is back. */
     struct rp_msg_announce back = make_announce(6, 3, RP_UPSTREAM_READY);
-    assert_int_equal(RpRegistry_Merge(registry, end + 1, &back),
+    assert_int_equal(RpRegistry_Merge(registry, end + 1, &back, true),
                      RP_REGISTRY_CHANGED);
     /* Lost for long: dropped. */
     end += 2001 * RP_US_PER_MS;
@@ -239,6 +240,38 @@
     RpRegistry_Free(registry);
 }
 
+/* A replica that is cut off goes on with what it knew through others; what
+ * it hears itself still has its lease. */
+static void
+test_registry_cut_off(void **state)
+{
+    struct rp_registry *registry = RpRegistry_Create();
+    struct rp_msg_announce near = make_announce(1, 1, RP_UPSTREAM_READY);
+    struct rp_msg_announce far = make_announce(1, 1, RP_UPSTREAM_READY);
+    struct rp_name service;
+    int64_t hour = 3600 * RP_US_PER_SECOND;
+
+    (void)state;
+    RpName_Set(&far.upstream, RP_STR("upstream-far"));
+    RpRegistry_Merge(registry, 0, &near, true);
+    RpRegistry_Merge(registry, 0, &far, false);
+    RpRegistry_SetCutOff(registry, RP_US_PER_SECOND, true);
+    assert_true(RpRegistry_Expire(registry, hour, &service));
+    assert_false(RpRegistry_Expire(registry, hour, &service));
+    assert_int_equal(RpRegistry_Find(registry, &far.upstream)->state,
+                     RP_UPSTREAM_READY);
+    assert_int_equal(RpRegistry_Find(registry, &near.upstream)->state,
+                     RP_UPSTREAM_LOST);
+    /* Together again: the far one has a lease's time to be heard of. */
+    RpRegistry_SetCutOff(registry, hour, false);
+    int64_t lease = 2 * RP_US_PER_SECOND;
+    assert_false(RpRegistry_Expire(registry, hour + lease - 1, &service));
+    assert_true(RpRegistry_Expire(registry, hour + lease, &service));
+    assert_int_equal(RpRegistry_Find(registry, &far.upstream)->state,
+                     RP_UPSTREAM_LOST);
+    RpRegistry_Free(registry);
+}
+
 /* Any order, any repetition of the same announcements ends in the same
  * state. */
 static void
@@ -258,11 +291,11 @@
         struct rp_registry *registry = RpRegistry_Create();
         struct rp_name name;
         for (size_t i = 0; i < 24; i++) {
-            RpRegistry_Merge(registry, 0,
-                             &news[g_rand_int_range(dice, 0, 12)]);
+            RpRegistry_Merge(registry, 0, &news[g_rand_int_range(dice, 0, 12)],
+                             true);
         }
         for (size_t i = 0; i < G_N_ELEMENTS(news); i++) {
-            RpRegistry_Merge(registry, 0, &news[i]);
+            RpRegistry_Merge(registry, 0, &news[i], true);
         }
         RpName_Set(&name, RP_STR("upstream-1"));
         const struct rp_upstream *last = RpRegistry_Find(registry, &name);
@@ -281,6 +314,7 @@
         cmocka_unit_test(test_catalog_story),
         cmocka_unit_test(test_snapshots),
         cmocka_unit_test(test_registry_leases),
+        cmocka_unit_test(test_registry_cut_off),
         cmocka_unit_test(test_registry_merge_order),
     };
 
--- /dev/null
+++ b/tests/unit/test_replica.c
@@ -0,0 +1,667 @@
+/* Property runs of agreement: replicas under a network that drops, delays,
+ * repeats and cuts one way, with freezes, kills in the middle of storing,
+ * lost disks and clocks that differ.
+ *
+ * What must hold on every seed:
+ * - one leader a term, one order everywhere;
+ * - nothing acknowledged is lost, changed or applied twice;
+ * - a replica that says it is fresh has applied all that was acknowledged
+ *   before the lease began;
+ * - once the faults end, the system takes changes again.
+ *
+ * RP_SEED=N runs that seed alone; RP_SEEDS=N runs 1 to N. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_replica.h"
+
+#define MAX_SLOTS 5 /* instances */
+#define STEP_US (20 * RP_US_PER_MS)
+#define FAULT_STEPS 1500
+#define CALM_STEPS 1500
+#define DEFAULT_SEEDS 250
+#define MAX_FLIGHTS 2000
+#define COMPACT_EVERY 40 /* applied entries */
+
+/* What one instance has on its disk. */
+struct disk {
+    uint64_t term;
+    uint64_t voted_for;
+    struct rp_snapshot *snapshot;
+    GPtrArray *entries; /* of encoded struct rp_log_entry, as GString */
+};
+
+struct instance {
+    struct rp_replica *replica; /* NULL while it is down */
+    uint64_t id;
+    struct disk disk;
+    int64_t skew;   /* its clock against the world's */
+    int frozen;     /* steps left */
+    int down;       /* steps left */
+    GString *state; /* applied commands, "1,2,3," */
+    uint64_t applied;
+    uint64_t since_compact;
+};
+
+struct flight {
+    unsigned to;
+    int delay; /* steps left */
+    struct rp_msg msg;
+};
+
+struct world {
+    uint32_t seed;
+    GRand *dice;
+    int64_t now;
+    unsigned slots;
+    uint64_t next_id;
+    struct instance instances[MAX_SLOTS];
+    bool cut[MAX_SLOTS][MAX_SLOTS]; /* one way */
+    GPtrArray *flights;
+    GHashTable *leaders;      /* term -> id */
+    GPtrArray *history;       /* command by index, as GString; NULL: none */
+    GHashTable *proposed;     /* index -> command number, by the last leader */
+    GHashTable *acknowledged; /* command number -> 1 */
+    unsigned next_command;
+    bool faulty;
+};
+
+#define CHECK(world, condition, text)                                         \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            print_error("%s\nrepeat with: RP_SEED=%u "                        \
+                        "build/tests/test_replica\n",                         \
+                        text, (world)->seed);                                 \
+            fail();                                                           \
+        }                                                                     \
+    } while (0)
+
+static int
+roll(struct world *world, int sides)
+{
+    return g_rand_int_range(world->dice, 0, sides);
+}
+
+static int64_t
+clock_of(const struct world *world, const struct instance *instance)
+{
+    return world->now + instance->skew;
+}
+
+static struct rp_replica_member
+member_of(const struct world *world, unsigned slot)
+{
+    struct rp_replica_member member = {
+        .id = world->instances[slot].id, .ip = slot + 1, .port = 1};
+    gchar *name = g_strdup_printf("control-%u", slot);
+
+    RpName_Set(&member.name, RpStr_FromC(name));
+    g_free(name);
+    return member;
+}
+
+static int
+slot_of(const struct world *world, uint64_t id)
+{
+    for (unsigned i = 0; i < world->slots; i++) {
+        if (world->instances[i].id == id) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static void
+free_string(gpointer data)
+{
+    g_string_free(data, TRUE);
+}
+
+static void
+wipe_disk(struct disk *disk)
+{
+    if (disk->snapshot) {
+        RpSchema_Clear(&rp_snapshot_schema, disk->snapshot);
+        g_free(disk->snapshot);
+    }
+    if (disk->entries) {
+        g_ptr_array_unref(disk->entries);
+    }
+    *disk = (struct disk){
+        .entries = g_ptr_array_new_with_free_func(free_string)};
+}
+
+static void
+store_entry(struct disk *disk, const struct rp_log_entry *entry)
+{
+    g_ptr_array_add(disk->entries,
+                    RpSchema_Encode(&rp_log_entry_schema, entry));
+}
+
+static void
+store_snapshot(struct instance *instance, const struct rp_snapshot *snapshot)
+{
+    struct disk *disk = &instance->disk;
+    GString *bytes = RpSchema_Encode(&rp_snapshot_schema, snapshot);
+    struct rp_snapshot *copy = g_new0(struct rp_snapshot, 1);
+
+    RpSchema_Decode(&rp_snapshot_schema,
+                    (struct rp_str){.data = bytes->str, .len = bytes->len},
+                    copy);
+    g_string_free(bytes, TRUE);
+    uint64_t term = disk->term;
+    uint64_t voted_for = disk->voted_for;
+    wipe_disk(disk);
+    disk->term = term;
+    disk->voted_for = voted_for;
+    disk->snapshot = copy;
+    for (size_t i = 0; i < RpReplica_EntryCount(instance->replica); i++) {
+        store_entry(disk, RpReplica_Entry(instance->replica, i));
+    }
+}
+
+static void
+truncate_disk(struct disk *disk, uint64_t index)
+{
+    uint64_t first = disk->snapshot ? disk->snapshot->index + 1 : 1;
+
+    g_ptr_array_set_size(disk->entries, (gint)(index - first));
+}
+
+static void
+start_instance(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+    struct disk *disk = &instance->disk;
+    struct rp_replica *replica = RpReplica_Create(
+        instance->id, world->seed * 100 + slot, clock_of(world, instance));
+
+    RpReplica_LoadVote(replica, disk->term, disk->voted_for);
+    g_string_truncate(instance->state, 0);
+    instance->applied = 0;
+    if (disk->snapshot) {
+        RpReplica_LoadSnapshot(replica, disk->snapshot);
+        g_string_append_len(instance->state, disk->snapshot->data->str,
+                            (gssize)disk->snapshot->data->len);
+        instance->applied = disk->snapshot->index;
+    }
+    for (guint i = 0; i < disk->entries->len; i++) {
+        const GString *bytes = g_ptr_array_index(disk->entries, i);
+        struct rp_log_entry entry;
+        assert_true(RpSchema_Decode(
+            &rp_log_entry_schema,
+            (struct rp_str){.data = bytes->str, .len = bytes->len}, &entry));
+        RpReplica_LoadEntry(replica, &entry);
+        RpSchema_Clear(&rp_log_entry_schema, &entry);
+    }
+    instance->replica = replica;
+}
+
+static void
+stop_instance(struct world *world, unsigned slot)
+{
+    RpReplica_Free(world->instances[slot].replica);
+    world->instances[slot].replica = NULL;
+}
+
+static void
+put_on_wire(struct world *world, unsigned from,
+            const struct rp_replica_action *act)
+{
+    int to = slot_of(world, act->to);
+    int copies = 1;
+
+    if (to < 0 || world->cut[from][to]) {
+        return;
+    }
+    if (world->faulty) {
+        int luck = roll(world, 20);
+        copies = luck == 0 ? 0 : luck == 1 ? 2 : 1;
+    }
+    while (copies-- > 0 && world->flights->len < MAX_FLIGHTS) {
+        GString *bytes = g_string_new(NULL);
+        struct flight *flight = g_new0(struct flight, 1);
+        RpMsg_Encode(&act->msg, bytes);
+        RpMsg_Decode((struct rp_str){.data = bytes->str, .len = bytes->len},
+                     &flight->msg);
+        flight->to = (unsigned)to;
+        flight->delay = world->faulty ? roll(world, 8) : 0;
+        g_ptr_array_add(world->flights, flight);
+        g_string_free(bytes, TRUE);
+    }
+}
+
+/* A committed entry is applied: the same one everywhere, once. */
+static void
+apply(struct world *world, struct instance *instance,
+      const struct rp_log_entry *entry)
+{
+    CHECK(world, entry->index == instance->applied + 1,
+          "an entry was applied out of order");
+    instance->applied = entry->index;
+    instance->since_compact++;
+    if (world->history->len <= entry->index) {
+        g_ptr_array_set_size(world->history, (gint)entry->index + 1);
+    }
+    gpointer *seen = &g_ptr_array_index(world->history, entry->index);
+    GString *what = g_string_new(NULL);
+    g_string_printf(what, "%" G_GUINT64_FORMAT "/%u/", entry->term,
+                    entry->kind);
+    g_string_append_len(what, entry->data->str, (gssize)entry->data->len);
+    if (!*seen) {
+        *seen = g_string_new_len(what->str, (gssize)what->len);
+    }
+    CHECK(world, g_string_equal(*seen, what),
+          "two replicas applied different entries");
+    g_string_free(what, TRUE);
+    if (entry->kind != RP_ENTRY_COMMAND) {
+        return;
+    }
+    g_string_append_printf(instance->state, "%s,", entry->data->str);
+    /* The leader that proposed it acknowledges it now. */
+    gpointer number = g_hash_table_lookup(world->proposed,
+                                          GSIZE_TO_POINTER(entry->index));
+    if (RpReplica_Role(instance->replica) == RP_REPLICA_LEADER && number &&
+        GPOINTER_TO_UINT(number) ==
+            (guint)strtoul(entry->data->str, NULL, 10)) {
+        g_hash_table_add(world->acknowledged, number);
+    }
+}
+
+static void
+carry_out(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+    GArray *actions = RpReplica_TakeActions(instance->replica);
+    guint limit = actions->len;
+
+    /* A kill in the middle: what comes later was never done. */
+    bool killed = world->faulty && limit > 0 && roll(world, 3000) == 0;
+    if (killed) {
+        limit = (guint)roll(world, (int)limit);
+    }
+    for (guint i = 0; i < limit; i++) {
+        const struct rp_replica_action *act = &g_array_index(
+            actions, struct rp_replica_action, i);
+        switch (act->kind) {
+        case RP_REPLICA_STORE_VOTE:
+            instance->disk.term = act->term;
+            instance->disk.voted_for = act->voted_for;
+            break;
+        case RP_REPLICA_STORE_ENTRY:
+            store_entry(&instance->disk, act->entry);
+            break;
+        case RP_REPLICA_STORE_TRUNCATE:
+            truncate_disk(&instance->disk, act->index);
+            break;
+        case RP_REPLICA_STORE_SNAPSHOT:
+            store_snapshot(instance, act->snapshot);
+            g_string_truncate(instance->state, 0);
+            g_string_append_len(instance->state, act->snapshot->data->str,
+                                (gssize)act->snapshot->data->len);
+            instance->applied = act->snapshot->index;
+            break;
+        case RP_REPLICA_SEND:
+            put_on_wire(world, slot, act);
+            break;
+        case RP_REPLICA_APPLY:
+            apply(world, instance, act->entry);
+            break;
+        }
+    }
+    RpReplica_FreeActions(actions);
+    if (killed) {
+        stop_instance(world, slot);
+        instance->down = 1 + roll(world, 100);
+        return;
+    }
+    if (RpReplica_Role(instance->replica) == RP_REPLICA_LEADER) {
+        gpointer term = GSIZE_TO_POINTER(RpReplica_Term(instance->replica));
+        gpointer other = g_hash_table_lookup(world->leaders, term);
+        CHECK(world, !other || GPOINTER_TO_SIZE(other) == instance->id,
+              "two leaders in one term");
+        g_hash_table_insert(world->leaders, term,
+                            GSIZE_TO_POINTER(instance->id));
+    }
+    if (instance->since_compact >= COMPACT_EVERY) {
+        instance->since_compact = 0;
+        RpReplica_Compact(instance->replica, instance->state);
+        store_snapshot(instance, RpReplica_Snapshot(instance->replica));
+    }
+}
+
+static bool
+is_running(const struct world *world, unsigned slot)
+{
+    const struct instance *instance = &world->instances[slot];
+
+    return instance->replica && instance->frozen == 0;
+}
+
+static void
+deliver(struct world *world)
+{
+    for (guint i = 0; i < world->flights->len;) {
+        struct flight *flight = g_ptr_array_index(world->flights, i);
+        if (flight->delay-- > 0) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(world->flights, i);
+        struct instance *instance = &world->instances[flight->to];
+        if (is_running(world, flight->to)) {
+            RpReplica_Receive(instance->replica, clock_of(world, instance),
+                              &flight->msg);
+            carry_out(world, flight->to);
+        }
+        RpMsg_Clear(&flight->msg);
+        g_free(flight);
+    }
+}
+
+static void
+propose(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+    GString *command = g_string_new(NULL);
+    uint64_t index;
+
+    g_string_printf(command, "%u", ++world->next_command);
+    if (RpReplica_Propose(instance->replica, clock_of(world, instance),
+                          command, &index) == RP_OK) {
+        g_hash_table_insert(world->proposed, GSIZE_TO_POINTER(index),
+                            GUINT_TO_POINTER(world->next_command));
+        carry_out(world, slot);
+    }
+    g_string_free(command, TRUE);
+}
+
+/* Replicas that are not members ask the others to let them in. */
+static void
+ask_to_join(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+    struct rp_replica_member self = member_of(world, slot);
+
+    if (!RpReplica_WantsToJoin(instance->replica, clock_of(world, instance))) {
+        return;
+    }
+    for (unsigned i = 0; i < world->slots; i++) {
+        if (i != slot && is_running(world, i) && !world->cut[slot][i]) {
+            RpReplica_Join(world->instances[i].replica,
+                           clock_of(world, &world->instances[i]), &self);
+            carry_out(world, i);
+        }
+    }
+}
+
+/* How many instances may lose their disk without losing the data: one at a
+ * time, and only when all others are up and hold the log's end. */
+static bool
+may_lose_disk(const struct world *world, unsigned slot)
+{
+    unsigned full = 0;
+
+    for (unsigned i = 0; i < world->slots; i++) {
+        const struct instance *instance = &world->instances[i];
+        if (!instance->replica || !RpReplica_IsMember(instance->replica)) {
+            return false;
+        }
+        const GArray *members = RpReplica_Members(instance->replica);
+        if (members->len != world->slots) {
+            return false;
+        }
+        for (guint j = 0; j < members->len; j++) {
+            if (!g_array_index(members, struct rp_replica_member, j).voter) {
+                return false;
+            }
+        }
+        full += i != slot;
+    }
+    return full + 1 == world->slots;
+}
+
+static void
+break_something(struct world *world)
+{
+    unsigned slot = (unsigned)roll(world, (int)world->slots);
+    unsigned other = (unsigned)roll(world, (int)world->slots);
+    struct instance *instance = &world->instances[slot];
+
+    switch (roll(world, 8)) {
+    case 0:
+        if (instance->replica) {
+            stop_instance(world, slot);
+            instance->down = 1 + roll(world, 200);
+        }
+        break;
+    case 1:
+        instance->frozen = 1 + roll(world, 200);
+        break;
+    case 2:
+        world->cut[slot][other] = true; /* one way */
+        break;
+    case 3:
+        for (unsigned i = 0; i < world->slots; i++) {
+            world->cut[slot][i] = true;
+            world->cut[i][slot] = true;
+        }
+        break;
+    case 4:
+    case 5:
+        memset(world->cut, 0, sizeof world->cut);
+        break;
+    case 6:
+        /* The clock jumps forward; it never runs backwards. */
+        instance->skew += roll(world, 3) * RP_US_PER_SECOND;
+        break;
+    default:
+        if (may_lose_disk(world, slot) && roll(world, 3) == 0) {
+            stop_instance(world, slot);
+            wipe_disk(&instance->disk);
+            instance->id = ++world->next_id;
+            instance->down = 1 + roll(world, 50);
+        }
+    }
+}
+
+static void
+step(struct world *world)
+{
+    world->now += STEP_US;
+    for (unsigned i = 0; i < world->slots; i++) {
+        struct instance *instance = &world->instances[i];
+        if (!instance->replica && --instance->down <= 0) {
+            start_instance(world, i);
+        }
+        if (instance->frozen > 0) {
+            instance->frozen--;
+            continue;
+        }
+        if (!instance->replica) {
+            continue;
+        }
+        RpReplica_Tick(instance->replica, clock_of(world, instance));
+        carry_out(world, i);
+        if (is_running(world, i) && roll(world, 10) == 0) {
+            ask_to_join(world, i);
+        }
+        if (is_running(world, i) && roll(world, 5) == 0) {
+            propose(world, i);
+        }
+    }
+    deliver(world);
+}
+
+static void
+start_world(struct world *world, uint32_t seed)
+{
+    world->seed = seed;
+    world->dice = g_rand_new_with_seed(seed);
+    world->slots = seed % 2 ? 3 : 5;
+    world->now = 1000 * RP_US_PER_SECOND;
+    world->flights = g_ptr_array_new();
+    world->leaders = g_hash_table_new(NULL, NULL);
+    world->history = g_ptr_array_new();
+    world->proposed = g_hash_table_new(NULL, NULL);
+    world->acknowledged = g_hash_table_new(NULL, NULL);
+    for (unsigned i = 0; i < world->slots; i++) {
+        struct instance *instance = &world->instances[i];
+        instance->id = ++world->next_id;
+        instance->skew = roll(world, 100) * RP_US_PER_SECOND;
+        instance->state = g_string_new(NULL);
+        wipe_disk(&instance->disk);
+        start_instance(world, i);
+    }
+    struct rp_replica_member first = member_of(world, 0);
+    RpReplica_Bootstrap(world->instances[0].replica, &first);
+    carry_out(world, 0);
+}
+
+static void
+end_world(struct world *world)
+{
+    for (unsigned i = 0; i < world->slots; i++) {
+        struct instance *instance = &world->instances[i];
+        RpReplica_Free(instance->replica);
+        wipe_disk(&instance->disk);
+        g_ptr_array_unref(instance->disk.entries);
+        g_string_free(instance->state, TRUE);
+    }
+    for (guint i = 0; i < world->flights->len; i++) {
+        struct flight *flight = g_ptr_array_index(world->flights, i);
+        RpMsg_Clear(&flight->msg);
+        g_free(flight);
+    }
+    g_ptr_array_unref(world->flights);
+    for (guint i = 0; i < world->history->len; i++) {
+        GString *seen = g_ptr_array_index(world->history, i);
+        if (seen) {
+            g_string_free(seen, TRUE);
+        }
+    }
+    g_ptr_array_unref(world->history);
+    g_hash_table_destroy(world->leaders);
+    g_hash_table_destroy(world->proposed);
+    g_hash_table_destroy(world->acknowledged);
+    g_rand_free(world->dice);
+}
+
+/* How often a command stands in a state. */
+static unsigned
+count_command(const GString *state, guint number)
+{
+    gchar *wanted = g_strdup_printf("%u", number);
+    gchar **commands = g_strsplit(state->str, ",", -1);
+    unsigned count = 0;
+
+    for (gchar **command = commands; *command; command++) {
+        count += !strcmp(*command, wanted);
+    }
+    g_strfreev(commands);
+    g_free(wanted);
+    return count;
+}
+
+static void
+check_end(struct world *world)
+{
+    const GString *state = world->instances[0].state;
+    GHashTableIter iter;
+    gpointer key;
+
+    for (unsigned i = 0; i < world->slots; i++) {
+        CHECK(world,
+              world->instances[i].replica &&
+                  RpReplica_IsMember(world->instances[i].replica),
+              "a replica did not come back");
+        CHECK(world, g_string_equal(world->instances[i].state, state),
+              "replicas differ after the faults");
+        CHECK(world,
+              RpReplica_IsFresh(world->instances[i].replica,
+                                clock_of(world, &world->instances[i])),
+              "a replica is not fresh after the faults");
+    }
+    g_hash_table_iter_init(&iter, world->acknowledged);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        CHECK(world, count_command(state, GPOINTER_TO_UINT(key)) == 1,
+              "an acknowledged command is lost or there twice");
+    }
+}
+
+static unsigned
+run_seed(uint32_t seed)
+{
+    static struct world world;
+
+    memset(&world, 0, sizeof world);
+    start_world(&world, seed);
+    for (int i = 0; i < 300; i++) {
+        step(&world); /* the others join */
+    }
+    world.faulty = true;
+    for (int i = 0; i < FAULT_STEPS; i++) {
+        if (roll(&world, 25) == 0) {
+            break_something(&world);
+        }
+        step(&world);
+    }
+    world.faulty = false;
+    memset(world.cut, 0, sizeof world.cut);
+    for (unsigned i = 0; i < world.slots; i++) {
+        world.instances[i].frozen = 0;
+        world.instances[i].down = 0;
+    }
+    unsigned before = g_hash_table_size(world.acknowledged);
+    for (int i = 0; i < CALM_STEPS; i++) {
+        step(&world);
+    }
+    unsigned acknowledged = g_hash_table_size(world.acknowledged);
+    CHECK(&world, acknowledged > before, "no change is taken any more");
+    /* Let the last heartbeats tell everyone what is committed. */
+    world.next_command += 1000000;
+    for (int i = 0; i < 100; i++) {
+        world.now += STEP_US;
+        for (unsigned j = 0; j < world.slots; j++) {
+            RpReplica_Tick(world.instances[j].replica,
+                           clock_of(&world, &world.instances[j]));
+            carry_out(&world, j);
+        }
+        deliver(&world);
+    }
+    check_end(&world);
+    end_world(&world);
+    return acknowledged;
+}
+
+static void
+test_agreement_property(void **state)
+{
+    const char *one = g_getenv("RP_SEED");
+    const char *many = g_getenv("RP_SEEDS");
+    uint32_t first = one ? (uint32_t)strtoul(one, NULL, 10) : 1;
+    uint32_t last = one ? first : DEFAULT_SEEDS;
+    unsigned acknowledged = 0;
+
+    (void)state;
+    if (many) {
+        last = (uint32_t)strtoul(many, NULL, 10);
+    }
+    for (uint32_t seed = first; seed <= last; seed++) {
+        acknowledged += run_seed(seed);
+    }
+    print_message("%u seeds, %u commands acknowledged, all there once\n",
+                  last - first + 1, acknowledged);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_agreement_property),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
