--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -107,10 +107,12 @@
         if (!entry) {
             break;
         }
-        struct rp_log_entry copy = *entry;
-        copy.data = g_string_new_len(entry->data->str,
-                                     (gssize)entry->data->len);
-        g_array_append_val(append->entries, copy);
+        g_array_set_size(append->entries, (guint)i + 1);
+        struct rp_log_entry *copy = &g_array_index(append->entries,
+                                                   struct rp_log_entry, i);
+        *copy = *entry;
+        copy->data = g_string_new_len(entry->data->str,
+                                      (gssize)entry->data->len);
     }
     peer->waiting = true;
     RpReplica_SendTo(replica, peer->id, &msg);
