Registry: indexed by service, renewals stay with one replica

Cause: make measure (measure-cost) showed what breaks first at the target's size. A joining balancer cost a control instance 2241 ms, a change 543 us, because each service searched all 18,000 upstreams; and each renewal was passed on to all replicas, 27,000 a second to each of 15. Ruled out: batching renewals (still 2 MB/s at each of 15 instances). Change: an index by service; a replica passes on only what changes and vouches for the rest by being heard (within 10 s); leases that end are told as lost. Upstreams are sent whole to a replica that comes back. An agent's table no longer walks all services; agents send what they just received without a system call of its own each. Before: join_ms=2241.0 change_us=543 at 4,600 services and 18,000 hosts.

--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -167,22 +167,35 @@
 }
 
 static void
-send_whole(struct rp_distribution *distribution, struct node *node)
+add_all_services(const struct rp_distribution *distribution, GArray *services)
 {
     GPtrArray *entries = RpCatalog_List(distribution->catalog);
+
+    for (guint i = 0; i < entries->len; i++) {
+        add_service(distribution, g_ptr_array_index(entries, i), services);
+    }
+    g_ptr_array_unref(entries);
+}
+
+static void
+send_whole(struct rp_distribution *distribution, struct node *node)
+{
     struct rp_msg msg;
 
     start_table(distribution, &msg, true);
-    for (guint i = 0; i < entries->len; i++) {
-        const struct rp_entry *entry = g_ptr_array_index(entries, i);
-        if (sees(node, &entry->name)) {
+    if (node->service.len == 0) {
+        add_all_services(distribution, msg.table.services);
+    }
+    else {
+        const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
+                                                      &node->service);
+        if (entry) {
             add_service(distribution, entry, msg.table.services);
         }
     }
     node->served = true;
     distribution->send(distribution->user, node->connection, &msg);
     RpMsg_Clear(&msg);
-    g_ptr_array_unref(entries);
 }
 
 static void
--- a/lib/control/rp_registry.c
+++ b/lib/control/rp_registry.c
@@ -3,8 +3,10 @@
 #include <string.h>
 
 struct rp_registry {
-    GHashTable *upstreams; /* name -> struct rp_upstream */
-    int64_t next_deadline; /* nothing is over before this */
+    GHashTable *upstreams;  /* name -> struct rp_upstream */
+    GHashTable *by_service; /* name -> GPtrArray of struct rp_upstream */
+    GHashTable *replicas;   /* name -> int64_t, when it was last heard */
+    int64_t next_deadline;  /* nothing is over before this */
     bool cut_off;
 };
 
@@ -20,6 +22,12 @@
     return RpName_Equal(a, b);
 }
 
+static void
+free_list(gpointer data)
+{
+    g_ptr_array_unref(data);
+}
+
 struct rp_registry *
 RpRegistry_Create(void)
 {
@@ -27,6 +35,10 @@
 
     registry->upstreams = g_hash_table_new_full(name_hash, name_equal, NULL,
                                                 g_free);
+    registry->by_service = g_hash_table_new_full(name_hash, name_equal, g_free,
+                                                 free_list);
+    registry->replicas = g_hash_table_new_full(name_hash, name_equal, g_free,
+                                               g_free);
     registry->next_deadline = RP_NEVER;
     return registry;
 }
@@ -35,7 +47,9 @@
 RpRegistry_Free(struct rp_registry *registry)
 {
     if (registry) {
+        g_hash_table_destroy(registry->by_service);
         g_hash_table_destroy(registry->upstreams);
+        g_hash_table_destroy(registry->replicas);
         g_free(registry);
     }
 }
@@ -78,14 +92,16 @@
     return 0;
 }
 
+/* Only a replica can say that an upstream is lost. */
 static bool
-is_acceptable(const struct rp_msg_announce *news)
+is_acceptable(const struct rp_msg_announce *news, bool from_replica)
 {
     return RpName_IsLabel(RpName_View(&news->upstream)) &&
            RpName_IsLabel(RpName_View(&news->service)) &&
            news->agent_port != 0 && news->slots != 0 &&
            (news->state == RP_UPSTREAM_READY ||
             news->state == RP_UPSTREAM_DRAINING ||
+            (news->state == RP_UPSTREAM_LOST && from_replica) ||
             news->state == RP_UPSTREAM_GONE) &&
            news->lease_ms >= RP_LEASE_MIN_MS &&
            news->lease_ms <= RP_LEASE_MAX_MS;
@@ -104,26 +120,94 @@
            !RpName_Equal(&last->service, &news->service);
 }
 
+static void
+index_upstream(struct rp_registry *registry, struct rp_upstream *upstream)
+{
+    const struct rp_name *service = &upstream->last.service;
+    GPtrArray *list = g_hash_table_lookup(registry->by_service, service);
+
+    if (!list) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(registry->by_service,
+                            g_memdup2(service, sizeof *service), list);
+    }
+    g_ptr_array_add(list, upstream);
+}
+
+static void
+unindex_upstream(struct rp_registry *registry, struct rp_upstream *upstream)
+{
+    const struct rp_name *service = &upstream->last.service;
+    GPtrArray *list = g_hash_table_lookup(registry->by_service, service);
+
+    g_ptr_array_remove_fast(list, upstream);
+    if (list->len == 0) {
+        g_hash_table_remove(registry->by_service, service);
+    }
+}
+
+static void
+store(struct rp_registry *registry, struct rp_upstream *upstream,
+      const struct rp_msg_announce *news)
+{
+    bool moves = upstream->last.service.len == 0 ||
+                 !RpName_Equal(&upstream->last.service, &news->service);
+
+    if (moves && upstream->last.service.len) {
+        unindex_upstream(registry, upstream);
+    }
+    upstream->last = *news;
+    if (moves) {
+        index_upstream(registry, upstream);
+    }
+}
+
 static struct rp_upstream *
 insert(struct rp_registry *registry, const struct rp_msg_announce *news)
 {
     struct rp_upstream *upstream = g_new0(struct rp_upstream, 1);
 
-    upstream->last = *news;
+    store(registry, upstream, news);
     g_hash_table_insert(registry->upstreams, &upstream->last.upstream,
                         upstream);
     return upstream;
 }
 
+static bool
+is_leased(const struct rp_upstream *upstream)
+{
+    return upstream->state == RP_UPSTREAM_READY ||
+           upstream->state == RP_UPSTREAM_DRAINING;
+}
+
+/* When something about this entry is over. */
+static int64_t
+deadline_of(const struct rp_registry *registry,
+            const struct rp_upstream *upstream)
+{
+    if (!is_leased(upstream)) {
+        return upstream->drop_deadline;
+    }
+    if (upstream->via.len == 0) {
+        return upstream->lease_deadline;
+    }
+    if (registry->cut_off) {
+        return RP_NEVER;
+    }
+    const int64_t *seen = g_hash_table_lookup(registry->replicas,
+                                              &upstream->via);
+    return (seen ? *seen : 0) + RP_REGISTRY_MOVE_US;
+}
+
 enum rp_registry_change
 RpRegistry_Merge(struct rp_registry *registry, int64_t now,
-                 const struct rp_msg_announce *news, bool direct)
+                 const struct rp_msg_announce *news, const struct rp_name *via)
 {
     struct rp_upstream *known = g_hash_table_lookup(registry->upstreams,
                                                     &news->upstream);
     bool changed = true;
 
-    if (!is_acceptable(news)) {
+    if (!is_acceptable(news, via != NULL)) {
         return RP_REGISTRY_REFUSED;
     }
     if (!known && g_hash_table_size(registry->upstreams) >= RP_REGISTRY_MAX) {
@@ -133,29 +217,43 @@
         if (RpAnnounce_Compare(news, &known->last) <= 0) {
             return RP_REGISTRY_STALE;
         }
-        changed = shows(known, news);
-        known->last = *news;
+        /* That another replica hears it now is news to the others, too. */
+        changed = shows(known, news) || (!via && known->via.len > 0);
+        store(registry, known, news);
     }
     else {
         known = insert(registry, news);
     }
     known->state = (enum rp_upstream_state)news->state;
+    known->via = via ? *via : (struct rp_name){0};
     known->lease_deadline = now + news->lease_ms * RP_US_PER_MS;
     known->drop_deadline = RP_NEVER;
-    known->direct = direct;
     if (known->state == RP_UPSTREAM_GONE) {
         known->drop_deadline = known->lease_deadline;
     }
+    if (known->state == RP_UPSTREAM_LOST) {
+        known->drop_deadline = now + RP_REGISTRY_LOST_KEEP_US;
+    }
+    if (via) {
+        RpRegistry_ReplicaSeen(registry, now, via);
+    }
     registry->next_deadline = MIN(registry->next_deadline,
-                                  known->lease_deadline);
+                                  deadline_of(registry, known));
     return changed ? RP_REGISTRY_CHANGED : RP_REGISTRY_RENEWED;
 }
 
-static bool
-is_leased(const struct rp_upstream *upstream)
+void
+RpRegistry_ReplicaSeen(struct rp_registry *registry, int64_t now,
+                       const struct rp_name *replica)
 {
-    return upstream->state == RP_UPSTREAM_READY ||
-           upstream->state == RP_UPSTREAM_DRAINING;
+    int64_t *seen = g_hash_table_lookup(registry->replicas, replica);
+
+    if (!seen) {
+        seen = g_new(int64_t, 1);
+        g_hash_table_insert(registry->replicas,
+                            g_memdup2(replica, sizeof *replica), seen);
+    }
+    *seen = now;
 }
 
 void
@@ -169,32 +267,24 @@
     }
     registry->cut_off = cut_off;
     registry->next_deadline = now;
-    g_hash_table_iter_init(&iter, registry->upstreams);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct rp_upstream *upstream = value;
-        if (!cut_off && is_leased(upstream) && !upstream->direct) {
-            upstream->lease_deadline = now +
-                                       upstream->last.lease_ms * RP_US_PER_MS;
-        }
+    g_hash_table_iter_init(&iter, registry->replicas);
+    while (!cut_off && g_hash_table_iter_next(&iter, NULL, &value)) {
+        /* Together again: each has its time to be heard. */
+        *(int64_t *)value = now;
     }
 }
 
-/* When something about this entry is over. */
-static int64_t
-deadline_of(const struct rp_registry *registry,
-            const struct rp_upstream *upstream)
+static void
+drop(struct rp_registry *registry, struct rp_upstream *upstream,
+     GHashTableIter *iter)
 {
-    bool leased = is_leased(upstream);
-
-    if (leased && registry->cut_off && !upstream->direct) {
-        return RP_NEVER;
-    }
-    return leased ? upstream->lease_deadline : upstream->drop_deadline;
+    unindex_upstream(registry, upstream);
+    g_hash_table_iter_remove(iter);
 }
 
 bool
 RpRegistry_Expire(struct rp_registry *registry, int64_t now,
-                  struct rp_name *service)
+                  struct rp_msg_announce *over)
 {
     GHashTableIter iter;
     gpointer value;
@@ -211,11 +301,14 @@
             next = MIN(next, deadline);
             continue;
         }
-        *service = upstream->last.service;
-        if (upstream->drop_deadline != RP_NEVER) {
-            g_hash_table_iter_remove(&iter);
+        *over = upstream->last;
+        if (!is_leased(upstream)) {
+            over->state = RP_UPSTREAM_GONE;
+            drop(registry, upstream, &iter);
             return true;
         }
+        over->state = RP_UPSTREAM_LOST;
+        upstream->last.state = RP_UPSTREAM_LOST;
         upstream->state = RP_UPSTREAM_LOST;
         upstream->drop_deadline = now + RP_REGISTRY_LOST_KEEP_US;
         return true;
@@ -248,10 +341,15 @@
     GHashTableIter iter;
     gpointer value;
 
-    g_hash_table_iter_init(&iter, registry->upstreams);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct rp_upstream *upstream = value;
-        if (!service || RpName_Equal(&upstream->last.service, service)) {
+    if (service) {
+        GPtrArray *known = g_hash_table_lookup(registry->by_service, service);
+        for (guint i = 0; known && i < known->len; i++) {
+            g_ptr_array_add(list, g_ptr_array_index(known, i));
+        }
+    }
+    else {
+        g_hash_table_iter_init(&iter, registry->upstreams);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
             g_ptr_array_add(list, value);
         }
     }
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -38,6 +38,8 @@
     struct rp_chart chart;
     struct rp_agent *flows;
     struct rp_actions actions;
+    const struct rp_service *service; /* in the uplink's table, or NULL */
+    const uint8_t *received;          /* the packet being handled */
     uint64_t incarnation;
     uint64_t sequence;
     int64_t announce_deadline;
@@ -136,35 +138,45 @@
     }
 }
 
+/* Sends an action's bytes. What was just received stays valid until the
+ * batch ends; what the agent made or kept does not, and goes at once. */
+static void
+send_action(struct agent *agent, struct rp_udp *udp, struct rp_endpoint to,
+            const uint8_t *header, size_t header_len,
+            const struct rp_action *action)
+{
+    if (action->data == agent->received) {
+        RpUdp_Send(udp, to, header, header_len, action->data, action->len);
+    }
+    else {
+        RpUdp_SendCopy(udp, to, header, header_len, action->data, action->len);
+    }
+}
+
 static void
 carry_out(struct agent *agent, const struct rp_action *action)
 {
     uint8_t header[RP_GENEVE_HEADROOM];
-    size_t len;
+    size_t len = RpGeneve_Write(header, NULL, NULL);
 
     log_action(agent, action);
     switch (action->kind) {
     case RP_ACTION_DROP:
         break;
     case RP_ACTION_TO_HOST:
-        len = RpGeneve_Write(header, NULL, NULL);
-        RpUdp_SendCopy(agent->host_side, agent->settings.host, header, len,
-                       action->data, action->len);
+        send_action(agent, agent->host_side, agent->settings.host, header, len,
+                    action);
         break;
     case RP_ACTION_TO_CALLER:
-        len = RpGeneve_Write(header, NULL, NULL);
-        RpUdp_SendCopy(agent->balancer_side, agent->settings.fabric, header,
-                       len, action->data, action->len);
+        send_action(agent, agent->balancer_side, agent->settings.fabric,
+                    header, len, action);
         break;
-    case RP_ACTION_PASS: {
-        const struct rp_service *service = RpTable_FindName(
-            RpUplink_Table(agent->uplink), &agent->settings.service);
-        len = RpGeneve_Write(header, &service->tag, &action->chain);
-        RpUdp_SendCopy(agent->balancer_side, action->next, header, len,
-                       action->data, action->len);
+    case RP_ACTION_PASS:
+        len = RpGeneve_Write(header, &agent->service->tag, &action->chain);
+        send_action(agent, agent->balancer_side, action->next, header, len,
+                    action);
         break;
     }
-    }
 }
 
 static void
@@ -182,8 +194,10 @@
 {
     enum rp_counter reason;
 
+    agent->received = NULL;
     if (RpGeneve_Parse(data, len, geneve, &reason) &&
         RpPacket_Parse(geneve->inner, geneve->inner_len, packet, &reason)) {
+        agent->received = packet->data;
         return true;
     }
     RpCounters_Add(&agent->daemon.counters, reason);
@@ -294,8 +308,8 @@
     struct agent *agent = user;
     const struct rp_table *table = RpUplink_Table(agent->uplink);
 
-    RpAgent_SetTable(agent->flows, table,
-                     RpTable_FindName(table, &agent->settings.service));
+    agent->service = RpTable_FindName(table, &agent->settings.service);
+    RpAgent_SetTable(agent->flows, table, agent->service);
 }
 
 static const struct rp_uplink_ops uplink_ops = {
@@ -377,13 +391,12 @@
 is_healthy(void *user, GString *why)
 {
     const struct agent *agent = user;
-    const struct rp_table *table = RpUplink_Table(agent->uplink);
 
     if (agent->draining) {
         g_string_append(why, "draining");
         return false;
     }
-    if (!RpTable_FindName(table, &agent->settings.service)) {
+    if (!agent->service) {
         g_string_append(why, "no document for this service yet");
         return false;
     }
@@ -424,7 +437,12 @@
                                   &agent->daemon.counters, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
-    return agent->balancer_side && agent->host_side;
+    if (!agent->balancer_side || !agent->host_side) {
+        return false;
+    }
+    RpUdp_SetPartner(agent->balancer_side, agent->host_side);
+    RpUdp_SetPartner(agent->host_side, agent->balancer_side);
+    return true;
 }
 
 static void
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -183,13 +183,19 @@
 static void
 expire_leases(struct control *control, int64_t now)
 {
-    struct rp_name service;
-
-    while (RpRegistry_Expire(control->registry, now, &service)) {
+    struct rp_msg msg = {.type = RP_MSG_ANNOUNCE};
+
+    while (RpRegistry_Expire(control->registry, now, &msg.announce)) {
+        RpDistribution_Touch(control->distribution, now,
+                             &msg.announce.service);
+        if (msg.announce.state != RP_UPSTREAM_LOST) {
+            continue;
+        }
         RpCounters_Add(&control->daemon.counters, RP_COUNT_LEASE_EXPIRED);
         RpLog_Event(control->daemon.log, RP_LOG_WARN, "upstream_lease_over",
-                    "service=%s", service.data);
-        RpDistribution_Touch(control->distribution, now, &service);
+                    "upstream=%s service=%s", msg.announce.upstream.data,
+                    msg.announce.service.data);
+        RpControlLinks_SendAll(control->links, &msg);
     }
 }
 
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -47,9 +47,11 @@
 /* Closes the connections of all nodes, so that they try another replica. */
 void RpControl_SendNodesAway(struct control *control);
 
-/* Merges an announcement and tells those whom it concerns. */
+/* Merges an announcement and tells those whom it concerns; `via` is the
+ * replica that passed it on, or NULL. */
 void RpControl_Announce(struct control *control,
-                        const struct rp_msg_announce *announce, bool direct);
+                        const struct rp_msg_announce *announce,
+                        const struct rp_name *via);
 
 /* control_links.c: connections to the other replicas. */
 struct control_links *RpControlLinks_Create(struct control *control);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -45,14 +45,31 @@
     return links;
 }
 
+/* Tells a replica that was not there before of all upstreams heard here. */
+static void
+send_upstreams(const struct control *control, struct rp_conn *conn)
+{
+    GPtrArray *list = RpRegistry_List(control->registry, NULL);
+
+    for (guint i = 0; i < list->len; i++) {
+        const struct rp_upstream *upstream = g_ptr_array_index(list, i);
+        const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE,
+                                   .announce = upstream->last};
+        if (upstream->via.len == 0) {
+            RpConn_Send(conn, &msg);
+        }
+    }
+    g_ptr_array_unref(list);
+}
+
 static void
 on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
 {
     struct link *link = user;
 
-    (void)conn;
     link->ready = true;
     link->name = hello->name;
+    send_upstreams(link->links->control, conn);
     RpLog_Event(link->links->control->daemon.log, RP_LOG_INFO,
                 "replica_connected", "peer=%s", hello->name.data);
 }
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -173,7 +173,8 @@
 
 void
 RpControl_Announce(struct control *control,
-                   const struct rp_msg_announce *announce, bool direct)
+                   const struct rp_msg_announce *announce,
+                   const struct rp_name *via)
 {
     int64_t now = g_get_monotonic_time();
     struct rp_counters *counters = &control->daemon.counters;
@@ -185,17 +186,19 @@
         old_service = known->last.service;
     }
     enum rp_registry_change change = RpRegistry_Merge(control->registry, now,
-                                                      announce, direct);
+                                                      announce, via);
     if (change == RP_REGISTRY_STALE || change == RP_REGISTRY_REFUSED) {
         RpCounters_Add(counters, RP_COUNT_ANNOUNCE_STALE);
         return;
     }
     RpCounters_Add(counters, RP_COUNT_ANNOUNCE_ACCEPTED);
-    const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE, .announce = *announce};
-    RpControlLinks_SendAll(control->links, &msg);
     if (change != RP_REGISTRY_CHANGED) {
         return;
     }
+    const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE, .announce = *announce};
+    if (!via) {
+        RpControlLinks_SendAll(control->links, &msg);
+    }
     RpLog_Event(control->daemon.log, RP_LOG_INFO, "upstream_announced",
                 "upstream=%s service=%s state=%s slots=%u",
                 announce->upstream.data, announce->service.data,
@@ -297,6 +300,7 @@
     if (client->hello.role == RP_ROLE_CONTROL) {
         RpControlLinks_Report(control->links, now, &client->hello.name,
                               revision);
+        RpRegistry_ReplicaSeen(control->registry, now, &client->hello.name);
         return;
     }
     RpDistribution_Confirm(control->distribution, now,
@@ -317,8 +321,9 @@
         on_query(control, client, &msg->query);
         break;
     case RP_MSG_ANNOUNCE:
-        RpControl_Announce(control, &msg->announce,
-                           client->hello.role == RP_ROLE_AGENT);
+        RpControl_Announce(
+            control, &msg->announce,
+            client->hello.role == RP_ROLE_AGENT ? NULL : &client->hello.name);
         break;
     case RP_MSG_SUBSCRIBE:
         RpDistribution_Subscribe(control->distribution, now,
--- a/programs/shared/rp_udp.c
+++ b/programs/shared/rp_udp.c
@@ -23,6 +23,7 @@
 struct rp_udp {
     GSocket *socket;
     guint source;
+    struct rp_udp *partner;
     RpUdp_Receive receive;
     void *user;
     struct rp_counters *counters;
@@ -82,6 +83,9 @@
             udp->in[i].msg_hdr.msg_namelen = sizeof udp->in_from[i];
         }
         RpUdp_Flush(udp);
+        if (udp->partner) {
+            RpUdp_Flush(udp->partner);
+        }
         if (got < RP_UDP_BATCH) {
             break;
         }
@@ -184,6 +188,12 @@
     RpUdp_Flush(udp);
 }
 
+void
+RpUdp_SetPartner(struct rp_udp *udp, struct rp_udp *partner)
+{
+    udp->partner = partner;
+}
+
 void
 RpUdp_Flush(struct rp_udp *udp)
 {
--- a/programs/shared/rp_udp.h
+++ b/programs/shared/rp_udp.h
@@ -44,6 +44,10 @@
                     const uint8_t *header, size_t header_len,
                     const uint8_t *body, size_t body_len);
 
+/* At the end of a batch received by `udp`, what is queued on `partner` is
+ * sent, too, so that bodies received by one may be queued on the other. */
+void RpUdp_SetPartner(struct rp_udp *udp, struct rp_udp *partner);
+
 /* Sends what is queued. Called by itself at the end of a batch. */
 void RpUdp_Flush(struct rp_udp *udp);
 
--- a/tests/measure/run.sh
+++ b/tests/measure/run.sh
@@ -4,4 +4,5 @@
 set -eu
 cd "$(dirname "$0")/../.."
 BUILD=${BUILD:-build}
+"$BUILD/tests/measure-cost"
 "$BUILD/tests/measure-placement" "${SEEDS:-20}"
