upstream drain and resume from the command line

Cause: an operator could drain an upstream only by stopping its agent. Ruled out: a durable drain in the catalogue (soft state belongs to the agent; a drain that outlives the agent would need an operator to know of it).

--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -284,6 +284,19 @@
 static const struct rp_schema rp_msg_join_schema = RP_SCHEMA(rp_msg_join,
                                                              join_fields);
 
+static const struct rp_field order_fields[] = {
+    NAME(rp_msg_order, upstream),
+    UINT(rp_msg_order, draining),
+};
+static const struct rp_schema rp_msg_order_schema = RP_SCHEMA(rp_msg_order,
+                                                              order_fields);
+
+static const struct rp_field order_reply_fields[] = {
+    UINT(rp_msg_order_reply, code),
+};
+static const struct rp_schema rp_msg_order_reply_schema = RP_SCHEMA(
+    rp_msg_order_reply, order_reply_fields);
+
 static const struct rp_schema *const schemas[RP_MSG_TYPE_COUNT] = {
 #define RP_MSG_SCHEMA(symbol, member)                                         \
     [RP_MSG_##symbol] = &rp_msg_##member##_schema,
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -228,6 +228,18 @@
     uint64_t number;
 };
 
+/* Operator to control, and control to the agent: drain this upstream, or
+ * let it take new flows again. */
+struct rp_msg_order {
+    struct rp_name upstream;
+    uint8_t draining;
+};
+
+/* Control to operator. */
+struct rp_msg_order_reply {
+    uint8_t code; /* enum rp_code; RP_ERR_NOT_FOUND: not connected here */
+};
+
 /* What an entry of the replicated log holds. */
 enum rp_entry_kind {
     RP_ENTRY_COMMAND = 1, /* for the state machine */
@@ -347,7 +359,9 @@
     X(APPEND_REPLY, append_reply)                                             \
     X(SNAPSHOT, snapshot)                                                     \
     X(SNAPSHOT_REPLY, snapshot_reply)                                         \
-    X(JOIN, join)
+    X(JOIN, join)                                                             \
+    X(ORDER, order)                                                           \
+    X(ORDER_REPLY, order_reply)
 /* clang-format on */
 
 enum rp_msg_type {
--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -88,6 +88,8 @@
 int RpCli_ServiceList(int argc, char **argv);
 int RpCli_ServiceGet(int argc, char **argv);
 int RpCli_ServiceStatus(int argc, char **argv);
+int RpCli_UpstreamDrain(int argc, char **argv);
+int RpCli_UpstreamResume(int argc, char **argv);
 int RpCli_Status(int argc, char **argv);
 
 #endif
--- a/programs/cli/main.c
+++ b/programs/cli/main.c
@@ -19,6 +19,9 @@
     {"service", "status", RpCli_ServiceStatus,
      "show a service's upstreams and where its document is in force"},
     {"service", "delete", RpCli_ServiceDelete, "remove a service"},
+    {"upstream", "drain", RpCli_UpstreamDrain,
+     "let an upstream finish its flows and take no new ones"},
+    {"upstream", "resume", RpCli_UpstreamResume, "let it take new ones again"},
     {NULL, "status", RpCli_Status, "one look at the whole system"},
 };
 
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -312,9 +312,6 @@
     RpAgent_SetTable(agent->flows, table, agent->service);
 }
 
-static const struct rp_uplink_ops uplink_ops = {
-    .connected = on_connected, .table_changed = on_table_changed};
-
 static void
 set_draining(struct agent *agent, bool draining)
 {
@@ -329,6 +326,22 @@
     announce(agent);
 }
 
+/* An order does not take back a stop that has begun. */
+static void
+on_order(void *user, const struct rp_msg_order *order)
+{
+    struct agent *agent = user;
+
+    if (agent->drain_deadline == RP_NEVER) {
+        set_draining(agent, order->draining);
+    }
+}
+
+static const struct rp_uplink_ops uplink_ops = {
+    .connected = on_connected,
+    .table_changed = on_table_changed,
+    .ordered = on_order};
+
 /* A stop request drains the upstream first. */
 static void
 on_stop(void *user)
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -264,6 +264,32 @@
     RpMsg_Clear(&msg);
 }
 
+/* Passes an order on to the agent, if it is connected here. */
+static void
+on_order(struct control *control, const struct client *operator_client,
+         const struct rp_msg *order)
+{
+    struct rp_msg reply = {.type = RP_MSG_ORDER_REPLY,
+                           .order_reply = {.code = RP_ERR_NOT_FOUND}};
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->clients);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct client *client = value;
+        if (client->hello.role == RP_ROLE_AGENT &&
+            RpName_Equal(&client->hello.name, &order->order.upstream)) {
+            RpConn_Send(client->conn, order);
+            reply.order_reply.code = RP_OK;
+        }
+    }
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "upstream_ordered",
+                "upstream=%s draining=%d result=%s",
+                order->order.upstream.data, order->order.draining,
+                RpCode_Name((enum rp_code)reply.order_reply.code));
+    RpConn_Send(operator_client->conn, &reply);
+}
+
 /* Whether a peer of this role may send this message. */
 static bool
 is_allowed(uint8_t role, enum rp_msg_type type)
@@ -271,6 +297,7 @@
     switch (type) {
     case RP_MSG_CHANGE:
     case RP_MSG_QUERY:
+    case RP_MSG_ORDER:
         return role == RP_ROLE_OPERATOR;
     case RP_MSG_ANNOUNCE:
         return role == RP_ROLE_AGENT || role == RP_ROLE_CONTROL;
@@ -320,6 +347,9 @@
     case RP_MSG_QUERY:
         on_query(control, client, &msg->query);
         break;
+    case RP_MSG_ORDER:
+        on_order(control, client, msg);
+        break;
     case RP_MSG_ANNOUNCE:
         RpControl_Announce(
             control, &msg->announce,
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -97,6 +97,10 @@
         apply_table(uplink, &msg->table);
         return;
     }
+    if (msg->type == RP_MSG_ORDER && uplink->ops->ordered) {
+        uplink->ops->ordered(uplink->user, &msg->order);
+        return;
+    }
     RpCounters_Add(&uplink->daemon->counters, RP_COUNT_FRAME_UNEXPECTED);
     RpConn_Close(conn);
 }
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -15,6 +15,8 @@
 struct rp_uplink_ops {
     void (*connected)(void *user);
     void (*table_changed)(void *user);
+    /* An operator's order; NULL where none is expected. */
+    void (*ordered)(void *user, const struct rp_msg_order *order);
 };
 
 /* `service` is empty for all services. Everything passed is borrowed. */
--- a/tests/measure/cost.c
+++ b/tests/measure/cost.c
@@ -224,8 +224,7 @@
             RpPacket_Parse(bytes, 40 + PAYLOAD, &packet, &reason);
         }
         int64_t end = now_ns();
-        double each =
-            (double)((middle - start) - (end - middle)) / PACKETS;
+        double each = (double)((middle - start) - (end - middle)) / PACKETS;
         printf("cost agent flows=%u ns_per_packet=%.1f bytes_per_flow=%.1f\n",
                sizes[i], each, (double)RpAgent_Bytes(agent) / sizes[i]);
         RpAgent_Free(agent);
@@ -310,8 +309,8 @@
     size_t header_len = RpGeneve_Write(datagram, NULL, NULL);
     for (unsigned round = 0; round < RELAY_ROUNDS; round++) {
         for (unsigned i = 0; i < RP_UDP_BATCH; i++) {
-            size_t len = header_len + make_packet(datagram + header_len, 3,
-                                                  i, RP_TCP_ACK);
+            size_t len = header_len +
+                         make_packet(datagram + header_len, 3, i, RP_TCP_ACK);
             sendto(source, datagram, len, 0, (struct sockaddr *)&to,
                    sizeof to);
         }
@@ -348,8 +347,7 @@
 }
 
 static void
-fill_announce(struct rp_msg_announce *news, unsigned number,
-              uint64_t sequence)
+fill_announce(struct rp_msg_announce *news, unsigned number, uint64_t sequence)
 {
     *news = (struct rp_msg_announce){.agent_ip = 0x0b000000 + number,
                                      .agent_port = 6081,
@@ -422,9 +420,9 @@
     change.id[8] = salt;
     change.document = g_string_new(text);
     GString *command = RpCatalog_EncodeChange(&change);
-    RpCatalog_Apply(
-        catalog,
-        (struct rp_str){.data = command->str, .len = command->len}, NULL);
+    RpCatalog_Apply(catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    NULL);
     g_string_free(command, TRUE);
     g_string_free(change.document, TRUE);
     g_free(text);
@@ -441,8 +439,8 @@
         unsigned hosts = sizes[i] * 18000 / 4600;
         struct rp_catalog *catalog = RpCatalog_Create();
         struct rp_registry *registry = RpRegistry_Create();
-        struct rp_distribution *distribution =
-            RpDistribution_Create(catalog, registry, count_sent, NULL);
+        struct rp_distribution *distribution = RpDistribution_Create(
+            catalog, registry, count_sent, NULL);
         const struct rp_msg_subscribe all = {.revision = 0};
         struct rp_msg_hello hello = {.role = RP_ROLE_BALANCER};
         struct rp_name service;
@@ -509,8 +507,8 @@
 measure_session(void)
 {
     static const unsigned sizes[] = {50, 500, 5000, 50000};
-    static const struct rp_keyring keys = {
-        .key = {RP_STR("0123456789abcdef")}, .count = 1};
+    static const struct rp_keyring keys = {.key = {RP_STR("0123456789abcdef")},
+                                           .count = 1};
     static const uint8_t nonce[RP_NONCE_SIZE] = "nonce";
     const struct rp_msg hello = {.type = RP_MSG_HELLO,
                                  .hello = {.version = 1}};
--- a/tests/runs/flows.sh
+++ b/tests/runs/flows.sh
@@ -68,6 +68,14 @@
 agent 3
 wait_until 10 has_ready lens-desk 4 || fail "upstream 3 did not join"
 
+say "upstream 1 is drained by order and resumed"
+cli upstream drain upstream-1 || fail "drain"
+wait_until 3 has_ready lens-desk 3 || fail "drain not announced within 3 s"
+cli upstream resume upstream-1 || fail "resume"
+wait_until 3 has_ready lens-desk 4 || fail "resume not announced within 3 s"
+cli upstream drain nobody 2> /dev/null
+[ $? = 1 ] || fail "an unknown upstream was drained"
+
 say "upstream 0 drains: open flows go on, new ones go elsewhere"
 before=$(grep -c reading "$RUN/server-0.log")
 kill -TERM "${PIDS[agent-0]}"
