--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -84,13 +84,19 @@
     replica->voted_for = voted_for;
 }
 
-void
+enum rp_code
 RpReplica_LoadEntry(struct rp_replica *replica,
                     const struct rp_log_entry *entry)
 {
-    if (entry->index == RpLog_LastIndex(replica) + 1) {
+    uint64_t next = RpLog_LastIndex(replica) + 1;
+
+    if (entry->index > next) {
+        return RP_ERR_CORRUPT;
+    }
+    if (entry->index == next) {
         RpLog_Add(replica, entry);
     }
+    return RP_OK;
 }
 
 void
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -72,11 +72,12 @@
 
 void RpReplica_Free(struct rp_replica *replica);
 
-/* What was stored before, in the order in which it was stored. */
+/* What was stored before, in the order in which it was stored. An entry that
+ * leaves a gap is RP_ERR_CORRUPT: something that was stored is missing. */
 void RpReplica_LoadVote(struct rp_replica *replica, uint64_t term,
                         uint64_t voted_for);
-void RpReplica_LoadEntry(struct rp_replica *replica,
-                         const struct rp_log_entry *entry);
+enum rp_code RpReplica_LoadEntry(struct rp_replica *replica,
+                                 const struct rp_log_entry *entry);
 void RpReplica_LoadTruncate(struct rp_replica *replica, uint64_t index);
 void RpReplica_LoadSnapshot(struct rp_replica *replica,
                             const struct rp_snapshot *snapshot);
--- a/lib/state/rp_replica_log.c
+++ b/lib/state/rp_replica_log.c
@@ -110,14 +110,14 @@
     bool agrees = RpLog_TermAt(replica, snapshot->index, &term) &&
                   term == snapshot->term;
 
-    if (agrees && snapshot->index >= first) {
-        /* Keep the entries behind it. */
+    /* Entries behind the snapshot stay if the log leads up to it. */
+    if (!agrees) {
+        g_ptr_array_set_size(replica->log, 0);
+    }
+    else if (snapshot->index >= first) {
         g_ptr_array_remove_range(replica->log, 0,
                                  (guint)(snapshot->index - first + 1));
     }
-    else {
-        g_ptr_array_set_size(replica->log, 0);
-    }
     struct rp_snapshot *copy = RpLog_CopySnapshot(snapshot);
     RpLog_FreeSnapshot(replica->snapshot);
     replica->snapshot = copy;
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -74,9 +74,9 @@
     if (!RpSchema_Decode(&rp_log_entry_schema, payload, &entry)) {
         return RP_ERR_FORMAT;
     }
-    RpReplica_LoadEntry(self->replica, &entry);
+    enum rp_code code = RpReplica_LoadEntry(self->replica, &entry);
     RpSchema_Clear(&rp_log_entry_schema, &entry);
-    return RP_OK;
+    return code;
 }
 
 static enum rp_code
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -22,6 +22,10 @@
 #define FAULT_STEPS 1500
 #define CALM_STEPS 1500
 #define DEFAULT_SEEDS 250
+
+/* Seeds beyond those that found a fault once. */
+static const uint32_t extra_seeds[] = {852,  1318, 1572, 2418, 5066, 5446,
+                                       6424, 7566, 7622, 8090, 9716};
 #define MAX_FLIGHTS 2000
 #define COMPACT_EVERY 40 /* applied entries */
 
@@ -193,7 +197,8 @@
         assert_true(RpSchema_Decode(
             &rp_log_entry_schema,
             (struct rp_str){.data = bytes->str, .len = bytes->len}, &entry));
-        RpReplica_LoadEntry(replica, &entry);
+        CHECK(world, RpReplica_LoadEntry(replica, &entry) == RP_OK,
+              "a stored entry is missing");
         RpSchema_Clear(&rp_log_entry_schema, &entry);
     }
     instance->replica = replica;
@@ -652,6 +657,9 @@
     for (uint32_t seed = first; seed <= last; seed++) {
         acknowledged += run_seed(seed);
     }
+    for (size_t i = 0; !one && !many && i < G_N_ELEMENTS(extra_seeds); i++) {
+        acknowledged += run_seed(extra_seeds[i]);
+    }
     print_message("%u seeds, %u commands acknowledged, all there once\n",
                   last - first + 1, acknowledged);
 }
