--- /dev/null
+++ b/tests/unit/test_distribution.c
@@ -0,0 +1,288 @@
+/* Distribution: who is sent what, and who is not. Also seeded mutations of
+ * documents, commands, snapshots and journal files. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_distribution.h"
+#include "rp_journal.h"
+
+#define LENS "[service]\nname = lens-desk\naddress = 10.80.0.1:7000\n"
+#define SHELF "[service]\nname = photo-shelf\naddress = 10.80.0.2:7000\n"
+
+/* What was sent, as text: one "connection:kind services removed rN" each. */
+struct fixture {
+    struct rp_catalog *catalog;
+    struct rp_registry *registry;
+    struct rp_distribution *distribution;
+    GString *sent;
+    uint8_t next_id;
+};
+
+static void
+note_sent(void *user, uint64_t connection, const struct rp_msg *msg)
+{
+    struct fixture *fixture = user;
+    const struct rp_msg_table *table = &msg->table;
+
+    assert_int_equal(msg->type, RP_MSG_TABLE);
+    g_string_append_printf(
+        fixture->sent,
+        "%" G_GUINT64_FORMAT ":%s %u-%u r%" G_GUINT64_FORMAT ";", connection,
+        table->complete ? "whole" : "change", table->services->len,
+        table->removed->len, table->revision);
+}
+
+static int
+set_up(void **state)
+{
+    struct fixture *fixture = g_new0(struct fixture, 1);
+
+    fixture->catalog = RpCatalog_Create();
+    fixture->registry = RpRegistry_Create();
+    fixture->distribution = RpDistribution_Create(
+        fixture->catalog, fixture->registry, note_sent, fixture);
+    fixture->sent = g_string_new(NULL);
+    *state = fixture;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    struct fixture *fixture = *state;
+
+    RpDistribution_Free(fixture->distribution);
+    RpRegistry_Free(fixture->registry);
+    RpCatalog_Free(fixture->catalog);
+    g_string_free(fixture->sent, TRUE);
+    g_free(fixture);
+    return 0;
+}
+
+/* Applies a document (or deletes `name`) and tells the distribution. */
+static void
+change(struct fixture *fixture, int64_t now, const char *document,
+       const char *name)
+{
+    struct rp_msg_change request = {.id = {++fixture->next_id},
+                                    .kind = document ? RP_CHANGE_APPLY
+                                                     : RP_CHANGE_DELETE};
+    struct rp_msg_change_reply reply = {0};
+
+    RpName_Set(&request.service, RpStr_FromC(name));
+    request.document = g_string_new(document);
+    GString *command = RpCatalog_EncodeChange(&request);
+    RpCatalog_Apply(fixture->catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    &reply);
+    assert_int_equal(reply.code, RP_OK);
+    if (document) {
+        RpDistribution_Touch(fixture->distribution, now, &reply.service);
+    }
+    else {
+        RpDistribution_Remove(fixture->distribution, now, &reply.service,
+                              reply.service_id);
+    }
+    g_string_free(command, TRUE);
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+    RpSchema_Clear(&rp_msg_change_schema, &request);
+}
+
+static void
+subscribe(struct fixture *fixture, int64_t now, uint64_t connection,
+          const char *node, const char *service, uint64_t revision)
+{
+    struct rp_msg_hello hello = {.role = RP_ROLE_BALANCER};
+    struct rp_msg_subscribe wish = {.revision = revision};
+
+    RpName_Set(&hello.name, RpStr_FromC(node));
+    RpName_Set(&wish.service, RpStr_FromC(service));
+    RpDistribution_Subscribe(fixture->distribution, now, connection, &hello,
+                             &wish);
+}
+
+/* What is sent by the flush at `now`. */
+static void
+assert_flush(struct fixture *fixture, int64_t now, const char *expected)
+{
+    g_string_truncate(fixture->sent, 0);
+    RpDistribution_Flush(fixture->distribution, now);
+    assert_string_equal(fixture->sent->str, expected);
+}
+
+static void
+test_tables_and_changes(void **state)
+{
+    struct fixture *fixture = *state;
+    struct rp_distribution *distribution = fixture->distribution;
+    int64_t batch = RP_TABLE_BATCH_US;
+
+    RpDistribution_SetFresh(distribution, 0, true);
+    change(fixture, 0, LENS, "");
+    subscribe(fixture, 0, 1, "balancer-1", "", 0);
+    assert_flush(fixture, 0, "1:whole 1-0 r1;");
+    /* Several changes within the batch time are one message. */
+    change(fixture, 1, SHELF, "");
+    change(fixture, 2, LENS "# again\n", "");
+    assert_flush(fixture, 2, "");
+    assert_flush(fixture, batch + 1, "1:change 2-0 r3;");
+    /* A node of one service hears of the others only by revision. */
+    subscribe(fixture, batch + 2, 2, "agent-1", "lens-desk", 0);
+    assert_flush(fixture, batch + 2, "2:whole 1-0 r3;");
+    change(fixture, batch + 3, NULL, "photo-shelf");
+    g_string_truncate(fixture->sent, 0);
+    RpDistribution_Flush(distribution, 2 * batch + 3);
+    assert_non_null(strstr(fixture->sent->str, "1:change 0-1 r4;"));
+    assert_non_null(strstr(fixture->sent->str, "2:change 0-0 r4;"));
+}
+
+static void
+test_confirmations(void **state)
+{
+    struct fixture *fixture = *state;
+    struct rp_distribution *distribution = fixture->distribution;
+
+    RpDistribution_SetFresh(distribution, 0, true);
+    change(fixture, 0, LENS, "");
+    subscribe(fixture, 0, 1, "balancer-1", "", 0);
+    subscribe(fixture, 0, 2, "balancer-2", "", 0);
+    RpDistribution_Flush(distribution, 0);
+    assert_int_equal(RpDistribution_LowestConfirmed(distribution), 0);
+    RpDistribution_Confirm(distribution, 1, 1, 1);
+    assert_int_equal(RpDistribution_LowestConfirmed(distribution), 0);
+    RpDistribution_Confirm(distribution, 1, 2, 1);
+    assert_int_equal(RpDistribution_LowestConfirmed(distribution), 1);
+    /* An older confirmation that comes late takes nothing back. */
+    RpDistribution_Confirm(distribution, 1, 2, 0);
+    assert_int_equal(RpDistribution_LowestConfirmed(distribution), 1);
+    /* A node that is away does not hold an address back for ever, but it
+     * is still listed. */
+    change(fixture, 2, SHELF, "");
+    RpDistribution_Confirm(distribution, 3, 1, 2);
+    RpDistribution_Disconnect(distribution, 3, 2);
+    assert_int_equal(RpDistribution_LowestConfirmed(distribution), 2);
+    GArray *nodes = RpDistribution_Nodes(distribution, 4);
+    assert_int_equal(nodes->len, 2);
+    g_array_free(nodes, TRUE);
+}
+
+/* Who gets a first table from a replica that is not fresh, or older. */
+static void
+test_first_tables(void **state)
+{
+    static const struct {
+        bool fresh;
+        uint64_t runs; /* the revision that the node runs; 0: none */
+        const char *sent;
+    } cases[] = {
+        {true, 0, "1:whole 1-0 r1;"},
+        {true, 1, "1:whole 1-0 r1;"},
+        {true, 9, ""}, /* this replica is behind the node */
+        {false, 0, ""},
+        {false, 1, "1:whole 1-0 r1;"},
+        {false, 9, ""},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        tear_down(state);
+        set_up(state);
+        struct fixture *fixture = *state;
+        change(fixture, 0, LENS, "");
+        RpDistribution_SetFresh(fixture->distribution, 0, cases[i].fresh);
+        subscribe(fixture, 0, 1, "node", "", cases[i].runs);
+        assert_flush(fixture, 0, cases[i].sent);
+        /* What was held back is sent once the replica is fresh. */
+        RpDistribution_SetFresh(fixture->distribution, 1, true);
+        bool late = !cases[i].fresh && cases[i].runs == 0;
+        assert_flush(fixture, 1, late ? "1:whole 1-0 r1;" : "");
+    }
+}
+
+static GString *
+mutate(const GString *good, GRand *dice)
+{
+    GString *bad = g_string_new_len(good->str, (gssize)good->len);
+    int changes = g_rand_int_range(dice, 1, 5);
+
+    for (int i = 0; i < changes; i++) {
+        gint32 place = g_rand_int_range(dice, 0, (gint32)bad->len);
+        bad->str[place] = (char)g_rand_int_range(dice, 0, 256);
+    }
+    g_string_truncate(bad,
+                      (gsize)g_rand_int_range(dice, 1, (gint32)bad->len + 1));
+    return bad;
+}
+
+/* Decoders of what comes from teams, peers and disks survive anything. */
+static void
+test_mutations(void **state)
+{
+    struct fixture *fixture = *state;
+    gchar *folder = g_dir_make_tmp("rp-mutation-XXXXXX", NULL);
+    gchar *file = g_build_filename(folder, "journal", NULL);
+    const struct rp_record record = {.kind = 1, .payload = RP_STR(LENS)};
+    struct rp_journal *journal = RpJournal_Open(folder, NULL, NULL, NULL);
+    GString *document = g_string_new(LENS "[limits]\nretries-percent = 5\n");
+    gchar *content;
+    gsize len;
+
+    change(fixture, 0, LENS, "");
+    change(fixture, 0, SHELF, "");
+    GString *snapshot = RpCatalog_Snapshot(fixture->catalog);
+    RpJournal_Append(journal, &record);
+    RpJournal_Append(journal, &record);
+    RpJournal_Sync(journal, NULL);
+    RpJournal_Close(journal);
+    assert_true(g_file_get_contents(file, &content, &len, NULL));
+    GString *stored = g_string_new_len(content, (gssize)len);
+
+    for (guint32 seed = 0; seed < 2000; seed++) {
+        GRand *dice = g_rand_new_with_seed(seed);
+        GString *bad = mutate(document, dice);
+        struct rp_document parsed;
+        struct rp_error error;
+        RpError_Init(&error);
+        RpDocument_Parse((struct rp_str){bad->str, bad->len}, &parsed, &error);
+        RpError_Clear(&error);
+        g_string_free(bad, TRUE);
+
+        bad = mutate(snapshot, dice);
+        struct rp_catalog *catalog = RpCatalog_Create();
+        RpCatalog_Restore(catalog, (struct rp_str){bad->str, bad->len});
+        RpCatalog_Apply(catalog, (struct rp_str){bad->str, bad->len}, NULL);
+        RpCatalog_Free(catalog);
+        g_string_free(bad, TRUE);
+
+        bad = mutate(stored, dice);
+        struct rp_journal_report report;
+        g_file_set_contents(file, bad->str, (gssize)bad->len, NULL);
+        RpJournal_Check(folder, &report, NULL);
+        g_string_free(bad, TRUE);
+        g_rand_free(dice);
+    }
+    g_string_free(document, TRUE);
+    g_string_free(snapshot, TRUE);
+    g_string_free(stored, TRUE);
+    g_free(content);
+    g_remove(file);
+    g_rmdir(folder);
+    g_free(file);
+    g_free(folder);
+}
+
+int
+main(void)
+{
+#define TEST(function)                                                        \
+    cmocka_unit_test_setup_teardown(function, set_up, tear_down)
+    const struct CMUnitTest tests[] = {
+        TEST(test_tables_and_changes),
+        TEST(test_confirmations),
+        TEST(test_first_tables),
+        TEST(test_mutations),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
