Bodies are scanned before the library decodes them

Cause: under the address sanitizer the mutation runs of test_wire and test_distribution ended: a body of a few bytes may claim an array of four billion entries, and msgpack-c allocates by the claim (0x4000000008 bytes). Ruled out: limits in the library (its C interface has none). Change: RpSchema_IsSane takes only the kinds that are used, arrays no longer than the bytes there are, at most 8 deep.

Conclusion: a peer with the key cannot make a process ask for memory.

--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -352,6 +352,9 @@
     size_t offset = 0;
 
     memset(msg, 0, sizeof *msg);
+    if (!RpSchema_IsSane(bytes)) {
+        return false;
+    }
     msgpack_unpacked_init(&unpacked);
     bool good = msgpack_unpack_next(&unpacked, bytes.data, bytes.len,
                                     &offset) == MSGPACK_UNPACK_SUCCESS &&
--- a/lib/wire/rp_schema.c
+++ b/lib/wire/rp_schema.c
@@ -3,6 +3,18 @@
 #include <assert.h>
 #include <string.h>
 
+/* First bytes of msgpack values. */
+#define TAG_FIXED_NUMBER_LAST 0x7f
+#define TAG_FIXED_ARRAY 0x90
+#define TAG_FIXED_ARRAY_LAST 0x9f
+#define TAG_BIN8 0xc4
+#define TAG_BIN16 0xc5
+#define TAG_BIN32 0xc6
+#define TAG_UINT8 0xcc
+#define TAG_UINT64 0xcf
+#define TAG_ARRAY16 0xdc
+#define TAG_ARRAY32 0xdd
+
 /* The unsigned number in a member of 1, 2, 4 or 8 bytes. */
 static uint64_t
 load_uint(const void *member, size_t size)
@@ -89,6 +101,99 @@
     }
 }
 
+/* What is left of a value that is being scanned. */
+struct scan {
+    const uint8_t *at;
+    size_t left;
+};
+
+/* Takes a big-endian number of `size` bytes; false at the end. */
+static bool
+take_number(struct scan *scan, size_t size, uint64_t *number)
+{
+    if (scan->left < size) {
+        return false;
+    }
+    *number = 0;
+    for (size_t i = 0; i < size; i++) {
+        *number = *number << 8 | scan->at[i];
+    }
+    scan->at += size;
+    scan->left -= size;
+    return true;
+}
+
+static bool
+skip(struct scan *scan, uint64_t len)
+{
+    if (scan->left < len) {
+        return false;
+    }
+    scan->at += len;
+    scan->left -= len;
+    return true;
+}
+
+static bool scan_value(struct scan *scan, unsigned depth);
+
+static bool
+scan_array(struct scan *scan, uint64_t count, unsigned depth)
+{
+    if (count > scan->left || depth >= RP_DEPTH_MAX) {
+        return false;
+    }
+    while (count-- > 0) {
+        if (!scan_value(scan, depth + 1)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+scan_value(struct scan *scan, unsigned depth)
+{
+    uint64_t tag;
+    uint64_t number;
+
+    if (!take_number(scan, 1, &tag)) {
+        return false;
+    }
+    if (tag <= TAG_FIXED_NUMBER_LAST) {
+        return true;
+    }
+    if (tag >= TAG_FIXED_ARRAY && tag <= TAG_FIXED_ARRAY_LAST) {
+        return scan_array(scan, tag - TAG_FIXED_ARRAY, depth);
+    }
+    if (tag >= TAG_UINT8 && tag <= TAG_UINT64) {
+        return skip(scan, UINT64_C(1) << (tag - TAG_UINT8));
+    }
+    switch (tag) {
+    case TAG_BIN8:
+        return take_number(scan, 1, &number) && skip(scan, number);
+    case TAG_BIN16:
+        return take_number(scan, 2, &number) && skip(scan, number);
+    case TAG_BIN32:
+        return take_number(scan, 4, &number) && skip(scan, number);
+    case TAG_ARRAY16:
+        return take_number(scan, 2, &number) &&
+               scan_array(scan, number, depth);
+    case TAG_ARRAY32:
+        return take_number(scan, 4, &number) &&
+               scan_array(scan, number, depth);
+    default:
+        return false;
+    }
+}
+
+bool
+RpSchema_IsSane(struct rp_str bytes)
+{
+    struct scan scan = {.at = (const uint8_t *)bytes.data, .left = bytes.len};
+
+    return scan_value(&scan, 0) && scan.left == 0;
+}
+
 void
 RpSchema_Pack(const struct rp_schema *schema, const void *data,
               msgpack_packer *packer)
@@ -225,6 +330,9 @@
     size_t offset = 0;
 
     memset(data, 0, schema->size);
+    if (!RpSchema_IsSane(bytes)) {
+        return false;
+    }
     msgpack_unpacked_init(&unpacked);
     bool good = msgpack_unpack_next(&unpacked, bytes.data, bytes.len,
                                     &offset) == MSGPACK_UNPACK_SUCCESS &&
--- a/lib/wire/rp_schema.h
+++ b/lib/wire/rp_schema.h
@@ -16,6 +16,7 @@
 #include "rp_str.h"
 
 #define RP_LIST_MAX 65536 /* entries of one list */
+#define RP_DEPTH_MAX 8    /* arrays within arrays */
 
 enum rp_field_kind {
     RP_FIELD_UINT, /* uint8_t to uint64_t, by the member's size */
@@ -57,6 +58,12 @@
         .required = G_N_ELEMENTS(fields_), .size = sizeof(struct type_)       \
     }
 
+/* Whether bytes are one whole value of the kinds used here (unsigned
+ * numbers, byte strings, arrays) with no array that claims more entries than
+ * there are bytes. The library allocates by the claim, so this comes before
+ * any call of it. */
+bool RpSchema_IsSane(struct rp_str bytes);
+
 /* Appends the struct at `data` to `packer`. */
 void RpSchema_Pack(const struct rp_schema *schema, const void *data,
                    msgpack_packer *packer);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -335,6 +335,36 @@
     }
 }
 
+static void
+test_sane_bodies(void **state)
+{
+    static const struct {
+        const char *bytes;
+        size_t len;
+        bool sane;
+    } cases[] = {
+        {"\x07", 1, true},
+        {"\xcd\x01\x02", 3, true},
+        {"\xcd\x01", 2, false}, /* a number cut short */
+        {"\x07\x07", 2, false}, /* two values */
+        {"", 0, false},
+        {"\x92\x01\xc4\x02hi", 6, true},    /* [1, "hi"] */
+        {"\x92\x01", 2, false},             /* an entry is missing */
+        {"\xc4\x05hi", 4, false},           /* bytes are missing */
+        {"\xdd\xff\xff\xff\xff", 5, false}, /* claims 4 billion entries */
+        {"\xdf\xff\xff\xff\xff", 5, false}, /* a map */
+        {"\x91\x91\x91\x91\x91\x91\x91\x91\x91\x01", 10, false}, /* deep */
+        {"\xca\x00\x00\x00\x00", 5, false},                      /* a float */
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        assert_int_equal(RpSchema_IsSane((struct rp_str){
+                             .data = cases[i].bytes, .len = cases[i].len}),
+                         cases[i].sane);
+    }
+}
+
 /* Decoders must survive anything: frames, datagrams and packets with bytes
  * changed at random, by fixed seeds. */
 static void
@@ -394,6 +424,7 @@
         cmocka_unit_test(test_session_handshake),
         cmocka_unit_test(test_session_keys),
         cmocka_unit_test(test_session_bad_input),
+        cmocka_unit_test(test_sane_bodies),
         cmocka_unit_test(test_mutations),
     };
 
