--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -367,7 +367,11 @@
     if (revision == 0 || node->confirmed > revision) {
         return false;
     }
-    return distribution->fresh || node->confirmed > 0;
+    /* An agent that was replaced must serve its host's flows even while
+     * there is no leader. What it gets may be old: then it drops packets of
+     * the service's new life, as it would without a table. */
+    return distribution->fresh || node->confirmed > 0 ||
+           node->role == RP_ROLE_AGENT;
 }
 
 static void
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -61,9 +61,9 @@
 void RpDistribution_TouchAll(struct rp_distribution *distribution,
                              int64_t now);
 
-/* Whether this replica may give out first tables. While it may not, a node
- * that has no table yet waits, and one that runs a table already gets this
- * replica's if that is not older. */
+/* Whether this replica may give out first tables. While it may not, a
+ * balancer that has no table yet waits; agents, and nodes that run a table
+ * already, get this replica's if it is not older. */
 void RpDistribution_SetFresh(struct rp_distribution *distribution, int64_t now,
                              bool fresh);
 
--- a/tests/runs/control.sh
+++ b/tests/runs/control.sh
@@ -76,7 +76,7 @@
 for i in 0 1 2; do start_balancer $i; done
 for i in 0 1; do
     start_host lens-desk 10.80.0.1:7000 $i
-    start_agent lens-desk $i
+    start_agent lens-desk $i --admin "127.0.0.1:$(admin_port $((200 + i)))"
 done
 wait_until 20 all_fresh || fail "the replicas do not come together"
 sleep 2
@@ -101,6 +101,11 @@
 cli service apply "$RUN/change.conf" --base 1 --timeout-seconds 3 \
     > "$RUN/none.txt" 2>&1
 [ $? = 3 ] || fail "a change without a quorum did not end as unknown"
+say "an agent replaced meanwhile still serves its host's flows"
+stop agent-0 USR2
+start_agent lens-desk 0 --admin "127.0.0.1:$(admin_port 200)"
+serves() { [ "$(curl -s "127.0.0.1:$(admin_port 200)/healthz")" = ok ]; }
+wait_until 10 serves || fail "the new agent has no table"
 start_control 1
 start_control 2
 wait_until 20 all_fresh || fail "the quorum does not come back"
--- a/tests/unit/test_distribution.c
+++ b/tests/unit/test_distribution.c
@@ -91,10 +91,11 @@
 }
 
 static void
-subscribe(struct fixture *fixture, int64_t now, uint64_t connection,
-          const char *node, const char *service, uint64_t revision)
+subscribe_as(struct fixture *fixture, int64_t now, uint64_t connection,
+             enum rp_role role, const char *node, const char *service,
+             uint64_t revision)
 {
-    struct rp_msg_hello hello = {.role = RP_ROLE_BALANCER};
+    struct rp_msg_hello hello = {.role = (uint8_t)role};
     struct rp_msg_subscribe wish = {.revision = revision};
 
     RpName_Set(&hello.name, RpStr_FromC(node));
@@ -103,6 +104,14 @@
                              &wish);
 }
 
+static void
+subscribe(struct fixture *fixture, int64_t now, uint64_t connection,
+          const char *node, const char *service, uint64_t revision)
+{
+    subscribe_as(fixture, now, connection, RP_ROLE_BALANCER, node, service,
+                 revision);
+}
+
 /* What is sent by the flush at `now`. */
 static void
 assert_flush(struct fixture *fixture, int64_t now, const char *expected)
@@ -174,15 +183,19 @@
 {
     static const struct {
         bool fresh;
+        enum rp_role role;
         uint64_t runs; /* the revision that the node runs; 0: none */
         const char *sent;
     } cases[] = {
-        {true, 0, "1:whole 1-0 r1;"},
-        {true, 1, "1:whole 1-0 r1;"},
-        {true, 9, ""}, /* this replica is behind the node */
-        {false, 0, ""},
-        {false, 1, "1:whole 1-0 r1;"},
-        {false, 9, ""},
+        {true, RP_ROLE_BALANCER, 0, "1:whole 1-0 r1;"},
+        {true, RP_ROLE_BALANCER, 1, "1:whole 1-0 r1;"},
+        {true, RP_ROLE_BALANCER, 9, ""}, /* the replica is behind it */
+        {false, RP_ROLE_BALANCER, 0, ""},
+        {false, RP_ROLE_BALANCER, 1, "1:whole 1-0 r1;"},
+        {false, RP_ROLE_BALANCER, 9, ""},
+        /* An agent that was replaced has flows to serve. */
+        {false, RP_ROLE_AGENT, 0, "1:whole 1-0 r1;"},
+        {false, RP_ROLE_AGENT, 9, ""},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -191,11 +204,11 @@
         struct fixture *fixture = *state;
         change(fixture, 0, LENS, "");
         RpDistribution_SetFresh(fixture->distribution, 0, cases[i].fresh);
-        subscribe(fixture, 0, 1, "node", "", cases[i].runs);
+        subscribe_as(fixture, 0, 1, cases[i].role, "node", "", cases[i].runs);
         assert_flush(fixture, 0, cases[i].sent);
         /* What was held back is sent once the replica is fresh. */
         RpDistribution_SetFresh(fixture->distribution, 1, true);
-        bool late = !cases[i].fresh && cases[i].runs == 0;
+        bool late = cases[i].sent[0] == '\0' && cases[i].runs == 0;
         assert_flush(fixture, 1, late ? "1:whole 1-0 r1;" : "");
     }
 }
