--- a/programs/shared/rp_settings.c
+++ b/programs/shared/rp_settings.c
@@ -137,13 +137,14 @@
                            "a.b.c.d:port,…",
                            value, RP_ENDPOINTS_MAX);
     case RP_SETTING_UINT:
-        if (RpStr_ToUint(text, setting->max, &number)) {
+        if (RpStr_ToUint(text, setting->max, &number) &&
+            number >= setting->min) {
             *(uint32_t *)member = (uint32_t)number;
             return RP_OK;
         }
         return RpError_Add(error, RP_ERR_SETTING, place,
-                           "\"%s\" is not a number from 0 to %u", value,
-                           setting->max);
+                           "\"%s\" is not a number from %u to %u", value,
+                           setting->min, setting->max);
     case RP_SETTING_LEVEL:
         if (RpLog_ParseLevel(text, member)) {
             return RP_OK;
--- a/programs/shared/rp_settings.h
+++ b/programs/shared/rp_settings.h
@@ -27,7 +27,7 @@
     RP_SETTING_NAME,      /* struct rp_name, a label */
     RP_SETTING_ENDPOINT,  /* struct rp_endpoint */
     RP_SETTING_ENDPOINTS, /* struct rp_endpoints */
-    RP_SETTING_UINT,      /* uint32_t, at most `max` */
+    RP_SETTING_UINT,      /* uint32_t, from `min` to `max` */
     RP_SETTING_LEVEL,     /* enum rp_log_level */
     RP_SETTING_SWITCH     /* bool; the flag takes no value */
 };
@@ -39,7 +39,8 @@
     const char *value; /* what the help calls the value */
     const char *help;
     const char *fallback; /* NULL: required, except for switches */
-    uint32_t max;         /* of numbers */
+    uint32_t min;         /* of numbers */
+    uint32_t max;
     bool optional;        /* may stay unset without a default */
 };
 
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -41,6 +41,24 @@
     fi
 done
 
+# Every finding on bad settings at once, from flags and variables.
+{
+    RADISHPORT_ZONE=Zone "$BUILD/programs/radishportd" agent --slots 0 \
+        --lease-ms 1 --listen nowhere --control 127.0.0.1:1,x --service lens \
+        --log-level loud --no-such-flag 2>&1
+    echo "exit $?"
+    "$BUILD/programs/radishport" service apply 2>&1
+    echo "exit $?"
+    "$BUILD/programs/radishport" no such command > /dev/null 2>&1
+    echo "exit $?"
+} > "$BUILD/settings.out"
+[ "${UPDATE:-}" = 1 ] && cp "$BUILD/settings.out" tests/golden/settings.golden
+if diff -u tests/golden/settings.golden "$BUILD/settings.out"; then
+    pass "golden settings"
+else
+    fail "golden settings"
+fi
+
 "$BUILD/tests/print-counters" > "$BUILD/COUNTERS.out"
 [ "${UPDATE:-}" = 1 ] && cp "$BUILD/COUNTERS.out" docs/COUNTERS.md
 if diff -u docs/COUNTERS.md "$BUILD/COUNTERS.out"; then
