--- a/lib/common/rp_endpoint.c
+++ b/lib/common/rp_endpoint.c
@@ -64,3 +64,9 @@
 {
     return a.ip == b.ip && a.port == b.port;
 }
+
+uint64_t
+RpEndpoint_Key(struct rp_endpoint endpoint)
+{
+    return (uint64_t)endpoint.ip << 16 | endpoint.port;
+}
--- a/lib/common/rp_endpoint.h
+++ b/lib/common/rp_endpoint.h
@@ -27,6 +27,9 @@
 const char *RpEndpoint_Format(struct rp_endpoint endpoint,
                               char out[RP_ENDPOINT_TEXT_MAX]);
 
+/* The endpoint as one number, for hash tables with 64-bit keys. */
+uint64_t RpEndpoint_Key(struct rp_endpoint endpoint);
+
 bool RpEndpoint_Equal(struct rp_endpoint a, struct rp_endpoint b);
 
 #endif
--- a/lib/common/rp_str.c
+++ b/lib/common/rp_str.c
@@ -1,5 +1,6 @@
 #include "rp_str.h"
 
+#include <glib.h>
 #include <string.h>
 
 struct rp_str
@@ -100,6 +101,18 @@
     return RpStr_Equal(RpName_View(a), RpName_View(b));
 }
 
+unsigned
+RpName_Hash(const void *name)
+{
+    return g_str_hash(((const struct rp_name *)name)->data);
+}
+
+int
+RpName_EqualKeys(const void *a, const void *b)
+{
+    return RpName_Equal(a, b);
+}
+
 static bool
 is_label_char(char c)
 {
--- a/lib/common/rp_str.h
+++ b/lib/common/rp_str.h
@@ -56,6 +56,10 @@
 /* Whether both names hold the same bytes. */
 bool RpName_Equal(const struct rp_name *a, const struct rp_name *b);
 
+/* The two functions that a GHashTable with `struct rp_name` keys wants. */
+unsigned RpName_Hash(const void *name);
+int RpName_EqualKeys(const void *a, const void *b);
+
 /* Whether `text` is a lower-case DNS label: a-z, 0-9 and inner hyphens,
  * 1 to RP_NAME_MAX bytes. */
 bool RpName_IsLabel(struct rp_str text);
--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -92,18 +92,6 @@
     g_free(entry);
 }
 
-static guint
-name_hash(gconstpointer key)
-{
-    return g_str_hash(((const struct rp_name *)key)->data);
-}
-
-static gboolean
-name_equal(gconstpointer a, gconstpointer b)
-{
-    return RpName_Equal(a, b);
-}
-
 static guint
 id_hash(gconstpointer key)
 {
@@ -125,8 +113,8 @@
     struct rp_catalog *catalog = g_new0(struct rp_catalog, 1);
 
     catalog->next_id = 1;
-    catalog->entries = g_hash_table_new_full(name_hash, name_equal, NULL,
-                                             free_entry);
+    catalog->entries = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                             NULL, free_entry);
     catalog->answers = g_hash_table_new(id_hash, id_equal);
     catalog->quarantine = g_array_new(FALSE, TRUE,
                                       sizeof(struct rp_quarantine));
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -42,18 +42,6 @@
     bool fresh;
 };
 
-static guint
-name_hash(gconstpointer key)
-{
-    return g_str_hash(((const struct rp_name *)key)->data);
-}
-
-static gboolean
-name_equal(gconstpointer a, gconstpointer b)
-{
-    return RpName_Equal(a, b);
-}
-
 struct rp_distribution *
 RpDistribution_Create(const struct rp_catalog *catalog,
                       const struct rp_registry *registry,
@@ -65,10 +53,10 @@
     distribution->registry = registry;
     distribution->send = send;
     distribution->user = user;
-    distribution->nodes = g_hash_table_new_full(name_hash, name_equal, NULL,
-                                                g_free);
+    distribution->nodes = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                                NULL, g_free);
     distribution->pending.touched = g_hash_table_new_full(
-        name_hash, name_equal, g_free, NULL);
+        RpName_Hash, RpName_EqualKeys, g_free, NULL);
     distribution->pending.removed = g_array_new(
         FALSE, TRUE, sizeof(struct removed_service));
     distribution->pending.deadline = RP_NEVER;
--- a/lib/control/rp_registry.c
+++ b/lib/control/rp_registry.c
@@ -10,18 +10,6 @@
     bool cut_off;
 };
 
-static guint
-name_hash(gconstpointer key)
-{
-    return g_str_hash(((const struct rp_name *)key)->data);
-}
-
-static gboolean
-name_equal(gconstpointer a, gconstpointer b)
-{
-    return RpName_Equal(a, b);
-}
-
 static void
 free_list(gpointer data)
 {
@@ -33,12 +21,12 @@
 {
     struct rp_registry *registry = g_new0(struct rp_registry, 1);
 
-    registry->upstreams = g_hash_table_new_full(name_hash, name_equal, NULL,
-                                                g_free);
-    registry->by_service = g_hash_table_new_full(name_hash, name_equal, g_free,
-                                                 free_list);
-    registry->replicas = g_hash_table_new_full(name_hash, name_equal, g_free,
-                                               g_free);
+    registry->upstreams = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                                NULL, g_free);
+    registry->by_service = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                                 g_free, free_list);
+    registry->replicas = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                               g_free, g_free);
     registry->next_deadline = RP_NEVER;
     return registry;
 }
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -372,7 +372,7 @@
 classify_caller(const struct rp_flow *flow, const struct rp_packet *packet,
                 bool forced)
 {
-    if ((packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK)) {
+    if (RpPacket_Opens(packet)) {
         return classify_syn(flow, packet, forced);
     }
     if (is_late(flow, packet)) {
@@ -495,8 +495,7 @@
                    const struct rp_packet *packet,
                    const struct rp_geneve *geneve, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.src_ip,
-                                 .port = packet->key.src_port};
+    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
 
     begin(agent, actions);
     if (!agent->service) {
@@ -517,7 +516,7 @@
                      packet->data, packet->len);
         RpAgent_Pass(agent, now, NULL, packet, &geneve->chain, actions);
     }
-    else if ((packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK)) {
+    else if (RpPacket_Opens(packet)) {
         RpAgent_Decide(agent, now, NULL, packet, &geneve->chain, actions);
     }
     else {
@@ -600,8 +599,7 @@
 RpAgent_FromHost(struct rp_agent *agent, int64_t now,
                  const struct rp_packet *packet, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.dst_ip,
-                                 .port = packet->key.dst_port};
+    struct rp_endpoint caller = RpFlowKey_Target(packet->key);
 
     begin(agent, actions);
     if (!agent->service) {
--- a/lib/flow/rp_agent_gate.c
+++ b/lib/flow/rp_agent_gate.c
@@ -9,12 +9,6 @@
 #define MAX_KEPT_BYTES (16 << 20) /* of all flows */
 #define ALL_PERCENT 100
 
-static guint64
-key_of(struct rp_endpoint caller)
-{
-    return (guint64)caller.ip << 16 | caller.port;
-}
-
 static void
 free_packets(gpointer data)
 {
@@ -67,7 +61,7 @@
 keep(struct rp_agent *agent, const struct rp_flow *flow,
      const struct rp_packet *packet)
 {
-    guint64 key = key_of(flow->caller);
+    guint64 key = RpEndpoint_Key(flow->caller);
     GQueue *packets = g_hash_table_lookup(agent->kept, &key);
 
     if (!packets) {
@@ -96,7 +90,7 @@
 static void
 release(struct rp_agent *agent, struct rp_flow *flow)
 {
-    guint64 key = key_of(flow->caller);
+    guint64 key = RpEndpoint_Key(flow->caller);
     GQueue *packets = g_hash_table_lookup(agent->kept, &key);
     struct rp_held *packet;
 
--- a/lib/flow/rp_agent_learn.c
+++ b/lib/flow/rp_agent_learn.c
@@ -7,8 +7,7 @@
             const struct rp_packet *packet, const struct rp_chain *chain,
             struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.src_ip,
-                                 .port = packet->key.src_port};
+    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
 
     if (RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
         RpAgent_Pass(agent, now, NULL, packet, chain, actions);
@@ -50,8 +49,7 @@
                       const struct rp_packet *packet,
                       struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.dst_ip,
-                                 .port = packet->key.dst_port};
+    struct rp_endpoint caller = RpFlowKey_Target(packet->key);
 
     if ((packet->flags & RP_TCP_RST) ||
         RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -137,8 +137,7 @@
          const struct rp_packet *packet, const struct rp_chain *chain,
          enum rp_counter reason, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.src_ip,
-                                 .port = packet->key.src_port};
+    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
     struct rp_chain rest = *chain;
     struct rp_endpoint next;
 
@@ -188,8 +187,7 @@
                const struct rp_packet *packet, const struct rp_chain *chain,
                struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.src_ip,
-                                 .port = packet->key.src_port};
+    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
     enum rp_counter reason;
 
     if (decide(agent, now, chain, &reason) != RP_VERDICT_TAKE) {
@@ -316,11 +314,10 @@
              const struct rp_packet *packet, const struct rp_chain *chain,
              struct rp_actions *actions)
 {
-    struct rp_endpoint caller = {.ip = packet->key.src_ip,
-                                 .port = packet->key.src_port};
+    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
     struct rp_chain rest = *chain;
     struct rp_endpoint next;
-    bool opens = (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
+    bool opens = RpPacket_Opens(packet);
     bool known = flow && flow->state == RP_FLOW_REDIRECT &&
                  flow->next_hop.port != 0;
     bool found = known ? RpAgent_NextHopPrefer(agent, &rest, caller, opens,
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -17,9 +17,8 @@
 RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
                  struct rp_route *route)
 {
-    struct rp_endpoint address = {.ip = packet->key.dst_ip,
-                                  .port = packet->key.dst_port};
-    bool opens = (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
+    struct rp_endpoint address = RpFlowKey_Target(packet->key);
+    bool opens = RpPacket_Opens(packet);
 
     *route = (struct rp_route){.kind = RP_ROUTE_DROP,
                                .chain = {.best_share = RP_CHAIN_NO_SHARE}};
--- a/lib/flow/rp_flow_table.c
+++ b/lib/flow/rp_flow_table.c
@@ -48,7 +48,7 @@
 static uint64_t
 hash_of(const struct rp_flow_table *table, struct rp_endpoint caller)
 {
-    uint64_t x = (uint64_t)caller.ip << 16 | caller.port;
+    uint64_t x = RpEndpoint_Key(caller);
 
     x ^= table->seed;
     x *= UINT64_C(0x9e3779b97f4a7c15);
--- a/lib/flow/rp_hold.c
+++ b/lib/flow/rp_hold.c
@@ -7,12 +7,6 @@
     GHashTable *packets; /* caller key -> struct rp_held */
 };
 
-static guint64
-key_of(struct rp_endpoint caller)
-{
-    return (guint64)caller.ip << 16 | caller.port;
-}
-
 struct rp_hold *
 RpHold_Create(void)
 {
@@ -36,7 +30,7 @@
 RpHold_Put(struct rp_hold *hold, struct rp_endpoint caller,
            const struct rp_chain *chain, const uint8_t *data, size_t len)
 {
-    guint64 key = key_of(caller);
+    guint64 key = RpEndpoint_Key(caller);
 
     if (len > RP_HOLD_PACKET_MAX ||
         (g_hash_table_size(hold->packets) >= RP_HOLD_MAX &&
@@ -54,7 +48,7 @@
 const struct rp_held *
 RpHold_Get(const struct rp_hold *hold, struct rp_endpoint caller)
 {
-    guint64 key = key_of(caller);
+    guint64 key = RpEndpoint_Key(caller);
 
     return g_hash_table_lookup(hold->packets, &key);
 }
@@ -62,7 +56,7 @@
 void
 RpHold_Drop(struct rp_hold *hold, struct rp_endpoint caller)
 {
-    guint64 key = key_of(caller);
+    guint64 key = RpEndpoint_Key(caller);
 
     g_hash_table_remove(hold->packets, &key);
 }
@@ -70,7 +64,7 @@
 struct rp_held *
 RpHold_Take(struct rp_hold *hold, struct rp_endpoint caller)
 {
-    guint64 key = key_of(caller);
+    guint64 key = RpEndpoint_Key(caller);
     gpointer stored_key;
     gpointer held;
 
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -31,12 +31,6 @@
     }
 }
 
-static guint64
-address_key(struct rp_endpoint address)
-{
-    return (guint64)address.ip << 16 | address.port;
-}
-
 static void
 free_service(gpointer data)
 {
@@ -122,7 +116,7 @@
     if (!service) {
         return;
     }
-    guint64 key = address_key(service->address);
+    guint64 key = RpEndpoint_Key(service->address);
     if (g_hash_table_lookup(table->by_address, &key) == service) {
         g_hash_table_remove(table->by_address, &key);
     }
@@ -136,7 +130,7 @@
     guint64 *key = g_new(guint64, 1);
 
     remove_service(table, from->id);
-    *key = address_key(service->address);
+    *key = RpEndpoint_Key(service->address);
     g_hash_table_insert(table->by_id, GUINT_TO_POINTER(from->id), service);
     g_hash_table_replace(table->by_address, key, service);
 }
@@ -180,7 +174,7 @@
 const struct rp_service *
 RpTable_Find(const struct rp_table *table, struct rp_endpoint address)
 {
-    guint64 key = address_key(address);
+    guint64 key = RpEndpoint_Key(address);
 
     return g_hash_table_lookup(table->by_address, &key);
 }
--- a/lib/state/rp_journal.c
+++ b/lib/state/rp_journal.c
@@ -151,8 +151,8 @@
 /* Walks all records of a file's content. */
 static enum rp_code
 replay(const char *path, const uint8_t *data, size_t len,
-       RpJournal_Visit visit, void *user, struct rp_journal_report *report,
-       struct rp_error *error)
+       const struct rp_journal_reader *reader,
+       struct rp_journal_report *report, struct rp_error *error)
 {
     size_t offset = HEADER_SIZE;
 
@@ -177,8 +177,8 @@
             .kind = at[16],
             .payload = {.data = (const char *)at + RECORD_HEADER,
                         .len = size - RECORD_HEADER}};
-        if (visit) {
-            RP_FORWARD_IF_ERROR(visit(user, &record, error));
+        if (reader) {
+            RP_FORWARD_IF_ERROR(reader->visit(reader->user, &record, error));
         }
         report->records++;
         offset += size;
@@ -317,7 +317,7 @@
 
 /* Replays the open file and cuts off a torn tail. */
 static enum rp_code
-recover(struct rp_journal *journal, RpJournal_Visit visit, void *user,
+recover(struct rp_journal *journal, const struct rp_journal_reader *reader,
         struct rp_error *error)
 {
     struct rp_journal_report report = {0};
@@ -328,7 +328,7 @@
     if (!data) {
         return RP_ERR_IO;
     }
-    enum rp_code code = replay(path, data, len, visit, user, &report, error);
+    enum rp_code code = replay(path, data, len, reader, &report, error);
     g_free(data);
     RP_FORWARD_IF_ERROR(code);
     if (report.torn_bytes &&
@@ -342,7 +342,7 @@
 }
 
 struct rp_journal *
-RpJournal_Open(const char *folder, RpJournal_Visit visit, void *user,
+RpJournal_Open(const char *folder, const struct rp_journal_reader *reader,
                struct rp_error *error)
 {
     struct rp_journal *journal = g_new0(struct rp_journal, 1);
@@ -353,7 +353,7 @@
     journal->pending = g_byte_array_new();
     journal->fd = open_or_create(folder, path, error);
     g_free(path);
-    if (journal->fd < 0 || recover(journal, visit, user, error) != RP_OK) {
+    if (journal->fd < 0 || recover(journal, reader, error) != RP_OK) {
         RpJournal_Close(journal);
         return NULL;
     }
@@ -461,7 +461,7 @@
     }
     uint8_t *data = read_all(fd, path, &len, error);
     if (data) {
-        code = replay(path, data, len, NULL, NULL, report, error);
+        code = replay(path, data, len, NULL, report, error);
     }
     g_free(data);
     close(fd);
--- a/lib/state/rp_journal.h
+++ b/lib/state/rp_journal.h
@@ -30,10 +30,13 @@
     struct rp_str payload;
 };
 
-/* Called for each record during replay; an error ends the replay. */
-typedef enum rp_code (*RpJournal_Visit)(void *user,
-                                        const struct rp_record *record,
-                                        struct rp_error *error);
+/* What a replay calls. */
+struct rp_journal_reader {
+    /* Called for each record in order; an error ends the replay. */
+    enum rp_code (*visit)(void *user, const struct rp_record *record,
+                          struct rp_error *error);
+    void *user;
+};
 
 struct rp_journal;
 
@@ -45,9 +48,11 @@
 };
 
 /* Opens the journal in `folder`, creating folder and file if they are
- * missing, and replays it. NULL with findings in `error` on failure. */
-struct rp_journal *RpJournal_Open(const char *folder, RpJournal_Visit visit,
-                                  void *user, struct rp_error *error);
+ * missing, and replays it to `reader` (NULL: to nobody). NULL with findings
+ * in `error` on failure. */
+struct rp_journal *RpJournal_Open(const char *folder,
+                                  const struct rp_journal_reader *reader,
+                                  struct rp_error *error);
 
 /* Closes the file; unsynced records may be lost. */
 void RpJournal_Close(struct rp_journal *journal);
--- a/lib/wire/rp_packet.h
+++ b/lib/wire/rp_packet.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "rp_counters.h"
+#include "rp_endpoint.h"
 
 #define RP_PACKET_MAX 9216 /* bytes of one inner packet */
 #define RP_RESET_SIZE 40   /* bytes of a packet made by RpPacket_MakeReset */
@@ -51,6 +52,26 @@
 /* The same flow seen from its other end. */
 struct rp_flow_key RpFlowKey_Reverse(struct rp_flow_key key);
 
+/* The two ends. */
+static inline struct rp_endpoint
+RpFlowKey_Source(struct rp_flow_key key)
+{
+    return (struct rp_endpoint){.ip = key.src_ip, .port = key.src_port};
+}
+
+static inline struct rp_endpoint
+RpFlowKey_Target(struct rp_flow_key key)
+{
+    return (struct rp_endpoint){.ip = key.dst_ip, .port = key.dst_port};
+}
+
+/* Whether a packet asks to open a flow. */
+static inline bool
+RpPacket_Opens(const struct rp_packet *packet)
+{
+    return (packet->flags & RP_TCP_SYN) && !(packet->flags & RP_TCP_ACK);
+}
+
 /* Copies `packet` into `out` (at least header_len bytes) without its
  * payload and with correct lengths and checksums; returns the new size. */
 size_t RpPacket_TrimPayload(const struct rp_packet *packet, uint8_t *out);
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -196,7 +196,8 @@
     self->user = user;
     self->opened = now;
     self->catalog = RpCatalog_Create();
-    self->journal = RpJournal_Open(folder, visit, self, error);
+    const struct rp_journal_reader reader = {.visit = visit, .user = self};
+    self->journal = RpJournal_Open(folder, &reader, error);
     if (!self->journal || (!self->replica && !create_identity(self, error))) {
         RpControlReplica_Close(self);
         return NULL;
--- a/programs/shared/rp_settings.h
+++ b/programs/shared/rp_settings.h
@@ -41,7 +41,7 @@
     const char *fallback; /* NULL: required, except for switches */
     uint32_t min;         /* of numbers */
     uint32_t max;
-    bool optional;        /* may stay unset without a default */
+    bool optional; /* may stay unset without a default */
 };
 
 enum rp_settings_result {
--- a/tests/unit/test_distribution.c
+++ b/tests/unit/test_distribution.c
@@ -236,7 +236,7 @@
     gchar *folder = g_dir_make_tmp("rp-mutation-XXXXXX", NULL);
     gchar *file = g_build_filename(folder, "journal", NULL);
     const struct rp_record record = {.kind = 1, .payload = RP_STR(LENS)};
-    struct rp_journal *journal = RpJournal_Open(folder, NULL, NULL, NULL);
+    struct rp_journal *journal = RpJournal_Open(folder, NULL, NULL);
     GString *document = g_string_new(LENS "[limits]\nretries-percent = 5\n");
     gchar *content;
     gsize len;
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -61,7 +61,9 @@
 open_journal(struct fixture *fixture, struct rp_error *error)
 {
     g_string_truncate(fixture->seen, 0);
-    return RpJournal_Open(fixture->folder, note_record, fixture->seen, error);
+    const struct rp_journal_reader reader = {.visit = note_record,
+                                             .user = fixture->seen};
+    return RpJournal_Open(fixture->folder, &reader, error);
 }
 
 static void
