--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -3,86 +3,10 @@
 #include <string.h>
 
 #include "rp_bytes.h"
+#include "rp_catalog_internal.h"
 
 enum command_kind { COMMAND_INIT = 1, COMMAND_CHANGE, COMMAND_RELEASE };
 
-/* A remembered answer. */
-struct answer {
-    uint8_t id[RP_CHANGE_ID_SIZE];
-    uint8_t code;
-    uint64_t revision;
-    uint32_t service_id;
-    struct rp_name service;
-};
-
-/* A service as a snapshot stores it. */
-struct stored_entry {
-    uint32_t id;
-    uint32_t incarnation;
-    uint64_t revision;
-    GString *text;
-};
-
-struct stored_catalog {
-    uint64_t revision;
-    uint32_t next_id;
-    uint8_t initialised;
-    uint8_t hash_key[RP_HASH_KEY_SIZE];
-    GArray *entries;    /* of struct stored_entry */
-    GArray *answers;    /* of struct answer, oldest first */
-    GArray *quarantine; /* of struct rp_quarantine */
-};
-
-struct rp_catalog {
-    uint64_t revision;
-    uint32_t next_id;
-    bool initialised;
-    uint8_t hash_key[RP_HASH_KEY_SIZE];
-    GHashTable *entries; /* name -> struct rp_entry */
-    GHashTable *answers; /* id bytes -> struct answer */
-    GQueue answer_order; /* of struct answer, oldest first; owns them */
-    GArray *quarantine;  /* of struct rp_quarantine */
-};
-
-static const struct rp_field answer_fields[] = {
-    RP_FIELD(RP_FIELD_BLOB, answer, id),
-    RP_FIELD(RP_FIELD_UINT, answer, code),
-    RP_FIELD(RP_FIELD_UINT, answer, revision),
-    RP_FIELD(RP_FIELD_UINT, answer, service_id),
-    RP_FIELD(RP_FIELD_NAME, answer, service),
-};
-static const struct rp_schema answer_schema = RP_SCHEMA(answer, answer_fields);
-
-static const struct rp_field stored_entry_fields[] = {
-    RP_FIELD(RP_FIELD_UINT, stored_entry, id),
-    RP_FIELD(RP_FIELD_UINT, stored_entry, incarnation),
-    RP_FIELD(RP_FIELD_UINT, stored_entry, revision),
-    RP_FIELD(RP_FIELD_TEXT, stored_entry, text),
-};
-static const struct rp_schema stored_entry_schema = RP_SCHEMA(
-    stored_entry, stored_entry_fields);
-
-static const struct rp_field quarantine_fields[] = {
-    RP_FIELD(RP_FIELD_UINT, rp_quarantine, address),
-    RP_FIELD(RP_FIELD_UINT, rp_quarantine, port),
-    RP_FIELD(RP_FIELD_UINT, rp_quarantine, revision),
-    RP_FIELD(RP_FIELD_NAME, rp_quarantine, service),
-};
-static const struct rp_schema quarantine_schema = RP_SCHEMA(rp_quarantine,
-                                                            quarantine_fields);
-
-static const struct rp_field stored_catalog_fields[] = {
-    RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
-    RP_FIELD(RP_FIELD_UINT, stored_catalog, next_id),
-    RP_FIELD(RP_FIELD_UINT, stored_catalog, initialised),
-    RP_FIELD(RP_FIELD_BLOB, stored_catalog, hash_key),
-    RP_FIELD_LIST_OF(stored_catalog, entries, &stored_entry_schema),
-    RP_FIELD_LIST_OF(stored_catalog, answers, &answer_schema),
-    RP_FIELD_LIST_OF(stored_catalog, quarantine, &quarantine_schema),
-};
-static const struct rp_schema stored_catalog_schema = RP_SCHEMA(
-    stored_catalog, stored_catalog_fields);
-
 static void
 free_entry(gpointer data)
 {
@@ -122,8 +46,8 @@
     return catalog;
 }
 
-static void
-clear(struct rp_catalog *catalog)
+void
+RpCatalog_Clear(struct rp_catalog *catalog)
 {
     g_hash_table_remove_all(catalog->entries);
     g_hash_table_remove_all(catalog->answers);
@@ -137,7 +61,7 @@
     if (!catalog) {
         return;
     }
-    clear(catalog);
+    RpCatalog_Clear(catalog);
     g_hash_table_destroy(catalog->entries);
     g_hash_table_destroy(catalog->answers);
     g_array_free(catalog->quarantine, TRUE);
@@ -180,24 +104,26 @@
     return encode_command(COMMAND_RELEASE, body, sizeof body);
 }
 
-static void
-remember(struct rp_catalog *catalog, const struct answer *answer)
+void
+RpCatalog_Remember(struct rp_catalog *catalog,
+                   const struct rp_catalog_answer *answer)
 {
-    struct answer *kept = g_memdup2(answer, sizeof *answer);
+    struct rp_catalog_answer *kept = g_memdup2(answer, sizeof *answer);
 
     g_queue_push_tail(&catalog->answer_order, kept);
     g_hash_table_replace(catalog->answers, kept->id, kept);
     while (g_queue_get_length(&catalog->answer_order) >
            RP_CATALOG_CHANGE_MEMORY) {
-        struct answer *oldest = g_queue_pop_head(&catalog->answer_order);
+        struct rp_catalog_answer *oldest = g_queue_pop_head(
+            &catalog->answer_order);
         g_hash_table_remove(catalog->answers, oldest->id);
         g_free(oldest);
     }
 }
 
 static void
-fill_reply(struct rp_msg_change_reply *reply, const struct answer *answer,
-           bool repeated)
+fill_reply(struct rp_msg_change_reply *reply,
+           const struct rp_catalog_answer *answer, bool repeated)
 {
     memcpy(reply->id, answer->id, RP_CHANGE_ID_SIZE);
     reply->code = answer->code;
@@ -213,7 +139,8 @@
                     const uint8_t id[RP_CHANGE_ID_SIZE],
                     struct rp_msg_change_reply *reply)
 {
-    const struct answer *answer = g_hash_table_lookup(catalog->answers, id);
+    const struct rp_catalog_answer *answer = g_hash_table_lookup(
+        catalog->answers, id);
 
     if (answer && reply) {
         fill_reply(reply, answer, true);
@@ -316,7 +243,7 @@
 
 static enum rp_code
 apply_document(struct rp_catalog *catalog, const struct rp_msg_change *change,
-               struct answer *answer, struct rp_error *error)
+               struct rp_catalog_answer *answer, struct rp_error *error)
 {
     struct rp_document document;
     struct rp_str text = {.data = change->document->str,
@@ -348,7 +275,7 @@
 
 static enum rp_code
 apply_delete(struct rp_catalog *catalog, const struct rp_msg_change *change,
-             struct answer *answer, struct rp_error *error)
+             struct rp_catalog_answer *answer, struct rp_error *error)
 {
     const struct rp_entry *entry = RpCatalog_Find(catalog, &change->service);
 
@@ -377,7 +304,7 @@
              struct rp_msg_change_reply *reply)
 {
     struct rp_msg_change change;
-    struct answer answer = {0};
+    struct rp_catalog_answer answer = {0};
     struct rp_error error;
 
     if (!RpSchema_Decode(&rp_msg_change_schema, body, &change)) {
@@ -392,7 +319,7 @@
                    ? apply_document(catalog, &change, &answer, &error)
                    : apply_delete(catalog, &change, &answer, &error);
         answer.code = (uint8_t)code;
-        remember(catalog, &answer);
+        RpCatalog_Remember(catalog, &answer);
         if (reply) {
             fill_reply(reply, &answer, false);
             RpCatalog_ReplyFindings(reply, &error);
@@ -450,92 +377,6 @@
     }
 }
 
-static void
-store_entries(const struct rp_catalog *catalog, GArray *rows)
-{
-    GPtrArray *entries = RpCatalog_List(catalog);
-
-    for (guint i = 0; i < entries->len; i++) {
-        const struct rp_entry *entry = g_ptr_array_index(entries, i);
-        struct stored_entry row = {
-            .id = entry->id,
-            .incarnation = entry->incarnation,
-            .revision = entry->revision,
-            .text = g_string_new_len(entry->text->str,
-                                     (gssize)entry->text->len)};
-        g_array_append_val(rows, row);
-    }
-    g_ptr_array_unref(entries);
-}
-
-GString *
-RpCatalog_Snapshot(const struct rp_catalog *catalog)
-{
-    struct stored_catalog stored = {
-        .revision = catalog->revision,
-        .next_id = catalog->next_id,
-        .initialised = catalog->initialised,
-        .entries = RpSchema_NewList(&stored_entry_schema),
-        .answers = RpSchema_NewList(&answer_schema),
-        .quarantine = RpSchema_NewList(&quarantine_schema)};
-
-    memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
-    store_entries(catalog, stored.entries);
-    for (GList *link = catalog->answer_order.head; link; link = link->next) {
-        g_array_append_vals(stored.answers, link->data, 1);
-    }
-    g_array_append_vals(stored.quarantine, catalog->quarantine->data,
-                        catalog->quarantine->len);
-    GString *out = RpSchema_Encode(&stored_catalog_schema, &stored);
-    RpSchema_Clear(&stored_catalog_schema, &stored);
-    return out;
-}
-
-static enum rp_code
-restore_entry(struct rp_catalog *catalog, const struct stored_entry *row)
-{
-    struct rp_document document;
-    struct rp_str text = {.data = row->text->str, .len = row->text->len};
-
-    RP_FORWARD_IF_ERROR(RpDocument_Parse(text, &document, NULL));
-    struct rp_entry *entry = g_new0(struct rp_entry, 1);
-    entry->name = document.name;
-    entry->id = row->id;
-    entry->incarnation = row->incarnation;
-    entry->revision = row->revision;
-    entry->document = document;
-    entry->text = g_string_new_len(text.data, (gssize)text.len);
-    g_hash_table_replace(catalog->entries, &entry->name, entry);
-    return RP_OK;
-}
-
-enum rp_code
-RpCatalog_Restore(struct rp_catalog *catalog, struct rp_str snapshot)
-{
-    struct stored_catalog stored;
-    enum rp_code code = RP_OK;
-
-    if (!RpSchema_Decode(&stored_catalog_schema, snapshot, &stored)) {
-        return RP_ERR_FORMAT;
-    }
-    clear(catalog);
-    catalog->revision = stored.revision;
-    catalog->next_id = stored.next_id;
-    catalog->initialised = stored.initialised;
-    memcpy(catalog->hash_key, stored.hash_key, RP_HASH_KEY_SIZE);
-    for (guint i = 0; i < stored.entries->len && code == RP_OK; i++) {
-        code = restore_entry(
-            catalog, &g_array_index(stored.entries, struct stored_entry, i));
-    }
-    for (guint i = 0; i < stored.answers->len; i++) {
-        remember(catalog, &g_array_index(stored.answers, struct answer, i));
-    }
-    g_array_append_vals(catalog->quarantine, stored.quarantine->data,
-                        stored.quarantine->len);
-    RpSchema_Clear(&stored_catalog_schema, &stored);
-    return code;
-}
-
 bool
 RpCatalog_IsInitialised(const struct rp_catalog *catalog)
 {
--- /dev/null
+++ b/lib/control/rp_catalog_snapshot.c
@@ -0,0 +1,150 @@
+/* The whole catalogue as bytes, and back. */
+#include <string.h>
+
+#include "rp_catalog_internal.h"
+
+/* A service as a snapshot stores it. */
+struct stored_entry {
+    uint32_t id;
+    uint32_t incarnation;
+    uint64_t revision;
+    GString *text;
+};
+
+struct stored_catalog {
+    uint64_t revision;
+    uint32_t next_id;
+    uint8_t initialised;
+    uint8_t hash_key[RP_HASH_KEY_SIZE];
+    GArray *entries;    /* of struct stored_entry */
+    GArray *answers;    /* of struct rp_catalog_answer, oldest first */
+    GArray *quarantine; /* of struct rp_quarantine */
+};
+
+static const struct rp_field answer_fields[] = {
+    RP_FIELD(RP_FIELD_BLOB, rp_catalog_answer, id),
+    RP_FIELD(RP_FIELD_UINT, rp_catalog_answer, code),
+    RP_FIELD(RP_FIELD_UINT, rp_catalog_answer, revision),
+    RP_FIELD(RP_FIELD_UINT, rp_catalog_answer, service_id),
+    RP_FIELD(RP_FIELD_NAME, rp_catalog_answer, service),
+};
+static const struct rp_schema answer_schema = RP_SCHEMA(rp_catalog_answer,
+                                                        answer_fields);
+
+static const struct rp_field stored_entry_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, stored_entry, id),
+    RP_FIELD(RP_FIELD_UINT, stored_entry, incarnation),
+    RP_FIELD(RP_FIELD_UINT, stored_entry, revision),
+    RP_FIELD(RP_FIELD_TEXT, stored_entry, text),
+};
+static const struct rp_schema stored_entry_schema = RP_SCHEMA(
+    stored_entry, stored_entry_fields);
+
+static const struct rp_field quarantine_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, address),
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, port),
+    RP_FIELD(RP_FIELD_UINT, rp_quarantine, revision),
+    RP_FIELD(RP_FIELD_NAME, rp_quarantine, service),
+};
+static const struct rp_schema quarantine_schema = RP_SCHEMA(rp_quarantine,
+                                                            quarantine_fields);
+
+static const struct rp_field stored_catalog_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, next_id),
+    RP_FIELD(RP_FIELD_UINT, stored_catalog, initialised),
+    RP_FIELD(RP_FIELD_BLOB, stored_catalog, hash_key),
+    RP_FIELD_LIST_OF(stored_catalog, entries, &stored_entry_schema),
+    RP_FIELD_LIST_OF(stored_catalog, answers, &answer_schema),
+    RP_FIELD_LIST_OF(stored_catalog, quarantine, &quarantine_schema),
+};
+static const struct rp_schema stored_catalog_schema = RP_SCHEMA(
+    stored_catalog, stored_catalog_fields);
+
+static void
+store_entries(const struct rp_catalog *catalog, GArray *rows)
+{
+    GPtrArray *entries = RpCatalog_List(catalog);
+
+    for (guint i = 0; i < entries->len; i++) {
+        const struct rp_entry *entry = g_ptr_array_index(entries, i);
+        struct stored_entry row = {
+            .id = entry->id,
+            .incarnation = entry->incarnation,
+            .revision = entry->revision,
+            .text = g_string_new_len(entry->text->str,
+                                     (gssize)entry->text->len)};
+        g_array_append_val(rows, row);
+    }
+    g_ptr_array_unref(entries);
+}
+
+GString *
+RpCatalog_Snapshot(const struct rp_catalog *catalog)
+{
+    struct stored_catalog stored = {
+        .revision = catalog->revision,
+        .next_id = catalog->next_id,
+        .initialised = catalog->initialised,
+        .entries = RpSchema_NewList(&stored_entry_schema),
+        .answers = RpSchema_NewList(&answer_schema),
+        .quarantine = RpSchema_NewList(&quarantine_schema)};
+
+    memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
+    store_entries(catalog, stored.entries);
+    for (GList *link = catalog->answer_order.head; link; link = link->next) {
+        g_array_append_vals(stored.answers, link->data, 1);
+    }
+    g_array_append_vals(stored.quarantine, catalog->quarantine->data,
+                        catalog->quarantine->len);
+    GString *out = RpSchema_Encode(&stored_catalog_schema, &stored);
+    RpSchema_Clear(&stored_catalog_schema, &stored);
+    return out;
+}
+
+static enum rp_code
+restore_entry(struct rp_catalog *catalog, const struct stored_entry *row)
+{
+    struct rp_document document;
+    struct rp_str text = {.data = row->text->str, .len = row->text->len};
+
+    RP_FORWARD_IF_ERROR(RpDocument_Parse(text, &document, NULL));
+    struct rp_entry *entry = g_new0(struct rp_entry, 1);
+    entry->name = document.name;
+    entry->id = row->id;
+    entry->incarnation = row->incarnation;
+    entry->revision = row->revision;
+    entry->document = document;
+    entry->text = g_string_new_len(text.data, (gssize)text.len);
+    g_hash_table_replace(catalog->entries, &entry->name, entry);
+    return RP_OK;
+}
+
+enum rp_code
+RpCatalog_Restore(struct rp_catalog *catalog, struct rp_str snapshot)
+{
+    struct stored_catalog stored;
+    enum rp_code code = RP_OK;
+
+    if (!RpSchema_Decode(&stored_catalog_schema, snapshot, &stored)) {
+        return RP_ERR_FORMAT;
+    }
+    RpCatalog_Clear(catalog);
+    catalog->revision = stored.revision;
+    catalog->next_id = stored.next_id;
+    catalog->initialised = stored.initialised;
+    memcpy(catalog->hash_key, stored.hash_key, RP_HASH_KEY_SIZE);
+    for (guint i = 0; i < stored.entries->len && code == RP_OK; i++) {
+        code = restore_entry(
+            catalog, &g_array_index(stored.entries, struct stored_entry, i));
+    }
+    for (guint i = 0; i < stored.answers->len; i++) {
+        RpCatalog_Remember(
+            catalog,
+            &g_array_index(stored.answers, struct rp_catalog_answer, i));
+    }
+    g_array_append_vals(catalog->quarantine, stored.quarantine->data,
+                        stored.quarantine->len);
+    RpSchema_Clear(&stored_catalog_schema, &stored);
+    return code;
+}
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -68,6 +68,9 @@
     int64_t swept_until; /* next time for a part of the long sweep */
 };
 
+/* Starts a call: what the last one's actions pointed to is let go. */
+void RpAgent_Begin(struct rp_agent *agent, struct rp_actions *actions);
+
 /* Takes the flow's held packet for the actions of this call. */
 const struct rp_held *RpAgent_TakeHeld(struct rp_agent *agent,
                                        const struct rp_flow *flow);
@@ -99,6 +102,9 @@
 void RpAgent_Enter(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
                    int64_t now);
 
+/* Whether a state's deadline is one of the short ones. */
+bool RpAgent_HasShortTimer(uint8_t state);
+
 /* Removes a flow's entry and what is held for it. */
 void RpAgent_Forget(struct rp_agent *agent, struct rp_flow *flow);
 
@@ -123,6 +129,18 @@
 struct rp_flow_key RpAgent_CallerKey(const struct rp_agent *agent,
                                      struct rp_endpoint caller);
 
+/* rp_agent_classify.c: the event that a packet is for its flow; `forced`
+ * says that a SYN was sent back here. */
+enum rp_flow_event RpAgent_ClassifyCaller(const struct rp_flow *flow,
+                                          const struct rp_packet *packet,
+                                          bool forced);
+enum rp_flow_event RpAgent_ClassifyHost(const struct rp_packet *packet);
+
+/* Whether a host's reset answers a segment of another host's flow that was
+ * shown to it, and not the flow that it has itself. */
+bool RpAgent_IsForeignReset(const struct rp_flow *flow,
+                            const struct rp_packet *packet);
+
 /* rp_agent_chain.c: moves `chain` on to the next candidate; `opens` says
  * that it is for a new flow. False when nobody is left. */
 bool RpAgent_NextHop(const struct rp_agent *agent, struct rp_chain *chain,
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -19,6 +19,7 @@
 #include "rp_balancer.h"
 #include "rp_flow_chart.h"
 #include "rp_time.h"
+#include "seeds.h"
 
 #define SERVICES 2
 #define UPSTREAMS 6 /* of each service */
@@ -706,25 +707,14 @@
 static void
 test_ownership_property(void **state)
 {
-    const char *one = g_getenv("RP_SEED");
-    const char *many = g_getenv("RP_SEEDS");
-    uint32_t first = one ? (uint32_t)strtoul(one, NULL, 10) : 1;
-    uint32_t last = one ? first : DEFAULT_SEEDS;
-    unsigned established = 0;
+    uint32_t ran;
 
     (void)state;
-    if (many) {
-        last = (uint32_t)strtoul(many, NULL, 10);
-    }
-    for (uint32_t seed = first; seed <= last; seed++) {
-        established += run_seed(seed);
-    }
-    for (size_t i = 0; !one && !many && i < G_N_ELEMENTS(extra_seeds); i++) {
-        established += run_seed(extra_seeds[i]);
-    }
-    print_message("%u seeds, %u flows established, all alive\n",
-                  last - first + 1, established);
-    assert_true(established > (last - first + 1) * FLOWS / 2);
+    unsigned established = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
+                                     G_N_ELEMENTS(extra_seeds), &ran);
+    print_message("%u seeds, %u flows established, all alive\n", ran,
+                  established);
+    assert_true(established > ran * FLOWS / 2);
 }
 
 int
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -16,6 +16,7 @@
 
 #include "check.h"
 #include "rp_replica.h"
+#include "seeds.h"
 
 #define MAX_SLOTS 5 /* instances */
 #define STEP_US (20 * RP_US_PER_MS)
@@ -644,24 +645,13 @@
 static void
 test_agreement_property(void **state)
 {
-    const char *one = g_getenv("RP_SEED");
-    const char *many = g_getenv("RP_SEEDS");
-    uint32_t first = one ? (uint32_t)strtoul(one, NULL, 10) : 1;
-    uint32_t last = one ? first : DEFAULT_SEEDS;
-    unsigned acknowledged = 0;
+    uint32_t ran;
 
     (void)state;
-    if (many) {
-        last = (uint32_t)strtoul(many, NULL, 10);
-    }
-    for (uint32_t seed = first; seed <= last; seed++) {
-        acknowledged += run_seed(seed);
-    }
-    for (size_t i = 0; !one && !many && i < G_N_ELEMENTS(extra_seeds); i++) {
-        acknowledged += run_seed(extra_seeds[i]);
-    }
-    print_message("%u seeds, %u commands acknowledged, all there once\n",
-                  last - first + 1, acknowledged);
+    unsigned acknowledged = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
+                                      G_N_ELEMENTS(extra_seeds), &ran);
+    print_message("%u seeds, %u commands acknowledged, all there once\n", ran,
+                  acknowledged);
 }
 
 int
