A SYN that every candidate has passed on is decided anew

Cause: found by reading while a hanging request was looked for. When the last candidate sends a flow back and that packet is lost, each has a redirect to the other, and the caller's repeated SYNs were dropped as without an owner until 10 s had passed, then reset. Ruled out as the cause of the hanging request: no drop_no_owner was logged there. Change: a SYN for which nobody is left is decided like a new one. Before: golden lost-back: drop reason=drop_no_owner.

--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -324,6 +324,11 @@
                                                flow->next_hop, &next)
                        : RpAgent_NextHop(agent, &rest, caller, opens, &next);
 
+    if (!found && opens) {
+        /* Every candidate has passed it on, so each sees itself as last. */
+        RpAgent_Decide(agent, now, flow, packet, chain, actions);
+        return;
+    }
     if (!found) {
         give_up(agent, now, flow, packet, actions);
         return;
