Drop code that nothing calls

Cause: reading the whole change once more: RpHold_Get (replaced by RpHold_Take), RpReplica_Leader, RpUdp_Fd and the field leading_since had no user left.

--- a/lib/flow/rp_hold.c
+++ b/lib/flow/rp_hold.c
@@ -45,14 +45,6 @@
     return true;
 }
 
-const struct rp_held *
-RpHold_Get(const struct rp_hold *hold, struct rp_endpoint caller)
-{
-    guint64 key = RpEndpoint_Key(caller);
-
-    return g_hash_table_lookup(hold->packets, &key);
-}
-
 void
 RpHold_Drop(struct rp_hold *hold, struct rp_endpoint caller)
 {
--- a/lib/flow/rp_hold.h
+++ b/lib/flow/rp_hold.h
@@ -32,11 +32,6 @@
 bool RpHold_Put(struct rp_hold *hold, struct rp_endpoint caller,
                 const struct rp_chain *chain, const uint8_t *data, size_t len);
 
-/* The kept packet of a caller, or NULL. Valid until the next call that
- * puts or drops. */
-const struct rp_held *RpHold_Get(const struct rp_hold *hold,
-                                 struct rp_endpoint caller);
-
 /* Takes the caller's packet out; the caller of this function frees it with
  * g_free. NULL if there is none. */
 struct rp_held *RpHold_Take(struct rp_hold *hold, struct rp_endpoint caller);
--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -448,12 +448,6 @@
     return replica->term;
 }
 
-uint64_t
-RpReplica_Leader(const struct rp_replica *replica)
-{
-    return replica->role == RP_REPLICA_LEADER ? replica->id : replica->leader;
-}
-
 uint64_t
 RpReplica_Committed(const struct rp_replica *replica)
 {
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -124,7 +124,6 @@
 enum rp_replica_role RpReplica_Role(const struct rp_replica *replica);
 const char *RpReplica_RoleName(const struct rp_replica *replica);
 uint64_t RpReplica_Term(const struct rp_replica *replica);
-uint64_t RpReplica_Leader(const struct rp_replica *replica); /* 0: none */
 uint64_t RpReplica_Committed(const struct rp_replica *replica);
 uint64_t RpReplica_LastIndex(const struct rp_replica *replica);
 
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -39,7 +39,6 @@
     int64_t leader_seen;       /* last contact with a leader */
     int64_t election_deadline;
     int64_t heartbeat_deadline;
-    int64_t leading_since;
     uint64_t round;
     GArray *round_times;    /* of int64_t, for the last rounds */
     uint64_t members_index; /* entry that the members come from */
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -33,7 +33,6 @@
 {
     replica->role = RP_REPLICA_LEADER;
     replica->leader = replica->id;
-    replica->leading_since = now;
     g_array_set_size(replica->peers, 0);
     RpReplica_SyncPeers(replica, now);
     RpReplica_AppendOwn(replica, RP_ENTRY_NOTHING, NULL);
--- a/programs/shared/rp_udp.c
+++ b/programs/shared/rp_udp.c
@@ -220,9 +220,3 @@
     }
     udp->out_count = 0;
 }
-
-int
-RpUdp_Fd(const struct rp_udp *udp)
-{
-    return g_socket_get_fd(udp->socket);
-}
--- a/programs/shared/rp_udp.h
+++ b/programs/shared/rp_udp.h
@@ -51,7 +51,4 @@
 /* Sends what is queued. Called by itself at the end of a batch. */
 void RpUdp_Flush(struct rp_udp *udp);
 
-/* The socket's descriptor. */
-int RpUdp_Fd(const struct rp_udp *udp);
-
 #endif
