--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -44,6 +44,7 @@
     X(RETRY_HOST_REFUSED, "retry_host_refused", "retried: host refused")      \
     X(RETRY_HOST_SILENT, "retry_host_silent", "retried: host did not answer") \
     X(RETRY_BUDGET_SPENT, "retry_budget_spent", "not retried: budget spent")  \
+    X(REFUSED_BUSY, "refused_busy", "new flows refused: too much work")       \
     X(REFUSED_ALL, "refused_all", "new flows refused: nobody could take it")  \
     X(SYN_TRIMMED, "syn_payload_trimmed", "payload cut from a SYN")           \
     X(SYN_LATE_ANSWER, "syn_late_answer", "host answer after a retry")        \
@@ -58,6 +59,11 @@
     X(FLOW_EXPIRED, "flow_expired", "entries dropped after their deadline")   \
     X(DROP_NO_OWNER, "drop_no_owner", "no owner found yet, tables may lag")   \
     X(RESET_OWNER_GONE, "reset_owner_gone", "flows reset: no owner left")     \
+    X(RESET_HOST_LOST, "reset_host_lost", "flows reset: the host lost them")  \
+    X(HOST_GAVE_BACK, "host_gave_back", "packets that the host gave back")    \
+    X(PASS_HOST_UNKNOWN, "pass_host_unknown", "passed on: host not heard")    \
+    X(RESET_NO_ROUTE, "reset_no_route", "new flows refused: no route there")  \
+    X(DROP_WRONG_SIDE, "drop_wrong_side", "packet that this side never gets") \
     X(PROBE_SENT, "probe_sent", "probes of silent flows")                     \
     X(RESET_SILENT_HOST, "reset_silent_host", "flows reset: host silent")     \
     X(RESET_SILENT_CALLER, "reset_silent_caller", "reset: caller silent")     \
--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -5,7 +5,12 @@
 #include "rp_bytes.h"
 #include "rp_catalog_internal.h"
 
-enum command_kind { COMMAND_INIT = 1, COMMAND_CHANGE, COMMAND_RELEASE };
+enum command_kind {
+    COMMAND_INIT = 1,
+    COMMAND_CHANGE,
+    COMMAND_RELEASE,
+    COMMAND_EDITION
+};
 
 static void
 free_entry(gpointer data)
@@ -53,6 +58,11 @@
     g_hash_table_remove_all(catalog->answers);
     g_queue_clear_full(&catalog->answer_order, g_free);
     g_array_set_size(catalog->quarantine, 0);
+    RpEdition_Clear(&catalog->edition);
+    if (catalog->edition_bytes) {
+        g_string_free(catalog->edition_bytes, TRUE);
+        catalog->edition_bytes = NULL;
+    }
 }
 
 void
@@ -95,6 +105,16 @@
     return out;
 }
 
+GString *
+RpCatalog_EncodeEdition(const struct rp_edition *edition)
+{
+    GString *body = RpSchema_Encode(&rp_edition_schema, edition);
+    GString *out = encode_command(COMMAND_EDITION, body->str, body->len);
+
+    g_string_free(body, TRUE);
+    return out;
+}
+
 GString *
 RpCatalog_EncodeRelease(uint64_t revision)
 {
@@ -180,7 +200,8 @@
     g_hash_table_iter_init(&iter, catalog->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct rp_entry *entry = value;
-        if (!RpName_Equal(&entry->name, &document->name) &&
+        if (!entry->from_edition &&
+            !RpName_Equal(&entry->name, &document->name) &&
             RpEndpoint_Equal(entry->document.address, document->address)) {
             code = RpError_Add(error, RP_ERR_DOCUMENT, place,
                                "address is taken by service %s",
@@ -258,6 +279,10 @@
                            change->service.data);
     }
     const struct rp_entry *entry = RpCatalog_Find(catalog, &document.name);
+    if (entry && entry->from_edition) {
+        return RpError_Add(error, RP_ERR_DOCUMENT, document.name.data,
+                           "is named by the edition in force");
+    }
     uint64_t current = entry ? entry->revision : 0;
     if (change->has_base && change->base != current) {
         answer->revision = current;
@@ -284,6 +309,10 @@
         return RpError_Add(error, RP_ERR_NOT_FOUND, change->service.data,
                            "no such service");
     }
+    if (entry->from_edition) {
+        return RpError_Add(error, RP_ERR_DOCUMENT, change->service.data,
+                           "is named by the edition in force");
+    }
     if (change->has_base && change->base != entry->revision) {
         answer->revision = entry->revision;
         return RpError_Add(error, RP_ERR_CONFLICT, change->service.data,
@@ -349,6 +378,147 @@
     return RP_OK;
 }
 
+struct rp_entry *
+RpCatalog_AddPlain(struct rp_catalog *catalog,
+                   const struct rp_edition_service *service, uint32_t id,
+                   uint64_t revision)
+{
+    struct rp_entry *entry = g_new0(struct rp_entry, 1);
+
+    RpDocument_InitPlain(&entry->document, &service->name);
+    entry->document.flows_per_upstream = MAX(service->flows_per_upstream, 1);
+    entry->name = service->name;
+    entry->id = id;
+    entry->incarnation = id;
+    entry->revision = revision;
+    entry->text = g_string_new(NULL);
+    entry->from_edition = true;
+    g_hash_table_replace(catalog->entries, &entry->name, entry);
+    return entry;
+}
+
+bool
+RpCatalog_LoadEdition(struct rp_catalog *catalog, struct rp_str bytes)
+{
+    struct rp_edition edition;
+
+    if (!RpSchema_Decode(&rp_edition_schema, bytes, &edition)) {
+        return false;
+    }
+    RpEdition_Clear(&catalog->edition);
+    catalog->edition = edition;
+    if (catalog->edition_bytes) {
+        g_string_free(catalog->edition_bytes, TRUE);
+    }
+    catalog->edition_bytes = g_string_new_len(bytes.data, (gssize)bytes.len);
+    return true;
+}
+
+/* A service may not be named by an edition and have a document, too. */
+static enum rp_code
+check_names(const struct rp_catalog *catalog, const struct rp_edition *edition,
+            struct rp_error *error)
+{
+    enum rp_code code = RP_OK;
+
+    for (guint i = 0; i < edition->services->len; i++) {
+        const struct rp_name *name =
+            &g_array_index(edition->services, struct rp_edition_service, i)
+                 .name;
+        const struct rp_entry *entry = RpCatalog_Find(catalog, name);
+        if (entry && !entry->from_edition) {
+            code = RpError_Add(error, RP_ERR_DOCUMENT, name->data,
+                               "has a document of its own");
+        }
+    }
+    return code;
+}
+
+/* Adds the services that the edition names, drops those that it does not
+ * name any more. */
+static void
+replace_services(struct rp_catalog *catalog)
+{
+    const GArray *services = catalog->edition.services;
+    GHashTable *named = g_hash_table_new(RpName_Hash, RpName_EqualKeys);
+    GHashTableIter iter;
+    gpointer value;
+
+    for (guint i = 0; i < services->len; i++) {
+        struct rp_edition_service *service = &g_array_index(
+            services, struct rp_edition_service, i);
+        struct rp_entry *entry = g_hash_table_lookup(catalog->entries,
+                                                     &service->name);
+        g_hash_table_add(named, &service->name);
+        if (!entry) {
+            RpCatalog_AddPlain(catalog, service, catalog->next_id++,
+                               catalog->revision);
+        }
+        else if (entry->document.flows_per_upstream !=
+                 MAX(service->flows_per_upstream, 1)) {
+            entry->document.flows_per_upstream = MAX(
+                service->flows_per_upstream, 1);
+            entry->revision = catalog->revision;
+        }
+    }
+    g_hash_table_iter_init(&iter, catalog->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct rp_entry *entry = value;
+        if (entry->from_edition &&
+            !g_hash_table_contains(named, &entry->name)) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    g_hash_table_destroy(named);
+}
+
+static enum rp_code
+apply_checked_edition(struct rp_catalog *catalog, struct rp_str body,
+                      struct rp_msg_change_reply *reply,
+                      struct rp_error *error)
+{
+    struct rp_edition edition;
+
+    if (!RpSchema_Decode(&rp_edition_schema, body, &edition)) {
+        return RP_ERR_FORMAT;
+    }
+    uint64_t version = edition.version;
+    enum rp_code code = RpEdition_Check(&edition, error);
+    code = code == RP_OK ? check_names(catalog, &edition, error) : code;
+    RpEdition_Clear(&edition);
+    RP_FORWARD_IF_ERROR(code);
+    reply->repeated = version <= catalog->edition.version;
+    if (!reply->repeated && RpCatalog_LoadEdition(catalog, body)) {
+        catalog->revision++;
+        replace_services(catalog);
+    }
+    return RP_OK;
+}
+
+static enum rp_code
+apply_edition(struct rp_catalog *catalog, struct rp_str body,
+              struct rp_msg_change_reply *reply)
+{
+    struct rp_msg_change_reply unread = {0};
+    struct rp_error error;
+
+    reply = reply ? reply : &unread;
+    RpError_Init(&error);
+    reply->is_edition = 1;
+    reply->code = (uint8_t)apply_checked_edition(catalog, body, reply, &error);
+    reply->revision = catalog->revision;
+    RpCatalog_ReplyFindings(reply, &error);
+    RpError_Clear(&error);
+    RpSchema_Clear(&rp_msg_change_reply_schema, &unread);
+    return RP_OK;
+}
+
+const struct rp_edition *
+RpCatalog_Edition(const struct rp_catalog *catalog)
+{
+    return catalog->edition.version ? &catalog->edition : NULL;
+}
+
 enum rp_code
 RpCatalog_Apply(struct rp_catalog *catalog, struct rp_str command,
                 struct rp_msg_change_reply *reply)
@@ -372,6 +542,8 @@
         return apply_change(catalog, body, reply);
     case COMMAND_RELEASE:
         return apply_release(catalog, body);
+    case COMMAND_EDITION:
+        return apply_edition(catalog, body, reply);
     default:
         return RP_ERR_FORMAT;
     }
--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -9,6 +9,9 @@
  *   answer again. The last RP_CATALOG_CHANGE_MEMORY ids are remembered.
  * - A change based on a revision that is no longer current is refused with
  *   the current one.
+ * - An edition (rp_edition.h) replaces the services and virtual addresses of
+ *   the edition before it; services that have a document stay as they are.
+ *   A service keeps its id as long as editions name it.
  * - An address that a service gives up stays quarantined until a release
  *   command says that no instance uses it any more.
  */
@@ -18,6 +21,7 @@
 #include <glib.h>
 
 #include "rp_document.h"
+#include "rp_edition.h"
 #include "rp_msg.h"
 
 #define RP_CATALOG_CHANGE_MEMORY 65536 /* change ids */
@@ -30,6 +34,7 @@
     uint64_t revision;    /* of its last change */
     struct rp_document document;
     GString *text;
+    bool from_edition; /* it has no document: the edition names it */
 };
 
 /* An address between two services. */
@@ -50,6 +55,7 @@
 GString *RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE]);
 GString *RpCatalog_EncodeChange(const struct rp_msg_change *change);
 GString *RpCatalog_EncodeRelease(uint64_t revision);
+GString *RpCatalog_EncodeEdition(const struct rp_edition *edition);
 
 /* Applies a command. For a change, `reply` gets the answer (clear it with
  * the schema); NULL if nobody waits for it. */
@@ -79,6 +85,9 @@
 /* All services, ordered by name; free with g_ptr_array_unref. */
 GPtrArray *RpCatalog_List(const struct rp_catalog *catalog);
 
+/* The edition in force, or NULL before the first. */
+const struct rp_edition *RpCatalog_Edition(const struct rp_catalog *catalog);
+
 /* The highest revision of a quarantined address; 0 if there is none. */
 uint64_t RpCatalog_QuarantineRevision(const struct rp_catalog *catalog);
 
--- a/lib/control/rp_catalog_internal.h
+++ b/lib/control/rp_catalog_internal.h
@@ -23,8 +23,18 @@
     GQueue answer_order; /* of struct rp_catalog_answer, oldest first; owns
                             them */
     GArray *quarantine;  /* of struct rp_quarantine */
+    struct rp_edition edition; /* its version is 0 before the first */
+    GString *edition_bytes;    /* the same, encoded */
 };
 
+/* Adds the entry of a service that the edition names. */
+struct rp_entry *RpCatalog_AddPlain(struct rp_catalog *catalog,
+                                    const struct rp_edition_service *service,
+                                    uint32_t id, uint64_t revision);
+
+/* Takes an edition over, with its encoded form. */
+bool RpCatalog_LoadEdition(struct rp_catalog *catalog, struct rp_str bytes);
+
 /* Drops all content. */
 void RpCatalog_Clear(struct rp_catalog *catalog);
 
--- a/lib/control/rp_catalog_snapshot.c
+++ b/lib/control/rp_catalog_snapshot.c
@@ -11,6 +11,13 @@
     GString *text;
 };
 
+/* A service that the edition names. */
+struct stored_plain {
+    struct rp_name name;
+    uint32_t id;
+    uint64_t revision;
+};
+
 struct stored_catalog {
     uint64_t revision;
     uint32_t next_id;
@@ -19,6 +26,8 @@
     GArray *entries;    /* of struct stored_entry */
     GArray *answers;    /* of struct rp_catalog_answer, oldest first */
     GArray *quarantine; /* of struct rp_quarantine */
+    GArray *plain;      /* of struct stored_plain */
+    GString *edition;   /* encoded; empty before the first */
 };
 
 static const struct rp_field answer_fields[] = {
@@ -49,6 +58,14 @@
 static const struct rp_schema quarantine_schema = RP_SCHEMA(rp_quarantine,
                                                             quarantine_fields);
 
+static const struct rp_field plain_fields[] = {
+    RP_FIELD(RP_FIELD_NAME, stored_plain, name),
+    RP_FIELD(RP_FIELD_UINT, stored_plain, id),
+    RP_FIELD(RP_FIELD_UINT, stored_plain, revision),
+};
+static const struct rp_schema plain_schema = RP_SCHEMA(stored_plain,
+                                                       plain_fields);
+
 static const struct rp_field stored_catalog_fields[] = {
     RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
     RP_FIELD(RP_FIELD_UINT, stored_catalog, next_id),
@@ -57,17 +74,27 @@
     RP_FIELD_LIST_OF(stored_catalog, entries, &stored_entry_schema),
     RP_FIELD_LIST_OF(stored_catalog, answers, &answer_schema),
     RP_FIELD_LIST_OF(stored_catalog, quarantine, &quarantine_schema),
+    RP_FIELD_LIST_OF(stored_catalog, plain, &plain_schema),
+    RP_FIELD(RP_FIELD_TEXT, stored_catalog, edition),
 };
 static const struct rp_schema stored_catalog_schema = RP_SCHEMA(
     stored_catalog, stored_catalog_fields);
 
 static void
-store_entries(const struct rp_catalog *catalog, GArray *rows)
+store_entries(const struct rp_catalog *catalog, GArray *rows, GArray *plain)
 {
     GPtrArray *entries = RpCatalog_List(catalog);
 
     for (guint i = 0; i < entries->len; i++) {
         const struct rp_entry *entry = g_ptr_array_index(entries, i);
+        if (entry->from_edition) {
+            const struct stored_plain short_row = {
+                .name = entry->name,
+                .id = entry->id,
+                .revision = entry->revision};
+            g_array_append_val(plain, short_row);
+            continue;
+        }
         struct stored_entry row = {
             .id = entry->id,
             .incarnation = entry->incarnation,
@@ -88,10 +115,16 @@
         .initialised = catalog->initialised,
         .entries = RpSchema_NewList(&stored_entry_schema),
         .answers = RpSchema_NewList(&answer_schema),
-        .quarantine = RpSchema_NewList(&quarantine_schema)};
+        .quarantine = RpSchema_NewList(&quarantine_schema),
+        .plain = RpSchema_NewList(&plain_schema),
+        .edition = g_string_new(NULL)};
 
     memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
-    store_entries(catalog, stored.entries);
+    store_entries(catalog, stored.entries, stored.plain);
+    if (catalog->edition_bytes) {
+        g_string_append_len(stored.edition, catalog->edition_bytes->str,
+                            (gssize)catalog->edition_bytes->len);
+    }
     for (GList *link = catalog->answer_order.head; link; link = link->next) {
         g_array_append_vals(stored.answers, link->data, 1);
     }
@@ -120,6 +153,35 @@
     return RP_OK;
 }
 
+/* The edition, and the services that it names under their ids. */
+static enum rp_code
+restore_edition(struct rp_catalog *catalog,
+                const struct stored_catalog *stored)
+{
+    struct rp_str bytes = {.data = stored->edition->str,
+                           .len = stored->edition->len};
+
+    if (bytes.len == 0) {
+        return RP_OK;
+    }
+    if (!RpCatalog_LoadEdition(catalog, bytes)) {
+        return RP_ERR_FORMAT;
+    }
+    const GArray *services = catalog->edition.services;
+    for (guint i = 0; i < stored->plain->len; i++) {
+        const struct stored_plain *row = &g_array_index(
+            stored->plain, struct stored_plain, i);
+        for (guint j = 0; j < services->len; j++) {
+            const struct rp_edition_service *service = &g_array_index(
+                services, struct rp_edition_service, j);
+            if (RpName_Equal(&service->name, &row->name)) {
+                RpCatalog_AddPlain(catalog, service, row->id, row->revision);
+            }
+        }
+    }
+    return RP_OK;
+}
+
 enum rp_code
 RpCatalog_Restore(struct rp_catalog *catalog, struct rp_str snapshot)
 {
@@ -138,6 +200,9 @@
         code = restore_entry(
             catalog, &g_array_index(stored.entries, struct stored_entry, i));
     }
+    if (code == RP_OK) {
+        code = restore_edition(catalog, &stored);
+    }
     for (guint i = 0; i < stored.answers->len; i++) {
         RpCatalog_Remember(
             catalog,
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -17,8 +17,11 @@
 
 /* What changed since the last flush. */
 struct pending {
-    GHashTable *touched; /* names of services, as struct rp_name */
-    GArray *removed;     /* of struct removed_service */
+    GHashTable *touched;  /* names of services, as struct rp_name */
+    GArray *removed;      /* of struct removed_service */
+    GArray *vips;         /* of struct rp_msg_vip: new or changed */
+    GArray *removed_vips; /* of struct rp_msg_removed_vip */
+    bool edition;
     bool everything;
     bool revision;
     int64_t deadline;
@@ -35,6 +38,9 @@
     RpDistribution_Send send;
     void *user;
     GHashTable *nodes; /* name -> struct node */
+    GHashTable *vips;  /* address key -> encoded struct rp_msg_vip, as sent */
+    GHashTable *plain; /* names of the edition's services -> their ids */
+    bool vips_known;   /* `vips` has been filled */
     struct pending pending;
     uint64_t generation;
     uint64_t sent_revision;
@@ -42,6 +48,22 @@
     bool fresh;
 };
 
+static void
+free_string(gpointer data)
+{
+    g_string_free(data, TRUE);
+}
+
+static void
+clear_vips(GArray *vips)
+{
+    for (guint i = 0; i < vips->len; i++) {
+        RpSchema_Clear(&rp_msg_vip_schema,
+                       &g_array_index(vips, struct rp_msg_vip, i));
+    }
+    g_array_set_size(vips, 0);
+}
+
 struct rp_distribution *
 RpDistribution_Create(const struct rp_catalog *catalog,
                       const struct rp_registry *registry,
@@ -59,6 +81,13 @@
         RpName_Hash, RpName_EqualKeys, g_free, NULL);
     distribution->pending.removed = g_array_new(
         FALSE, TRUE, sizeof(struct removed_service));
+    distribution->pending.vips = RpSchema_NewList(&rp_msg_vip_schema);
+    distribution->pending.removed_vips = RpSchema_NewList(
+        &rp_msg_removed_vip_schema);
+    distribution->vips = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                               g_free, free_string);
+    distribution->plain = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                                g_free, NULL);
     distribution->pending.deadline = RP_NEVER;
     return distribution;
 }
@@ -70,6 +99,11 @@
         g_hash_table_destroy(distribution->nodes);
         g_hash_table_destroy(distribution->pending.touched);
         g_array_free(distribution->pending.removed, TRUE);
+        clear_vips(distribution->pending.vips);
+        g_array_free(distribution->pending.vips, TRUE);
+        g_array_free(distribution->pending.removed_vips, TRUE);
+        g_hash_table_destroy(distribution->vips);
+        g_hash_table_destroy(distribution->plain);
         g_free(distribution);
     }
 }
@@ -103,7 +137,8 @@
             .agent_ip = upstream->last.agent_ip,
             .agent_port = upstream->last.agent_port,
             .slots = upstream->last.slots,
-            .state = (uint8_t)upstream->state};
+            .state = (uint8_t)upstream->state,
+            .zone = upstream->last.zone};
         if (upstream->state != RP_UPSTREAM_GONE) {
             g_array_append_val(members, member);
         }
@@ -152,6 +187,126 @@
            RP_HASH_KEY_SIZE);
     msg->table.services = RpSchema_NewList(&rp_msg_service_schema);
     msg->table.removed = RpSchema_NewList(&rp_msg_removed_schema);
+    msg->table.vips = RpSchema_NewList(&rp_msg_vip_schema);
+    msg->table.removed_vips = RpSchema_NewList(&rp_msg_removed_vip_schema);
+}
+
+/* A virtual address as nodes see it. */
+static struct rp_msg_vip
+make_vip(const struct rp_distribution *distribution,
+         const struct rp_edition_vip *from)
+{
+    struct rp_msg_vip vip = {
+        .address = from->address,
+        .port = from->port,
+        .kind = from->kind,
+        .priority = from->priority,
+        .timeout_ms = from->timeout_ms,
+        .target_ms = from->target_ms,
+        .targets = RpSchema_NewList(&rp_msg_target_schema)};
+
+    for (guint i = 0; i < from->targets->len; i++) {
+        const struct rp_edition_target *target = &g_array_index(
+            from->targets, struct rp_edition_target, i);
+        const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
+                                                      &target->service);
+        const struct rp_msg_target row = {.service_id = entry ? entry->id : 0,
+                                          .weight = target->weight};
+        g_array_append_val(vip.targets, row);
+    }
+    return vip;
+}
+
+static struct rp_msg_vip
+copy_vip(const struct rp_msg_vip *vip)
+{
+    struct rp_msg_vip copy = *vip;
+
+    copy.targets = RpSchema_NewList(&rp_msg_target_schema);
+    g_array_append_vals(copy.targets, vip->targets->data, vip->targets->len);
+    return copy;
+}
+
+/* Whether a node with this subscription sees the virtual address. */
+static bool
+sees_vip(const struct rp_distribution *distribution, const struct node *node,
+         const struct rp_msg_vip *vip)
+{
+    if (node->service.len == 0) {
+        return true;
+    }
+    const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
+                                                  &node->service);
+    for (guint i = 0; entry && i < vip->targets->len; i++) {
+        if (g_array_index(vip->targets, struct rp_msg_target, i).service_id ==
+            entry->id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_all_vips(const struct rp_distribution *distribution,
+             const struct node *node, GArray *vips)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(
+        distribution->catalog);
+
+    for (guint i = 0; edition && i < edition->vips->len; i++) {
+        struct rp_msg_vip vip = make_vip(
+            distribution,
+            &g_array_index(edition->vips, struct rp_edition_vip, i));
+        if (sees_vip(distribution, node, &vip)) {
+            g_array_append_val(vips, vip);
+        }
+        else {
+            RpSchema_Clear(&rp_msg_vip_schema, &vip);
+        }
+    }
+}
+
+/* Compares the edition's virtual addresses with those sent so far; what
+ * differs is pending. */
+static void
+review_vips(struct rp_distribution *distribution)
+{
+    struct pending *pending = &distribution->pending;
+    const struct rp_edition *edition = RpCatalog_Edition(
+        distribution->catalog);
+    GHashTable *now = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                            g_free, free_string);
+    GHashTableIter iter;
+    gpointer key;
+
+    for (guint i = 0; edition && i < edition->vips->len; i++) {
+        struct rp_msg_vip vip = make_vip(
+            distribution,
+            &g_array_index(edition->vips, struct rp_edition_vip, i));
+        guint64 address = RpEndpoint_Key(
+            (struct rp_endpoint){.ip = vip.address, .port = vip.port});
+        GString *bytes = RpSchema_Encode(&rp_msg_vip_schema, &vip);
+        const GString *old = g_hash_table_lookup(distribution->vips, &address);
+        if (old && g_string_equal(old, bytes)) {
+            RpSchema_Clear(&rp_msg_vip_schema, &vip);
+        }
+        else {
+            g_array_append_val(pending->vips, vip);
+        }
+        g_hash_table_replace(now, g_memdup2(&address, sizeof address), bytes);
+    }
+    g_hash_table_iter_init(&iter, distribution->vips);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        guint64 address = *(const guint64 *)key;
+        const struct rp_msg_removed_vip row = {
+            .address = (uint32_t)(address >> 16), .port = (uint16_t)address};
+        if (!g_hash_table_contains(now, key)) {
+            g_array_append_val(pending->removed_vips, row);
+        }
+    }
+    g_hash_table_destroy(distribution->vips);
+    distribution->vips = now;
+    distribution->vips_known = true;
 }
 
 static void
@@ -181,6 +336,7 @@
             add_service(distribution, entry, msg.table.services);
         }
     }
+    add_all_vips(distribution, node, msg.table.vips);
     node->served = true;
     distribution->send(distribution->user, node->connection, &msg);
     RpMsg_Clear(&msg);
@@ -211,6 +367,16 @@
             g_array_append_val(msg.table.removed, row);
         }
     }
+    for (guint i = 0; i < pending->vips->len; i++) {
+        const struct rp_msg_vip *vip = &g_array_index(pending->vips,
+                                                      struct rp_msg_vip, i);
+        if (sees_vip(distribution, node, vip)) {
+            struct rp_msg_vip copy = copy_vip(vip);
+            g_array_append_val(msg.table.vips, copy);
+        }
+    }
+    g_array_append_vals(msg.table.removed_vips, pending->removed_vips->data,
+                        pending->removed_vips->len);
     if (msg.table.services->len || msg.table.removed->len ||
         pending->revision) {
         distribution->send(distribution->user, node->connection, &msg);
@@ -310,9 +476,46 @@
     set_deadline(distribution, now);
 }
 
+void
+RpDistribution_TouchEdition(struct rp_distribution *distribution, int64_t now)
+{
+    GPtrArray *entries = RpCatalog_List(distribution->catalog);
+    GHashTable *known = distribution->plain;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    distribution->plain = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                                g_free, NULL);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct rp_entry *entry = g_ptr_array_index(entries, i);
+        if (!entry->from_edition) {
+            continue;
+        }
+        g_hash_table_insert(distribution->plain,
+                            g_memdup2(&entry->name, sizeof entry->name),
+                            GUINT_TO_POINTER(entry->id));
+        if (entry->revision == RpCatalog_Revision(distribution->catalog)) {
+            RpDistribution_Touch(distribution, now, &entry->name);
+        }
+    }
+    g_hash_table_iter_init(&iter, known);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (g_hash_table_lookup(distribution->plain, key) != value) {
+            RpDistribution_Remove(distribution, now, key,
+                                  GPOINTER_TO_UINT(value));
+        }
+    }
+    g_hash_table_destroy(known);
+    g_ptr_array_unref(entries);
+    distribution->pending.edition = true;
+    set_deadline(distribution, now);
+}
+
 void
 RpDistribution_TouchAll(struct rp_distribution *distribution, int64_t now)
 {
+    RpDistribution_TouchEdition(distribution, now);
     distribution->pending.everything = true;
     set_deadline(distribution, now);
 }
@@ -398,10 +601,16 @@
         return pending->deadline;
     }
     distribution->generation++;
+    if (pending->edition || pending->everything || !distribution->vips_known) {
+        review_vips(distribution);
+    }
     serve_nodes(distribution);
     review_nodes(distribution, now);
     g_hash_table_remove_all(pending->touched);
     g_array_set_size(pending->removed, 0);
+    clear_vips(pending->vips);
+    g_array_set_size(pending->removed_vips, 0);
+    pending->edition = false;
     pending->everything = false;
     pending->revision = false;
     pending->deadline = RP_NEVER;
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -57,6 +57,11 @@
 void RpDistribution_Remove(struct rp_distribution *distribution, int64_t now,
                            const struct rp_name *service, uint32_t id);
 
+/* Another edition is in force: works out which services and virtual
+ * addresses differ. */
+void RpDistribution_TouchEdition(struct rp_distribution *distribution,
+                                 int64_t now);
+
 /* Everything changed, as after a restored snapshot. */
 void RpDistribution_TouchAll(struct rp_distribution *distribution,
                              int64_t now);
--- a/lib/control/rp_document.c
+++ b/lib/control/rp_document.c
@@ -236,6 +236,17 @@
                                                ALL_SLOTS, ALL_SLOTS);
 }
 
+void
+RpDocument_InitPlain(struct rp_document *document, const struct rp_name *name)
+{
+    *document = (struct rp_document){.name = *name,
+                                     .flows_per_upstream = DEFAULT_FLOWS,
+                                     .retries_percent = DEFAULT_RETRIES,
+                                     .silence_ms = MS_PER_SECOND *
+                                                   DEFAULT_SILENCE,
+                                     .long_slots_percent = ALL_SLOTS};
+}
+
 enum rp_code
 RpDocument_Parse(struct rp_str text, struct rp_document *document,
                  struct rp_error *error)
--- a/lib/control/rp_document.h
+++ b/lib/control/rp_document.h
@@ -40,4 +40,9 @@
 enum rp_code RpDocument_Parse(struct rp_str text, struct rp_document *document,
                               struct rp_error *error);
 
+/* The document of a service that says no more than its name: no address of
+ * its own, all limits at their defaults. */
+void RpDocument_InitPlain(struct rp_document *document,
+                          const struct rp_name *name);
+
 #endif
--- a/lib/flow/rp_admission.c
+++ b/lib/flow/rp_admission.c
@@ -80,6 +80,30 @@
     return verdict;
 }
 
+static enum rp_verdict
+bounded_decide(struct rp_admission *policy, const struct rp_load *load,
+               enum rp_counter *reason)
+{
+    uint32_t full = load->priority <= RP_IMPORTANT_PRIORITY
+                        ? RP_FULL_SHARE_IMPORTANT
+                        : RP_FULL_SHARE_OTHERS;
+
+    if (load->last && MIN(load->best_share, RpLoad_Share(load)) >= full) {
+        *reason = RP_COUNT_REFUSED_BUSY;
+        return RP_VERDICT_REFUSE;
+    }
+    return least_decide(policy, load, reason);
+}
+
+struct rp_admission *
+RpAdmission_CreateBounded(void)
+{
+    static const struct rp_admission_ops ops = {
+        .name = "bounded", .decide = bounded_decide, .free = free_plain};
+
+    return create_plain(&ops);
+}
+
 struct rp_admission *
 RpAdmission_CreateLeast(void)
 {
--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -16,6 +16,16 @@
 #define RP_SHARE_UNIT 64 /* a share of 64 means: all slots are busy */
 #define RP_SHARE_MAX 255 /* also: no candidate before this one */
 
+/* Work that a host may have, in slots, before requests are refused. With
+ * spread-out work a request behind `n` slots' worth of others waits about
+ * n - 1 times the mean work; the users' latency targets are 5 to 6 times
+ * it, and a queue of twice the slots leaves half of that for the work's own
+ * tail and for the network. */
+#define RP_FULL_SHARE_IMPORTANT (3 * RP_SHARE_UNIT)
+#define RP_FULL_SHARE_OTHERS (2 * RP_SHARE_UNIT)
+/* Priorities up to this one count as important. */
+#define RP_IMPORTANT_PRIORITY 1
+
 /* The upstream's load at the moment of a decision. */
 struct rp_load {
     uint32_t slots;      /* requests it serves at once, after cold start */
@@ -25,12 +35,14 @@
     uint32_t position;   /* how many candidates passed the flow on already */
     uint8_t best_share;  /* lowest share of those, or RP_SHARE_MAX */
     bool last;           /* no candidate comes after this one */
+    uint32_t priority;   /* of the requests behind the address; 0 highest */
 };
 
 enum rp_verdict {
     RP_VERDICT_TAKE,
-    RP_VERDICT_PASS, /* to the next candidate */
-    RP_VERDICT_BACK  /* to the earlier candidate with the lowest share */
+    RP_VERDICT_PASS,  /* to the next candidate */
+    RP_VERDICT_BACK,  /* to the earlier candidate with the lowest share */
+    RP_VERDICT_REFUSE /* nobody in reach can serve it in time */
 };
 
 struct rp_admission;
@@ -38,7 +50,8 @@
 struct rp_admission_ops {
     const char *name;
     /* Decides; `*reason` is what to count. Only for the last candidate may
-     * it be RP_VERDICT_BACK, and never RP_VERDICT_PASS. */
+     * it be RP_VERDICT_BACK or RP_VERDICT_REFUSE, and never
+     * RP_VERDICT_PASS. */
     enum rp_verdict (*decide)(struct rp_admission *policy,
                               const struct rp_load *load,
                               enum rp_counter *reason);
@@ -56,6 +69,11 @@
 /* Takes a flow while a slot is free; the last candidate takes it anyway. */
 struct rp_admission *RpAdmission_CreateBound(void);
 
+/* As RpAdmission_CreateLeast, but refuses when the least busy candidate has
+ * more work than it can get through in time: more important requests may
+ * wait in longer queues than others. */
+struct rp_admission *RpAdmission_CreateBounded(void);
+
 void RpAdmission_Free(struct rp_admission *policy);
 
 /* Asks the policy, after the hard limit on flows. */
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -4,6 +4,8 @@
 
 #include "rp_agent_internal.h"
 
+#define ALL_PERCENT 100
+
 struct rp_agent *
 RpAgent_Create(const struct rp_agent_config *config,
                const struct rp_chart *chart, struct rp_admission *policy,
@@ -14,6 +16,13 @@
     g_queue_init(&agent->short_timers);
     g_queue_init(&agent->reserves);
     agent->config = *config;
+    if (!agent->config.codec) {
+        agent->config.codec = &rp_codec_ipv4;
+    }
+    if (agent->config.patience == 0) {
+        agent->config.patience = RP_SYN_PATIENCE_US;
+    }
+    agent->lost = g_array_new(FALSE, FALSE, sizeof(struct rp_flow_key));
     agent->chart = chart;
     agent->policy = policy;
     agent->counters = counters;
@@ -36,6 +45,7 @@
     }
     g_queue_clear_full(&agent->short_timers, g_free);
     g_queue_clear_full(&agent->reserves, g_free);
+    g_array_free(agent->lost, TRUE);
     RpAgent_GateFree(agent);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
@@ -59,6 +69,36 @@
     agent->draining = draining;
 }
 
+void
+RpAgent_SetHostState(struct rp_agent *agent, enum rp_host_state state)
+{
+    agent->host = state;
+}
+
+void
+RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots,
+                     int64_t cold_until)
+{
+    agent->config.slots = MAX(slots, 1);
+    agent->cold_until = cold_until;
+    RpAgent_GateConfigure(agent);
+}
+
+void
+RpAgent_SetKnowsAll(struct rp_agent *agent)
+{
+    agent->knows_all = true;
+}
+
+void
+RpAgent_HostRestarted(struct rp_agent *agent, int64_t now)
+{
+    agent->knows_all = true;
+    g_array_set_size(agent->lost, 0);
+    RpFlowTable_Collect(agent->flows, RP_FLOW_OWNED, agent->lost);
+    RpHealth_Answered(&agent->health, now);
+}
+
 /* Starts a call: what the last one's actions pointed to is let go. */
 void
 RpAgent_Begin(struct rp_agent *agent, struct rp_actions *actions)
@@ -105,7 +145,8 @@
                     uint32_t ack)
 {
     uint8_t *scratch = actions->scratch[actions->count];
-    size_t len = RpPacket_MakeSegment(key, flags, seq, ack, scratch);
+    size_t len = agent->config.codec->ops->make_segment(key, flags, seq, ack,
+                                                        scratch);
 
     RpAgent_Send(agent, actions, kind, reason, scratch, len);
 }
@@ -115,18 +156,22 @@
                     enum rp_counter reason, const struct rp_packet *packet)
 {
     uint8_t *scratch = actions->scratch[actions->count];
-    size_t len = RpPacket_MakeReset(packet, scratch);
+    size_t len = agent->config.codec->ops->make_reset(packet, scratch);
 
     RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, reason, scratch, len);
 }
 
-struct rp_flow_key
-RpAgent_CallerKey(const struct rp_agent *agent, struct rp_endpoint caller)
+void
+RpAgent_ResetLost(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+                  struct rp_actions *actions)
 {
-    return (struct rp_flow_key){.src_ip = caller.ip,
-                                .src_port = caller.port,
-                                .dst_ip = agent->service->address.ip,
-                                .dst_port = agent->service->address.port};
+    const struct rp_packet last = {.key = flow->caller,
+                                   .flags = RP_TCP_ACK,
+                                   .seq = flow->caller_next,
+                                   .ack = flow->caller_acked};
+
+    RpAgent_Enter(agent, flow, RP_FLOW_CLOSED, now);
+    RpAgent_ResetCaller(agent, actions, RP_COUNT_RESET_HOST_LOST, &last);
 }
 
 static void
@@ -157,7 +202,7 @@
     }
     if ((packet->flags & RP_TCP_SYN) && packet->payload_len > 0) {
         uint8_t *scratch = actions->scratch[actions->count];
-        len = RpPacket_TrimPayload(packet, scratch);
+        len = agent->config.codec->ops->trim_payload(packet, scratch);
         data = scratch;
         RpCounters_Add(agent->counters, RP_COUNT_SYN_TRIMMED);
     }
@@ -203,6 +248,15 @@
     }
 }
 
+/* Whether the service may be reached there. Virtual addresses come and go
+ * more often than tables reach agents: there the balancer's tag decides. */
+static bool
+is_own_address(const struct rp_service *service, struct rp_endpoint address)
+{
+    return service->address.port == 0 ||
+           RpEndpoint_Equal(service->address, address);
+}
+
 /* Whether the packet is meant for this agent's service, in its present
  * life, at its address. */
 static bool
@@ -214,8 +268,7 @@
     return geneve->has_tag && geneve->has_chain &&
            geneve->tag.service_id == service->tag.service_id &&
            geneve->tag.incarnation == service->tag.incarnation &&
-           packet->key.dst_ip == service->address.ip &&
-           packet->key.dst_port == service->address.port;
+           is_own_address(service, RpFlowKey_Target(packet->key));
 }
 
 void
@@ -223,7 +276,7 @@
                    const struct rp_packet *packet,
                    const struct rp_geneve *geneve, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
+    struct rp_flow_key caller = packet->key;
 
     RpAgent_Begin(agent, actions);
     if (!agent->service) {
@@ -239,14 +292,17 @@
     if (flow) {
         apply_caller(agent, now, flow, packet, &geneve->chain, actions);
     }
+    else if (RpPacket_Opens(packet)) {
+        RpAgent_Decide(agent, now, NULL, packet, &geneve->chain, actions);
+    }
+    else if (agent->knows_all) {
+        RpAgent_Pass(agent, now, NULL, packet, &geneve->chain, actions);
+    }
     else if (packet->flags & RP_TCP_RST) {
         RpAgent_Send(agent, actions, RP_ACTION_TO_HOST, RP_COUNT_PACKETS_OUT,
                      packet->data, packet->len);
         RpAgent_Pass(agent, now, NULL, packet, &geneve->chain, actions);
     }
-    else if (RpPacket_Opens(packet)) {
-        RpAgent_Decide(agent, now, NULL, packet, &geneve->chain, actions);
-    }
     else {
         RpAgent_Ask(agent, now, packet, &geneve->chain, actions);
     }
@@ -265,6 +321,7 @@
 apply_host(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
            const struct rp_packet *packet, struct rp_actions *actions)
 {
+    static const struct rp_chain no_chain = {.best_share = RP_CHAIN_NO_SHARE};
     enum rp_flow_event event = RpAgent_ClassifyHost(packet);
 
     if (event == RP_FLOW_EV_HRST && RpAgent_IsForeignReset(flow, packet)) {
@@ -272,7 +329,7 @@
         return;
     }
     if (flow->state == RP_FLOW_REDIRECT && (flow->flags & RP_FLOW_UNSURE) &&
-        event != RP_FLOW_EV_HRST) {
+        event != RP_FLOW_EV_HRST && event != RP_FLOW_EV_HBACK) {
         /* The agent may have forgotten that the flow is its host's, and the
          * host's word counts more than its own redirect. */
         change_state(agent, flow, RP_FLOW_ASKING, now);
@@ -297,6 +354,12 @@
         RpHealth_Failed(&agent->health, now);
         RpAgent_Retry(agent, now, flow, packet, actions);
         break;
+    case RP_FLOW_DO_RESET:
+        RpAgent_ResetLost(agent, now, flow, actions);
+        break;
+    case RP_FLOW_DO_PASS:
+        RpAgent_Pass(agent, now, flow, packet, &no_chain, actions);
+        break;
     case RP_FLOW_DO_QUASH:
         RpAgent_Quash(agent, flow, packet, actions);
         break;
@@ -309,15 +372,19 @@
 RpAgent_FromHost(struct rp_agent *agent, int64_t now,
                  const struct rp_packet *packet, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Target(packet->key);
+    struct rp_flow_key caller = packet->returned
+                                    ? packet->key
+                                    : RpFlowKey_Reverse(packet->key);
 
     RpAgent_Begin(agent, actions);
+    if (packet->returned) {
+        RpCounters_Add(agent->counters, RP_COUNT_HOST_GAVE_BACK);
+    }
     if (!agent->service) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_NO_TABLE);
         return;
     }
-    if (packet->key.src_ip != agent->service->address.ip ||
-        packet->key.src_port != agent->service->address.port) {
+    if (!is_own_address(agent->service, RpFlowKey_Target(caller))) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP,
                     RP_COUNT_DROP_WRONG_SERVICE);
         return;
@@ -333,10 +400,13 @@
 
 void
 RpAgent_FillLoad(const struct rp_agent *agent, int64_t now,
-                 const struct rp_chain *chain, struct rp_load *load)
+                 struct rp_endpoint address, const struct rp_chain *chain,
+                 struct rp_load *load)
 {
     struct rp_agent_load mine = RpAgent_Load(agent, now);
 
+    const struct rp_vip *vip = RpTable_FindVip(agent->table, address);
+
     *load = (struct rp_load){.slots = mine.slots,
                              .busy = mine.busy,
                              .flows = mine.flows,
@@ -344,7 +414,8 @@
                              .position = chain->visited ? chain->visited - 1u
                                                         : 0,
                              .best_share = chain->best_share,
-                             .last = chain->visited >= chain->count};
+                             .last = chain->visited >= chain->count,
+                             .priority = vip ? vip->priority : 0};
 }
 
 struct rp_agent_load
@@ -359,12 +430,15 @@
         int64_t part = MAX(now - config->ramp_from, 0);
         slots = (uint32_t)(slots * part / whole);
     }
+    if (now < agent->cold_until) {
+        slots = slots * RP_COLD_SLOTS_PERCENT / ALL_PERCENT;
+    }
     return (struct rp_agent_load){
         .slots = MAX(slots, 1), .flows = agent->owned, .busy = agent->busy};
 }
 
 uint8_t
-RpAgent_FlowState(const struct rp_agent *agent, struct rp_endpoint caller)
+RpAgent_FlowState(const struct rp_agent *agent, struct rp_flow_key caller)
 {
     const struct rp_flow *flow = RpFlowTable_Find(agent->flows, caller);
 
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -17,13 +17,14 @@
 
 #include "rp_admission.h"
 #include "rp_chart.h"
+#include "rp_codec.h"
 #include "rp_counters.h"
 #include "rp_geneve.h"
 #include "rp_packet.h"
 #include "rp_table.h"
 
 #define RP_MAX_ACTIONS 4
-#define RP_SCRATCH_SIZE 128 /* bytes of a packet made by the agent */
+#define RP_SCRATCH_SIZE RP_CODEC_SCRATCH /* of a packet made here */
 
 enum rp_action_kind {
     RP_ACTION_DROP,
@@ -49,7 +50,21 @@
     uint8_t scratch[RP_MAX_ACTIONS][RP_SCRATCH_SIZE];
 };
 
+/* What the agent knows of its host. An agent that nobody tells of its host
+ * takes it to be there. */
+enum rp_host_state {
+    RP_HOST_READY,
+    RP_HOST_UNKNOWN, /* not heard of yet, or not for long */
+    RP_HOST_DRAINING,
+    RP_HOST_GONE
+};
+
 struct rp_agent_config {
+    /* The format of packets; NULL: IPv4 with TCP. */
+    const struct rp_codec *codec;
+    /* How long the host may take to answer a SYN or to disown a flow that
+     * it was asked about; 0: RP_SYN_PATIENCE_US. */
+    int64_t patience;
     struct rp_endpoint self; /* this agent, as chains name it */
     int64_t started;         /* when the agent started */
     uint32_t slots;          /* requests the host serves at once */
@@ -84,6 +99,25 @@
 /* From now on: no new flows (true), or new flows again (false). */
 void RpAgent_SetDraining(struct rp_agent *agent, bool draining);
 
+/* What the host says of itself. While it is not ready it gets no new
+ * flows. */
+void RpAgent_SetHostState(struct rp_agent *agent, enum rp_host_state state);
+
+/* Its slots, and until when it is slow after its start (0: it is not). */
+void RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots,
+                          int64_t cold_until);
+
+/* The agent has run since before its host started: it knows every flow of
+ * the host, and an unknown one is certainly not the host's. */
+void RpAgent_SetKnowsAll(struct rp_agent *agent);
+
+/* The host has started anew and holds none of its flows any more: their
+ * callers are told by the next calls of RpAgent_OnTimer. */
+void RpAgent_HostRestarted(struct rp_agent *agent, int64_t now);
+
+/* The first time at which RpAgent_OnTimer has something to do. */
+int64_t RpAgent_NextTimer(const struct rp_agent *agent);
+
 /* A packet on its way to the host. `geneve` is what it came in. */
 void RpAgent_FromCaller(struct rp_agent *agent, int64_t now,
                         const struct rp_packet *packet,
@@ -102,9 +136,9 @@
 
 struct rp_agent_load RpAgent_Load(const struct rp_agent *agent, int64_t now);
 
-/* The state of a caller's flow, as in charts/flow.chart. */
+/* The state of a flow as its caller names it, as in charts/flow.chart. */
 uint8_t RpAgent_FlowState(const struct rp_agent *agent,
-                          struct rp_endpoint caller);
+                          struct rp_flow_key flow);
 
 /* Bytes that the flow table takes. */
 size_t RpAgent_Bytes(const struct rp_agent *agent);
--- a/lib/flow/rp_agent_chain.c
+++ b/lib/flow/rp_agent_chain.c
@@ -19,14 +19,11 @@
  * own table, which may be newer than the one the chain was made from. */
 static bool
 next_from_table(const struct rp_agent *agent, struct rp_chain *chain,
-                struct rp_endpoint caller, bool opens,
+                struct rp_flow_key caller, unsigned states,
                 struct rp_endpoint *next)
 {
     const struct rp_member *ranked[RP_MAX_CHAIN];
-    unsigned states = opens ? RP_MEMBERS_READY
-                            : RP_MEMBERS_SERVING | RP_MEMBERS_LOST;
-    uint64_t hash = RpTable_HashFlow(agent->table,
-                                     RpAgent_CallerKey(agent, caller));
+    uint64_t hash = RpTable_HashFlow(agent->table, caller);
     size_t count = RpService_Rank(agent->service, hash, states, ranked,
                                   RP_MAX_CHAIN);
 
@@ -48,11 +45,18 @@
 
 bool
 RpAgent_NextHop(const struct rp_agent *agent, struct rp_chain *chain,
-                struct rp_endpoint caller, bool opens,
+                struct rp_flow_key caller, bool opens,
                 struct rp_endpoint *next)
 {
-    return next_named(agent, chain, next) ||
-           next_from_table(agent, chain, caller, opens, next);
+    if (next_named(agent, chain, next)) {
+        return true;
+    }
+    if (opens) {
+        return next_from_table(agent, chain, caller, RP_MEMBERS_READY, next);
+    }
+    /* A packet ends at an agent that is gone: those come last. */
+    return next_from_table(agent, chain, caller, RP_MEMBERS_SERVING, next) ||
+           next_from_table(agent, chain, caller, RP_MEMBERS_LOST, next);
 }
 
 /* Whether a new flow may go to this endpoint. An open flow follows its
@@ -73,7 +77,7 @@
 
 bool
 RpAgent_NextHopPrefer(const struct rp_agent *agent, struct rp_chain *chain,
-                      struct rp_endpoint caller, bool opens,
+                      struct rp_flow_key caller, bool opens,
                       struct rp_endpoint wanted, struct rp_endpoint *next)
 {
     size_t place = 0;
--- a/lib/flow/rp_agent_classify.c
+++ b/lib/flow/rp_agent_classify.c
@@ -66,6 +66,9 @@
 enum rp_flow_event
 RpAgent_ClassifyHost(const struct rp_packet *packet)
 {
+    if (packet->returned) {
+        return RP_FLOW_EV_HBACK;
+    }
     if (packet->flags & RP_TCP_RST) {
         return RP_FLOW_EV_HRST;
     }
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -44,9 +44,8 @@
 {
     switch (state) {
     case RP_FLOW_OPENING:
-        return now + RP_SYN_PATIENCE_US;
     case RP_FLOW_ASKING:
-        return now + RP_ASK_PATIENCE_US;
+        return now + agent->config.patience;
     case RP_FLOW_ANSWERED:
         return now + RP_CONFIRM_PATIENCE_US;
     case RP_FLOW_REDIRECT:
@@ -59,7 +58,7 @@
 }
 
 static void
-push_timer(GQueue *queue, struct rp_endpoint caller, int64_t deadline)
+push_timer(GQueue *queue, struct rp_flow_key caller, int64_t deadline)
 {
     struct rp_short_timer *timer = g_new(struct rp_short_timer, 1);
 
--- a/lib/flow/rp_agent_gate.c
+++ b/lib/flow/rp_agent_gate.c
@@ -19,8 +19,8 @@
 RpAgent_GateCreate(struct rp_agent *agent)
 {
     agent->gate = RpGate_Create(UINT32_MAX, UINT32_MAX);
-    agent->kept = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                        free_packets);
+    agent->kept = g_hash_table_new_full(RpFlowKey_Hash, RpFlowKey_EqualKeys,
+                                        g_free, free_packets);
     g_queue_init(&agent->released);
 }
 
@@ -61,12 +61,13 @@
 keep(struct rp_agent *agent, const struct rp_flow *flow,
      const struct rp_packet *packet)
 {
-    guint64 key = RpEndpoint_Key(flow->caller);
-    GQueue *packets = g_hash_table_lookup(agent->kept, &key);
+    GQueue *packets = g_hash_table_lookup(agent->kept, &flow->caller);
 
     if (!packets) {
         packets = g_queue_new();
-        g_hash_table_insert(agent->kept, g_memdup2(&key, sizeof key), packets);
+        g_hash_table_insert(agent->kept,
+                            g_memdup2(&flow->caller, sizeof flow->caller),
+                            packets);
     }
     if (packets->length >= MAX_KEPT_PACKETS ||
         agent->kept_bytes + packet->len > MAX_KEPT_BYTES) {
@@ -90,15 +91,14 @@
 static void
 release(struct rp_agent *agent, struct rp_flow *flow)
 {
-    guint64 key = RpEndpoint_Key(flow->caller);
-    GQueue *packets = g_hash_table_lookup(agent->kept, &key);
+    GQueue *packets = g_hash_table_lookup(agent->kept, &flow->caller);
     struct rp_held *packet;
 
     while (packets && (packet = g_queue_pop_head(packets)) != NULL) {
         agent->kept_bytes -= packet->len;
         g_queue_push_tail(&agent->released, packet);
     }
-    g_hash_table_remove(agent->kept, &key);
+    g_hash_table_remove(agent->kept, &flow->caller);
 }
 
 bool
@@ -162,7 +162,7 @@
 static bool
 let_next_in(struct rp_agent *agent, int64_t now)
 {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     bool is_long;
 
     if (!RpGate_Next(agent->gate, now, &caller, &is_long)) {
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -14,8 +14,9 @@
 
 /* How long a host may take to answer a SYN before the next one is tried. */
 #define RP_SYN_PATIENCE_US (250 * RP_US_PER_MS)
-/* How long a host may take to disown a flow it was asked about. */
-#define RP_ASK_PATIENCE_US RP_SYN_PATIENCE_US
+/* How long an idle flow is remembered where its ends cannot be probed.
+ * Flows that live longer are found again through the host. */
+#define RP_IDLE_FORGET_US (120 * RP_US_PER_SECOND)
 /* How long a slot is kept for the first request of a new flow. */
 #define RP_RESERVE_US RP_SYN_PATIENCE_US
 /* How long a copy of a SYN may wander about. An agent that has run longer
@@ -32,15 +33,18 @@
 #define RP_REDIRECT_LINGER_US (120 * RP_US_PER_SECOND)
 /* An answer that takes longer than this makes its flow one for long work. */
 #define RP_LONG_AFTER_US (200 * RP_US_PER_MS)
+/* A host that is slow after its start gets through about this share of its
+ * usual work: cold hosts are known to take 1.6 times as long. */
+#define RP_COLD_SLOTS_PERCENT 60
 /* Entries of any kind; a SYN flood gets no further than this. */
 #define RP_AGENT_MAX_ENTRIES 1000000
 /* Retries that may be saved up, in hundredths of a retry. */
 #define RP_RETRY_BURST_CENTS 2000
 
 /* A flow whose deadline is short, in the order of the deadlines: all of
- * them are RP_SYN_PATIENCE_US after they were set. */
+ * them are the same time after they were set. */
 struct rp_short_timer {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     int64_t deadline;
 };
 
@@ -52,6 +56,10 @@
     const struct rp_table *table;
     const struct rp_service *service;
     bool draining;
+    bool knows_all; /* there is no flow of the host that it does not know */
+    enum rp_host_state host;
+    int64_t cold_until;
+    GArray *lost; /* of struct rp_flow_key: the host has lost them */
     struct rp_health health;
     struct rp_flow_table *flows;
     struct rp_hold *hold;
@@ -92,6 +100,17 @@
                          struct rp_flow_key key, uint8_t flags, uint32_t seq,
                          uint32_t ack);
 
+/* Whether packets can be made that look like an end's own. */
+static inline bool
+RpAgent_CanForge(const struct rp_agent *agent)
+{
+    return agent->config.codec->ops->make_segment != NULL;
+}
+
+/* Resets the caller of a flow that its host has lost. */
+void RpAgent_ResetLost(struct rp_agent *agent, int64_t now,
+                       struct rp_flow *flow, struct rp_actions *actions);
+
 /* Answers a caller's packet with a reset. */
 void RpAgent_ResetCaller(struct rp_agent *agent, struct rp_actions *actions,
                          enum rp_counter reason,
@@ -117,7 +136,8 @@
 
 /* The load as admission sees it. */
 void RpAgent_FillLoad(const struct rp_agent *agent, int64_t now,
-                      const struct rp_chain *chain, struct rp_load *load);
+                      struct rp_endpoint address, const struct rp_chain *chain,
+                      struct rp_load *load);
 
 /* Updates what is known of both directions from one packet. */
 void RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
@@ -125,10 +145,6 @@
 void RpAgent_TrackHost(struct rp_agent *agent, struct rp_flow *flow,
                        const struct rp_packet *packet, int64_t now);
 
-/* The flow as its caller names it. */
-struct rp_flow_key RpAgent_CallerKey(const struct rp_agent *agent,
-                                     struct rp_endpoint caller);
-
 /* rp_agent_classify.c: the event that a packet is for its flow; `forced`
  * says that a SYN was sent back here. */
 enum rp_flow_event RpAgent_ClassifyCaller(const struct rp_flow *flow,
@@ -144,12 +160,12 @@
 /* rp_agent_chain.c: moves `chain` on to the next candidate; `opens` says
  * that it is for a new flow. False when nobody is left. */
 bool RpAgent_NextHop(const struct rp_agent *agent, struct rp_chain *chain,
-                     struct rp_endpoint caller, bool opens,
+                     struct rp_flow_key caller, bool opens,
                      struct rp_endpoint *next);
 
 /* As RpAgent_NextHop, but to `wanted` if it can still be tried. */
 bool RpAgent_NextHopPrefer(const struct rp_agent *agent,
-                           struct rp_chain *chain, struct rp_endpoint caller,
+                           struct rp_chain *chain, struct rp_flow_key caller,
                            bool opens, struct rp_endpoint wanted,
                            struct rp_endpoint *next);
 
--- a/lib/flow/rp_agent_learn.c
+++ b/lib/flow/rp_agent_learn.c
@@ -7,7 +7,7 @@
             const struct rp_packet *packet, const struct rp_chain *chain,
             struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
+    struct rp_flow_key caller = packet->key;
 
     if (RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
         RpAgent_Pass(agent, now, NULL, packet, chain, actions);
@@ -49,9 +49,9 @@
                       const struct rp_packet *packet,
                       struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Target(packet->key);
+    struct rp_flow_key caller = RpFlowKey_Reverse(packet->key);
 
-    if ((packet->flags & RP_TCP_RST) ||
+    if ((packet->flags & RP_TCP_RST) || packet->returned ||
         RpFlowTable_Count(agent->flows) >= RP_AGENT_MAX_ENTRIES) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOST_STRAY);
         return;
@@ -85,7 +85,8 @@
 
     RpCounters_Add(agent->counters, RP_COUNT_FLOW_NOT_HOSTS);
     RpAgent_Enter(agent, flow, RP_FLOW_REDIRECT, now);
-    if (!held || !RpPacket_Parse(held->data, held->len, &packet, &reason)) {
+    if (!held || !agent->config.codec->ops->parse(held->data, held->len,
+                                                  &packet, &reason)) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOLD_FULL);
         return;
     }
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -14,7 +14,7 @@
 {
     if (packet->payload_len > 0) {
         RpCounters_Add(agent->counters, RP_COUNT_SYN_TRIMMED);
-        return RpPacket_TrimPayload(packet, out);
+        return agent->config.codec->ops->trim_payload(packet, out);
     }
     memcpy(out, packet->data, packet->len);
     return packet->len;
@@ -40,22 +40,28 @@
 {
     RpAgent_Enter(agent, flow, RP_FLOW_REDIRECT, now);
     flow->next_hop = next;
-    if (now < agent->config.started + RP_SYN_LIFETIME_US) {
+    if (!agent->knows_all &&
+        now < agent->config.started + RP_SYN_LIFETIME_US) {
         flow->flags |= RP_FLOW_UNSURE;
     }
 }
 
 static enum rp_verdict
-decide(struct rp_agent *agent, int64_t now, const struct rp_chain *chain,
-       enum rp_counter *reason)
+decide(struct rp_agent *agent, int64_t now, struct rp_endpoint address,
+       const struct rp_chain *chain, enum rp_counter *reason)
 {
     struct rp_load load;
 
-    if (agent->draining) {
+    if (agent->draining || agent->host == RP_HOST_DRAINING ||
+        agent->host == RP_HOST_GONE) {
         *reason = RP_COUNT_PASS_DRAINING;
         return RP_VERDICT_PASS;
     }
-    RpAgent_FillLoad(agent, now, chain, &load);
+    if (agent->host == RP_HOST_UNKNOWN) {
+        *reason = RP_COUNT_PASS_HOST_UNKNOWN;
+        return RP_VERDICT_PASS;
+    }
+    RpAgent_FillLoad(agent, now, address, chain, &load);
     /* When all others passed, an ill host is better than none. */
     if (!load.last && !RpHealth_Allows(&agent->health, now)) {
         *reason = RP_COUNT_PASS_UNHEALTHY;
@@ -71,7 +77,7 @@
 /* Makes sure that the flow has an entry; NULL when the table is full. */
 static struct rp_flow *
 entry_for(struct rp_agent *agent, struct rp_flow *flow,
-          struct rp_endpoint caller)
+          struct rp_flow_key caller)
 {
     if (flow) {
         return flow;
@@ -100,11 +106,12 @@
 
 /* Tells the candidates that follow how busy this one is. */
 static void
-note_share(struct rp_agent *agent, int64_t now, struct rp_chain *chain)
+note_share(struct rp_agent *agent, int64_t now, struct rp_endpoint address,
+           struct rp_chain *chain)
 {
     struct rp_load load;
 
-    RpAgent_FillLoad(agent, now, chain, &load);
+    RpAgent_FillLoad(agent, now, address, chain, &load);
     uint8_t share = RpLoad_Share(&load);
     if (chain->visited > 0 && share < chain->best_share) {
         chain->best_share = share;
@@ -115,7 +122,7 @@
 /* Moves the chain on to where a new flow goes from here. */
 static bool
 next_for_syn(struct rp_agent *agent, int64_t now, struct rp_chain *chain,
-             struct rp_endpoint caller, enum rp_counter reason,
+             struct rp_flow_key caller, enum rp_counter reason,
              struct rp_endpoint *next)
 {
     if (reason == RP_COUNT_PASS_BACK) {
@@ -125,11 +132,30 @@
     }
     chain->forced = false;
     if (reason == RP_COUNT_PASS_BUSY) {
-        note_share(agent, now, chain);
+        note_share(agent, now, RpFlowKey_Target(caller), chain);
     }
     return RpAgent_NextHop(agent, chain, caller, true, next);
 }
 
+/* Tells a caller at once that nobody takes its new flow. For a SYN that was
+ * sent again nothing is said: an earlier copy may have been admitted by
+ * another agent just now, and that flow must not be reset. */
+static void
+refuse_syn(struct rp_agent *agent, struct rp_flow *flow,
+           const struct rp_packet *packet, enum rp_counter reason,
+           struct rp_actions *actions)
+{
+    if (packet->copy > 0) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, reason);
+    }
+    else {
+        RpAgent_ResetCaller(agent, actions, reason, packet);
+    }
+    if (flow) {
+        RpAgent_Forget(agent, flow);
+    }
+}
+
 /* Leaves a new flow to the next candidate, or refuses it when there is
  * none. */
 static void
@@ -137,16 +163,13 @@
          const struct rp_packet *packet, const struct rp_chain *chain,
          enum rp_counter reason, struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
+    struct rp_flow_key caller = packet->key;
     struct rp_chain rest = *chain;
     struct rp_endpoint next;
 
     if (!next_for_syn(agent, now, &rest, caller, reason, &next)) {
         RpCounters_Add(agent->counters, reason);
-        RpAgent_ResetCaller(agent, actions, RP_COUNT_REFUSED_ALL, packet);
-        if (flow) {
-            RpAgent_Forget(agent, flow);
-        }
+        refuse_syn(agent, flow, packet, RP_COUNT_REFUSED_ALL, actions);
         return;
     }
     flow = entry_for(agent, flow, caller);
@@ -187,10 +210,16 @@
                const struct rp_packet *packet, const struct rp_chain *chain,
                struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
+    struct rp_flow_key caller = packet->key;
     enum rp_counter reason;
 
-    if (decide(agent, now, chain, &reason) != RP_VERDICT_TAKE) {
+    enum rp_verdict verdict = decide(agent, now, RpFlowKey_Target(caller),
+                                     chain, &reason);
+    if (verdict == RP_VERDICT_REFUSE) {
+        refuse_syn(agent, flow, packet, reason, actions);
+        return;
+    }
+    if (verdict != RP_VERDICT_TAKE) {
         pass_syn(agent, now, flow, packet, chain, reason, actions);
         return;
     }
@@ -231,6 +260,10 @@
 refuse(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
        const struct rp_packet *refusal, struct rp_actions *actions)
 {
+    if (refusal->returned) {
+        refuse_syn(agent, flow, refusal, RP_COUNT_REFUSED_ALL, actions);
+        return;
+    }
     RpAgent_Enter(agent, flow, RP_FLOW_CLOSED, now);
     RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_REFUSED_ALL,
                  refusal->data, refusal->len);
@@ -272,11 +305,17 @@
               const struct rp_packet *packet, const struct rp_chain *chain,
               struct rp_actions *actions)
 {
-    struct rp_flow_key key = RpAgent_CallerKey(agent, flow->caller);
+    struct rp_flow_key key = flow->caller;
 
-    RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST,
-                        RP_COUNT_FLOW_YIELDED, key, RP_TCP_RST,
-                        flow->caller_isn + 1, 0);
+    if (RpAgent_CanForge(agent)) {
+        RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST,
+                            RP_COUNT_FLOW_YIELDED, key, RP_TCP_RST,
+                            flow->caller_isn + 1, 0);
+    }
+    else {
+        /* The host gives its half-open flow up by itself. */
+        RpCounters_Add(agent->counters, RP_COUNT_FLOW_YIELDED);
+    }
     flow->next_hop = (struct rp_endpoint){0};
     RpAgent_Pass(agent, now, flow, packet, chain, actions);
 }
@@ -285,8 +324,12 @@
 RpAgent_Quash(struct rp_agent *agent, struct rp_flow *flow,
               const struct rp_packet *packet, struct rp_actions *actions)
 {
-    struct rp_flow_key key = RpAgent_CallerKey(agent, flow->caller);
+    struct rp_flow_key key = flow->caller;
 
+    if (!RpAgent_CanForge(agent)) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_SYN_LATE_ANSWER);
+        return;
+    }
     RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST,
                         RP_COUNT_SYN_LATE_ANSWER, key, RP_TCP_RST, packet->ack,
                         0);
@@ -302,7 +345,7 @@
         flow->host_seen = now;
     }
     bool waits = flow && now < flow->host_seen + RP_OWNER_PATIENCE_US;
-    if (waits || (packet->flags & RP_TCP_RST)) {
+    if (waits || !RpAgent_CanForge(agent) || (packet->flags & RP_TCP_RST)) {
         RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_NO_OWNER);
         return;
     }
@@ -314,7 +357,7 @@
              const struct rp_packet *packet, const struct rp_chain *chain,
              struct rp_actions *actions)
 {
-    struct rp_endpoint caller = RpFlowKey_Source(packet->key);
+    struct rp_flow_key caller = packet->key;
     struct rp_chain rest = *chain;
     struct rp_endpoint next;
     bool opens = RpPacket_Opens(packet);
--- a/lib/flow/rp_agent_silence.c
+++ b/lib/flow/rp_agent_silence.c
@@ -37,25 +37,24 @@
            struct rp_actions *actions)
 {
     RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST, RP_COUNT_PROBE_SENT,
-                        RpAgent_CallerKey(agent, flow->caller), RP_TCP_ACK,
-                        flow->host_acked - 1, flow->caller_acked);
+                        flow->caller, RP_TCP_ACK, flow->host_acked - 1,
+                        flow->caller_acked);
 }
 
 static void
 probe_caller(struct rp_agent *agent, const struct rp_flow *flow,
              struct rp_actions *actions)
 {
-    RpAgent_SendSegment(
-        agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_PROBE_SENT,
-        RpFlowKey_Reverse(RpAgent_CallerKey(agent, flow->caller)), RP_TCP_ACK,
-        flow->caller_acked - 1, flow->host_acked);
+    RpAgent_SendSegment(agent, actions, RP_ACTION_TO_CALLER,
+                        RP_COUNT_PROBE_SENT, RpFlowKey_Reverse(flow->caller),
+                        RP_TCP_ACK, flow->caller_acked - 1, flow->host_acked);
 }
 
 static void
 reset_both(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
            enum rp_counter reason, struct rp_actions *actions)
 {
-    struct rp_flow_key key = RpAgent_CallerKey(agent, flow->caller);
+    struct rp_flow_key key = flow->caller;
 
     RpAgent_SendSegment(agent, actions, RP_ACTION_TO_HOST, reason, key,
                         RP_TCP_RST, flow->host_acked, 0);
@@ -85,12 +84,28 @@
                actions);
 }
 
+/* Without probes only time tells: an idle flow is forgotten. */
+static void
+forget_if_idle(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
+               int64_t last_seen)
+{
+    flow->deadline = last_seen + RP_IDLE_FORGET_US;
+    if (flow->deadline <= now) {
+        RpCounters_Add(agent->counters, RP_COUNT_FLOW_EXPIRED);
+        RpAgent_Forget(agent, flow);
+    }
+}
+
 void
 RpAgent_CheckSilence(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
                      struct rp_actions *actions)
 {
     int64_t last_seen = MAX(flow->host_seen, flow->caller_seen);
 
+    if (!RpAgent_CanForge(agent)) {
+        forget_if_idle(agent, now, flow, last_seen);
+        return;
+    }
     if (flow->flags & RP_FLOW_PROBED) {
         judge(agent, now, flow, actions);
         return;
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -72,7 +72,7 @@
 static struct rp_flow *
 due_long(struct rp_agent *agent, int64_t now)
 {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     size_t share = RpFlowTable_Places(agent->flows) / SWEEP_SHARE;
 
     if (now < agent->swept_until) {
@@ -86,6 +86,49 @@
     return RpFlowTable_Find(agent->flows, caller);
 }
 
+/* Tells the caller of one flow that the host has lost. */
+static bool
+reset_lost(struct rp_agent *agent, int64_t now, struct rp_actions *actions)
+{
+    while (agent->lost->len > 0) {
+        struct rp_flow *flow = RpFlowTable_Find(
+            agent->flows, g_array_index(agent->lost, struct rp_flow_key,
+                                        agent->lost->len - 1));
+        g_array_set_size(agent->lost, agent->lost->len - 1);
+        if (flow && (flow->flags & RP_FLOW_OWNED)) {
+            RpAgent_ResetLost(agent, now, flow, actions);
+            return true;
+        }
+    }
+    return false;
+}
+
+static int64_t
+first_deadline(const GQueue *timers)
+{
+    const struct rp_short_timer *first = timers->head ? timers->head->data
+                                                      : NULL;
+
+    return first ? first->deadline : RP_NEVER;
+}
+
+int64_t
+RpAgent_NextTimer(const struct rp_agent *agent)
+{
+    if (!agent->service) {
+        return RP_NEVER;
+    }
+    if (agent->lost->len > 0) {
+        return 0;
+    }
+    int64_t next = MIN(first_deadline(&agent->short_timers),
+                       first_deadline(&agent->reserves));
+    if (RpFlowTable_Count(agent->flows) > 0) {
+        next = MIN(next, agent->swept_until);
+    }
+    return MIN(next, RpGate_NextDeadline(agent->gate));
+}
+
 bool
 RpAgent_OnTimer(struct rp_agent *agent, int64_t now,
                 struct rp_actions *actions)
@@ -94,6 +137,9 @@
     if (!agent->service) {
         return false;
     }
+    if (reset_lost(agent, now, actions)) {
+        return true;
+    }
     end_reserves(agent, now);
     if (RpAgent_GatePump(agent, now, actions)) {
         return true;
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -13,6 +13,18 @@
     }
 }
 
+/* A SYN that was sent again goes to another candidate first: the one before
+ * may not answer. */
+static void
+rotate(struct rp_chain *chain, uint32_t steps)
+{
+    struct rp_chain old = *chain;
+
+    for (size_t i = 0; i < chain->count; i++) {
+        chain->hop[i] = old.hop[(i + steps) % chain->count];
+    }
+}
+
 void
 RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
                  struct rp_route *route)
@@ -26,18 +38,21 @@
         route->reason = RP_COUNT_DROP_NO_TABLE;
         return;
     }
-    const struct rp_service *service = RpTable_Find(table, address);
+    uint64_t hash = RpTable_HashFlow(table, packet->key);
+    const struct rp_service *service = RpTable_Resolve(table, address, hash);
     if (!service) {
         route->reason = RP_COUNT_DROP_UNKNOWN_ADDRESS;
         return;
     }
-    uint64_t hash = RpTable_HashFlow(table, packet->key);
     route->tag = service->tag;
     append_ranked(&route->chain, service, hash,
                   opens ? RP_MEMBERS_READY : RP_MEMBERS_SERVING);
     if (!opens) {
         append_ranked(&route->chain, service, hash, RP_MEMBERS_LOST);
     }
+    if (opens && packet->copy > 0 && route->chain.count > 1) {
+        rotate(&route->chain, packet->copy);
+    }
     if (route->chain.count > 0) {
         route->kind = RP_ROUTE_SEND;
         route->reason = RP_COUNT_ROUTED;
--- a/lib/flow/rp_flow_chart.c
+++ b/lib/flow/rp_flow_chart.c
@@ -8,14 +8,14 @@
     "asking",      "presumed",  NULL};
 
 static const char *const event_names[RP_FLOW_EVENT_COUNT + 1] = {
-    "syn",  "reuse",  "back",  "unsure", "data", "fin",   "rst", "alien",
-    "late", "synack", "hdata", "hfin",   "hrst", "timer", NULL};
+    "syn",  "reuse",  "back",  "unsure", "data", "fin",   "rst",   "alien",
+    "late", "synack", "hdata", "hfin",   "hrst", "hback", "timer", NULL};
 
 static const char *const action_names[RP_FLOW_ACTION_COUNT + 1] = {
     "nothing", "to_host",   "to_caller",  "pass",    "to_host_and_pass",
     "decide",  "renew",     "retry",      "yield",   "quash",
     "ask",     "adopt",     "presume",    "release", "check",
-    "expire",  "drop_late", "drop_stray", NULL};
+    "expire",  "drop_late", "drop_stray", "reset",   NULL};
 
 enum rp_code
 RpFlowChart_Load(struct rp_chart *chart, struct rp_error *error)
--- a/lib/flow/rp_flow_chart.h
+++ b/lib/flow/rp_flow_chart.h
@@ -32,6 +32,7 @@
     RP_FLOW_EV_HDATA,
     RP_FLOW_EV_HFIN,
     RP_FLOW_EV_HRST,
+    RP_FLOW_EV_HBACK,
     RP_FLOW_EV_TIMER,
     RP_FLOW_EVENT_COUNT
 };
@@ -55,6 +56,7 @@
     RP_FLOW_DO_EXPIRE,
     RP_FLOW_DO_DROP_LATE,
     RP_FLOW_DO_DROP_STRAY,
+    RP_FLOW_DO_RESET,
     RP_FLOW_ACTION_COUNT
 };
 
--- a/lib/flow/rp_flow_table.c
+++ b/lib/flow/rp_flow_table.c
@@ -46,10 +46,11 @@
 }
 
 static uint64_t
-hash_of(const struct rp_flow_table *table, struct rp_endpoint caller)
+hash_of(const struct rp_flow_table *table, struct rp_flow_key caller)
 {
-    uint64_t x = RpEndpoint_Key(caller);
+    uint64_t x = (uint64_t)caller.src_ip << 16 | caller.src_port;
 
+    x ^= ((uint64_t)caller.dst_ip << 16 | caller.dst_port) << 17;
     x ^= table->seed;
     x *= UINT64_C(0x9e3779b97f4a7c15);
     x ^= x >> 32;
@@ -66,19 +67,19 @@
 
 /* The entry of `caller`, or the free place where it would go. */
 static struct rp_flow *
-probe(const struct shard *shard, uint64_t hash, struct rp_endpoint caller)
+probe(const struct shard *shard, uint64_t hash, struct rp_flow_key caller)
 {
     size_t place = hash & shard->mask;
 
     while (shard->places[place].state != 0 &&
-           !RpEndpoint_Equal(shard->places[place].caller, caller)) {
+           !RpFlowKey_Equal(shard->places[place].caller, caller)) {
         place = (place + 1) & shard->mask;
     }
     return &shard->places[place];
 }
 
 struct rp_flow *
-RpFlowTable_Find(struct rp_flow_table *table, struct rp_endpoint caller)
+RpFlowTable_Find(struct rp_flow_table *table, struct rp_flow_key caller)
 {
     uint64_t hash = hash_of(table, caller);
     struct rp_flow *flow = probe(shard_of(table, hash), hash, caller);
@@ -104,7 +105,7 @@
 }
 
 struct rp_flow *
-RpFlowTable_Insert(struct rp_flow_table *table, struct rp_endpoint caller)
+RpFlowTable_Insert(struct rp_flow_table *table, struct rp_flow_key caller)
 {
     uint64_t hash = hash_of(table, caller);
     struct shard *shard = shard_of(table, hash);
@@ -171,9 +172,24 @@
     return sizeof *table + RpFlowTable_Places(table) * sizeof(struct rp_flow);
 }
 
+void
+RpFlowTable_Collect(const struct rp_flow_table *table, uint16_t flags,
+                    GArray *out)
+{
+    for (size_t i = 0; i < RP_FLOW_SHARDS; i++) {
+        const struct shard *shard = &table->shards[i];
+        for (size_t j = 0; j <= shard->mask; j++) {
+            const struct rp_flow *flow = &shard->places[j];
+            if (flow->state != 0 && (flow->flags & flags)) {
+                g_array_append_val(out, flow->caller);
+            }
+        }
+    }
+}
+
 size_t
 RpFlowTable_Due(struct rp_flow_table *table, int64_t now, size_t budget,
-                struct rp_endpoint *out, size_t max)
+                struct rp_flow_key *out, size_t max)
 {
     size_t found = 0;
 
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -8,11 +8,12 @@
 #ifndef RP_FLOW_TABLE_H
 #define RP_FLOW_TABLE_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-#include "rp_endpoint.h"
+#include "rp_packet.h"
 
 #define RP_FLOW_SHARDS 64 /* a power of two */
 
@@ -32,7 +33,7 @@
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     uint8_t state; /* enum rp_flow_state; 0 marks a free place */
     uint16_t flags;
     uint32_t caller_isn;
@@ -57,12 +58,12 @@
 
 /* The flow of a caller, or NULL. */
 struct rp_flow *RpFlowTable_Find(struct rp_flow_table *table,
-                                 struct rp_endpoint caller);
+                                 struct rp_flow_key caller);
 
 /* A new zeroed entry for a caller that has none; the caller of this
  * function sets its state. */
 struct rp_flow *RpFlowTable_Insert(struct rp_flow_table *table,
-                                   struct rp_endpoint caller);
+                                   struct rp_flow_key caller);
 
 /* Removes an entry. */
 void RpFlowTable_Remove(struct rp_flow_table *table, struct rp_flow *flow);
@@ -75,7 +76,12 @@
  * looking at up to `budget` places from where the last call ended. Returns
  * how many. */
 size_t RpFlowTable_Due(struct rp_flow_table *table, int64_t now, size_t budget,
-                       struct rp_endpoint *out, size_t max);
+                       struct rp_flow_key *out, size_t max);
+
+/* Appends the keys of the flows that have any of the flag bits to `out`, a
+ * list of struct rp_flow_key. */
+void RpFlowTable_Collect(const struct rp_flow_table *table, uint16_t flags,
+                         GArray *out);
 
 /* How many places there are, free ones included. */
 size_t RpFlowTable_Places(const struct rp_flow_table *table);
--- a/lib/flow/rp_gate.c
+++ b/lib/flow/rp_gate.c
@@ -5,7 +5,7 @@
 
 /* A kept request. */
 struct kept {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     int64_t deadline;
 };
 
@@ -61,7 +61,7 @@
 }
 
 bool
-RpGate_Enter(struct rp_gate *gate, int64_t now, struct rp_endpoint caller,
+RpGate_Enter(struct rp_gate *gate, int64_t now, struct rp_flow_key caller,
              bool is_long)
 {
     GQueue *queue = is_long ? &gate->long_work : &gate->short_work;
@@ -96,7 +96,7 @@
 
 static void
 take_first(struct rp_gate *gate, GQueue *queue, bool is_long,
-           struct rp_endpoint *caller)
+           struct rp_flow_key *caller)
 {
     struct kept *first = g_queue_pop_head(queue);
 
@@ -106,7 +106,7 @@
 }
 
 bool
-RpGate_Next(struct rp_gate *gate, int64_t now, struct rp_endpoint *caller,
+RpGate_Next(struct rp_gate *gate, int64_t now, struct rp_flow_key *caller,
             bool *is_long)
 {
     bool take_short = gate->short_work.length > 0 &&
@@ -125,11 +125,11 @@
 }
 
 static bool
-cancel_in(GQueue *queue, struct rp_endpoint caller)
+cancel_in(GQueue *queue, struct rp_flow_key caller)
 {
     for (GList *link = queue->head; link; link = link->next) {
         const struct kept *kept = link->data;
-        if (RpEndpoint_Equal(kept->caller, caller)) {
+        if (RpFlowKey_Equal(kept->caller, caller)) {
             g_free(link->data);
             g_queue_delete_link(queue, link);
             return true;
@@ -139,12 +139,27 @@
 }
 
 bool
-RpGate_Cancel(struct rp_gate *gate, struct rp_endpoint caller)
+RpGate_Cancel(struct rp_gate *gate, struct rp_flow_key caller)
 {
     return cancel_in(&gate->short_work, caller) ||
            cancel_in(&gate->long_work, caller);
 }
 
+static int64_t
+first_deadline(const GQueue *queue)
+{
+    const struct kept *first = queue->head ? queue->head->data : NULL;
+
+    return first ? first->deadline : RP_NEVER;
+}
+
+int64_t
+RpGate_NextDeadline(const struct rp_gate *gate)
+{
+    return MIN(first_deadline(&gate->short_work),
+               first_deadline(&gate->long_work));
+}
+
 uint32_t
 RpGate_Kept(const struct rp_gate *gate)
 {
--- a/lib/flow/rp_gate.h
+++ b/lib/flow/rp_gate.h
@@ -13,7 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "rp_endpoint.h"
+#include "rp_packet.h"
 #include "rp_time.h"
 
 /* Longest time that the gate keeps a request. */
@@ -33,7 +33,7 @@
 
 /* A request of `caller` wants in. True: it is in now. False: it is kept
  * until RpGate_Next names its caller. */
-bool RpGate_Enter(struct rp_gate *gate, int64_t now, struct rp_endpoint caller,
+bool RpGate_Enter(struct rp_gate *gate, int64_t now, struct rp_flow_key caller,
                   bool is_long);
 
 /* A request that was in has its answer. */
@@ -41,11 +41,14 @@
 
 /* The next kept request that goes in now; it counts as in. False if none
  * does. `*is_long` is how it was entered. */
-bool RpGate_Next(struct rp_gate *gate, int64_t now, struct rp_endpoint *caller,
+bool RpGate_Next(struct rp_gate *gate, int64_t now, struct rp_flow_key *caller,
                  bool *is_long);
 
 /* A kept request that will never come. False if it was not kept. */
-bool RpGate_Cancel(struct rp_gate *gate, struct rp_endpoint caller);
+bool RpGate_Cancel(struct rp_gate *gate, struct rp_flow_key caller);
+
+/* The first time at which a kept request goes in whatever the slots say. */
+int64_t RpGate_NextDeadline(const struct rp_gate *gate);
 
 /* Requests kept, and requests in. */
 uint32_t RpGate_Kept(const struct rp_gate *gate);
--- a/lib/flow/rp_hold.c
+++ b/lib/flow/rp_hold.c
@@ -12,8 +12,8 @@
 {
     struct rp_hold *hold = g_new0(struct rp_hold, 1);
 
-    hold->packets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                          g_free);
+    hold->packets = g_hash_table_new_full(RpFlowKey_Hash, RpFlowKey_EqualKeys,
+                                          g_free, g_free);
     return hold;
 }
 
@@ -27,40 +27,36 @@
 }
 
 bool
-RpHold_Put(struct rp_hold *hold, struct rp_endpoint caller,
+RpHold_Put(struct rp_hold *hold, struct rp_flow_key caller,
            const struct rp_chain *chain, const uint8_t *data, size_t len)
 {
-    guint64 key = RpEndpoint_Key(caller);
-
     if (len > RP_HOLD_PACKET_MAX ||
         (g_hash_table_size(hold->packets) >= RP_HOLD_MAX &&
-         !g_hash_table_contains(hold->packets, &key))) {
+         !g_hash_table_contains(hold->packets, &caller))) {
         return false;
     }
     struct rp_held *held = g_malloc(sizeof *held + len);
     held->chain = *chain;
     held->len = len;
     memcpy(held->data, data, len);
-    g_hash_table_replace(hold->packets, g_memdup2(&key, sizeof key), held);
+    g_hash_table_replace(hold->packets, g_memdup2(&caller, sizeof caller),
+                         held);
     return true;
 }
 
 void
-RpHold_Drop(struct rp_hold *hold, struct rp_endpoint caller)
+RpHold_Drop(struct rp_hold *hold, struct rp_flow_key caller)
 {
-    guint64 key = RpEndpoint_Key(caller);
-
-    g_hash_table_remove(hold->packets, &key);
+    g_hash_table_remove(hold->packets, &caller);
 }
 
 struct rp_held *
-RpHold_Take(struct rp_hold *hold, struct rp_endpoint caller)
+RpHold_Take(struct rp_hold *hold, struct rp_flow_key caller)
 {
-    guint64 key = RpEndpoint_Key(caller);
     gpointer stored_key;
     gpointer held;
 
-    if (!g_hash_table_steal_extended(hold->packets, &key, &stored_key,
+    if (!g_hash_table_steal_extended(hold->packets, &caller, &stored_key,
                                      &held)) {
         return NULL;
     }
--- a/lib/flow/rp_hold.h
+++ b/lib/flow/rp_hold.h
@@ -8,8 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "rp_endpoint.h"
 #include "rp_geneve.h"
+#include "rp_packet.h"
 
 #define RP_HOLD_MAX 16384       /* packets */
 #define RP_HOLD_PACKET_MAX 2048 /* bytes; larger ones are not kept */
@@ -29,14 +29,14 @@
 
 /* Keeps a copy, in place of an earlier one of that caller. False if there
  * is no room or the packet is too large. */
-bool RpHold_Put(struct rp_hold *hold, struct rp_endpoint caller,
+bool RpHold_Put(struct rp_hold *hold, struct rp_flow_key caller,
                 const struct rp_chain *chain, const uint8_t *data, size_t len);
 
 /* Takes the caller's packet out; the caller of this function frees it with
  * g_free. NULL if there is none. */
-struct rp_held *RpHold_Take(struct rp_hold *hold, struct rp_endpoint caller);
+struct rp_held *RpHold_Take(struct rp_hold *hold, struct rp_flow_key caller);
 
 /* Drops the caller's packet, if any. */
-void RpHold_Drop(struct rp_hold *hold, struct rp_endpoint caller);
+void RpHold_Drop(struct rp_hold *hold, struct rp_flow_key caller);
 
 #endif
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -17,6 +17,9 @@
     uint8_t hash_key[RP_HASH_KEY_SIZE];
     GHashTable *by_address; /* address key -> struct rp_service */
     GHashTable *by_id;      /* service id -> struct rp_service, owns it */
+    GHashTable *vips;       /* address key -> struct rp_vip */
+    struct rp_name zone;    /* whose members are preferred */
+    uint32_t zone_weight;
 };
 
 /* log2 of 1 + i / LOG_TABLE_SIZE in fixed point; the last entry is 1. */
@@ -40,6 +43,15 @@
     g_free(service);
 }
 
+static void
+free_vip(gpointer data)
+{
+    struct rp_vip *vip = data;
+
+    g_free(vip->targets);
+    g_free(vip);
+}
+
 struct rp_table *
 RpTable_Create(void)
 {
@@ -51,21 +63,34 @@
     table->by_address = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                               g_free, NULL);
     table->by_id = g_hash_table_new_full(NULL, NULL, NULL, free_service);
+    table->vips = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                        free_vip);
+    table->zone_weight = 1;
     return table;
 }
 
+void
+RpTable_PreferZone(struct rp_table *table, const struct rp_name *zone,
+                   uint32_t weight)
+{
+    table->zone = *zone;
+    table->zone_weight = MAX(weight, 1);
+}
+
 void
 RpTable_Free(struct rp_table *table)
 {
     if (table) {
         g_hash_table_destroy(table->by_address);
         g_hash_table_destroy(table->by_id);
+        g_hash_table_destroy(table->vips);
         g_free(table);
     }
 }
 
 static void
-fill_member(struct rp_member *member, const struct rp_msg_member *from)
+fill_member(const struct rp_table *table, struct rp_member *member,
+            const struct rp_msg_member *from)
 {
     static const uint8_t seed_key[crypto_shorthash_KEYBYTES] =
         "member-seed-v1";
@@ -75,8 +100,11 @@
     member->agent = (struct rp_endpoint){.ip = from->agent_ip,
                                          .port = from->agent_port};
     member->slots = MAX(from->slots, 1);
-    member->inverse_slots = (uint32_t)MIN(INVERSE_SCALE / member->slots,
-                                          UINT32_MAX);
+    uint64_t weight = member->slots;
+    if (RpName_Equal(&table->zone, &from->zone)) {
+        weight *= table->zone_weight;
+    }
+    member->inverse_slots = (uint32_t)MIN(INVERSE_SCALE / weight, UINT32_MAX);
     member->state = (enum rp_upstream_state)from->state;
     crypto_shorthash(seed, (const uint8_t *)from->upstream.data,
                      from->upstream.len, seed_key);
@@ -84,7 +112,7 @@
 }
 
 static struct rp_service *
-make_service(const struct rp_msg_service *from)
+make_service(const struct rp_table *table, const struct rp_msg_service *from)
 {
     struct rp_service *service = g_new0(struct rp_service, 1);
 
@@ -101,7 +129,7 @@
     service->count = from->members->len;
     service->members = g_new0(struct rp_member, service->count);
     for (size_t i = 0; i < service->count; i++) {
-        fill_member(&service->members[i],
+        fill_member(table, &service->members[i],
                     &g_array_index(from->members, struct rp_msg_member, i));
     }
     return service;
@@ -126,13 +154,60 @@
 static void
 put_service(struct rp_table *table, const struct rp_msg_service *from)
 {
-    struct rp_service *service = make_service(from);
-    guint64 *key = g_new(guint64, 1);
+    struct rp_service *service = make_service(table, from);
+    guint64 key = RpEndpoint_Key(service->address);
 
     remove_service(table, from->id);
-    *key = RpEndpoint_Key(service->address);
     g_hash_table_insert(table->by_id, GUINT_TO_POINTER(from->id), service);
-    g_hash_table_replace(table->by_address, key, service);
+    if (service->address.port != 0) {
+        g_hash_table_replace(table->by_address, g_memdup2(&key, sizeof key),
+                             service);
+    }
+}
+
+static void
+remove_vip(struct rp_table *table, struct rp_endpoint address)
+{
+    guint64 key = RpEndpoint_Key(address);
+
+    g_hash_table_remove(table->vips, &key);
+}
+
+static void
+put_vip(struct rp_table *table, const struct rp_msg_vip *from)
+{
+    struct rp_vip *vip = g_new0(struct rp_vip, 1);
+
+    *vip = (struct rp_vip){
+        .address = {.ip = from->address, .port = from->port},
+        .kind = (enum rp_request_kind)from->kind,
+        .priority = from->priority,
+        .timeout_ms = from->timeout_ms,
+        .target_ms = from->target_ms,
+        .count = from->targets->len,
+        .targets = g_memdup2(from->targets->data,
+                             from->targets->len *
+                                 sizeof(struct rp_msg_target))};
+    for (size_t i = 0; i < vip->count; i++) {
+        vip->weight_sum += vip->targets[i].weight;
+    }
+    guint64 key = RpEndpoint_Key(vip->address);
+    g_hash_table_replace(table->vips, g_memdup2(&key, sizeof key), vip);
+}
+
+static void
+apply_vips(struct rp_table *table, const struct rp_msg_table *update)
+{
+    for (guint i = 0; update->removed_vips && i < update->removed_vips->len;
+         i++) {
+        const struct rp_msg_removed_vip *gone = &g_array_index(
+            update->removed_vips, struct rp_msg_removed_vip, i);
+        remove_vip(table, (struct rp_endpoint){.ip = gone->address,
+                                               .port = gone->port});
+    }
+    for (guint i = 0; update->vips && i < update->vips->len; i++) {
+        put_vip(table, &g_array_index(update->vips, struct rp_msg_vip, i));
+    }
 }
 
 enum rp_code
@@ -144,6 +219,7 @@
     if (update->complete) {
         g_hash_table_remove_all(table->by_address);
         g_hash_table_remove_all(table->by_id);
+        g_hash_table_remove_all(table->vips);
     }
     for (guint i = 0; update->removed && i < update->removed->len; i++) {
         remove_service(
@@ -154,6 +230,7 @@
         put_service(
             table, &g_array_index(update->services, struct rp_msg_service, i));
     }
+    apply_vips(table, update);
     memcpy(table->hash_key, update->hash_key, RP_HASH_KEY_SIZE);
     table->revision = update->revision;
     return RP_OK;
@@ -179,6 +256,14 @@
     return g_hash_table_lookup(table->by_address, &key);
 }
 
+const struct rp_vip *
+RpTable_FindVip(const struct rp_table *table, struct rp_endpoint address)
+{
+    guint64 key = RpEndpoint_Key(address);
+
+    return g_hash_table_lookup(table->vips, &key);
+}
+
 const struct rp_service *
 RpTable_FindName(const struct rp_table *table, const struct rp_name *name)
 {
@@ -247,6 +332,24 @@
     return (uint64_t)draw * member->inverse_slots;
 }
 
+const struct rp_service *
+RpTable_Resolve(const struct rp_table *table, struct rp_endpoint address,
+                uint64_t flow_hash)
+{
+    const struct rp_vip *vip = RpTable_FindVip(table, address);
+
+    if (!vip || vip->weight_sum == 0) {
+        return RpTable_Find(table, address);
+    }
+    uint64_t draw = mix(flow_hash) % vip->weight_sum;
+    size_t place = 0;
+    while (draw >= vip->targets[place].weight) {
+        draw -= vip->targets[place++].weight;
+    }
+    return g_hash_table_lookup(
+        table->by_id, GUINT_TO_POINTER(vip->targets[place].service_id));
+}
+
 size_t
 RpService_Rank(const struct rp_service *service, uint64_t flow_hash,
                unsigned states, const struct rp_member **out, size_t max)
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -35,12 +35,27 @@
     struct rp_name name;
     struct rp_endpoint agent;
     uint32_t slots;
-    uint32_t inverse_slots; /* 2^32 / slots, for the score */
+    uint32_t inverse_slots; /* 2^32 / weighted slots, for the score */
     uint64_t seed;
     enum rp_upstream_state state;
 };
 
-/* One service and its members. */
+/* A virtual address of the edition in force: a service takes flows there in
+ * proportion to its weight. A service's own address leads to it alone and
+ * needs no such entry. */
+struct rp_vip {
+    struct rp_endpoint address;
+    enum rp_request_kind kind;
+    uint32_t priority; /* 0 is the highest */
+    uint32_t timeout_ms;
+    uint32_t target_ms; /* latency that callers hope for */
+    uint32_t weight_sum;
+    size_t count;
+    struct rp_msg_target *targets;
+};
+
+/* One service and its members. An address of port 0 is none: the service
+ * is reached through virtual addresses only. */
 struct rp_service {
     struct rp_name name;
     struct rp_endpoint address;
@@ -60,6 +75,11 @@
 
 void RpTable_Free(struct rp_table *table);
 
+/* Members in this zone count `weight` times as much as others when flows
+ * are placed. To be set before the first table comes. */
+void RpTable_PreferZone(struct rp_table *table, const struct rp_name *zone,
+                        uint32_t weight);
+
 /* Takes a whole table or a change from control. Refuses a lower revision
  * with RP_ERR_CONFLICT and then changes nothing. */
 enum rp_code RpTable_Apply(struct rp_table *table,
@@ -75,6 +95,18 @@
 const struct rp_service *RpTable_Find(const struct rp_table *table,
                                       struct rp_endpoint address);
 
+/* The virtual address, or NULL if there is none (a service may have the
+ * address itself). */
+const struct rp_vip *RpTable_FindVip(const struct rp_table *table,
+                                     struct rp_endpoint address);
+
+/* The service that a new flow to `address` goes to: the one that has the
+ * address, else the one that the flow's hash draws from the virtual
+ * address's targets. NULL if nothing is served there. */
+const struct rp_service *RpTable_Resolve(const struct rp_table *table,
+                                         struct rp_endpoint address,
+                                         uint64_t flow_hash);
+
 /* The service of a name, or NULL. */
 const struct rp_service *RpTable_FindName(const struct rp_table *table,
                                           const struct rp_name *name);
--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -281,6 +281,19 @@
     RpSchema_Clear(&rp_replica_members_schema, &members);
 }
 
+void
+RpReplica_BootstrapGroup(struct rp_replica *replica, const GArray *members)
+{
+    const struct rp_replica_members list = {.list = (GArray *)members};
+
+    assert(RpLog_LastIndex(replica) == 0 && replica->term == 0);
+    GString *data = RpSchema_Encode(&rp_replica_members_schema, &list);
+    replica->term = 1;
+    RpReplica_StoreVote(replica);
+    RpReplica_AppendOwn(replica, RP_ENTRY_MEMBERS, data);
+    g_string_free(data, TRUE);
+}
+
 /* Whether nobody else has a vote. */
 static bool
 votes_alone(const struct rp_replica *replica)
@@ -388,6 +401,44 @@
     return RP_OK;
 }
 
+uint64_t
+RpReplica_StartRead(struct rp_replica *replica, int64_t now)
+{
+    uint64_t term = 0;
+
+    if (replica->role != RP_REPLICA_LEADER ||
+        !RpLog_TermAt(replica, replica->committed, &term) ||
+        term != replica->term) {
+        return 0;
+    }
+    RpReplica_Broadcast(replica, now, true);
+    return replica->round;
+}
+
+bool
+RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
+                     uint64_t round)
+{
+    size_t answered = RpReplica_IsVoter(replica, replica->id);
+
+    if (replica->role != RP_REPLICA_LEADER || replica->term != term) {
+        return false;
+    }
+    for (guint i = 0; i < replica->peers->len; i++) {
+        const struct rp_peer *peer = &g_array_index(replica->peers,
+                                                    struct rp_peer, i);
+        answered += peer->round >= round &&
+                    RpReplica_IsVoter(replica, peer->id);
+    }
+    return answered >= RpReplica_Quorum(replica);
+}
+
+const struct rp_replica_member *
+RpReplica_Leader(const struct rp_replica *replica)
+{
+    return RpReplica_FindMember(replica, replica->leader);
+}
+
 void
 RpReplica_Compact(struct rp_replica *replica, const GString *data)
 {
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -34,6 +34,10 @@
 #define RP_LEASE_US (800 * RP_US_PER_MS)
 /* After this long without a leader a replica asks to be let in again. */
 #define RP_REJOIN_US (5 * RP_ELECTION_US)
+/* A voter that has been silent this long gives its place to a learner that
+ * waits for one: a machine that was replaced never comes back, and until it
+ * is out one loss less can be borne. Ten missed heartbeats. */
+#define RP_REPLACE_US (10 * RP_HEARTBEAT_US)
 #define RP_APPEND_MAX_ENTRIES 64
 #define RP_SNAPSHOT_CHUNK (256u << 10) /* bytes */
 
@@ -86,6 +90,11 @@
 void RpReplica_Bootstrap(struct rp_replica *replica,
                          const struct rp_replica_member *self);
 
+/* Makes one of the first replicas of a new system, all of which are given
+ * the same list; their ids are known beforehand. */
+void RpReplica_BootstrapGroup(struct rp_replica *replica,
+                              const GArray *members);
+
 /* Time has passed. */
 void RpReplica_Tick(struct rp_replica *replica, int64_t now);
 
@@ -102,6 +111,21 @@
 enum rp_code RpReplica_Propose(struct rp_replica *replica, int64_t now,
                                const GString *command, uint64_t *index);
 
+/* Leader: starts to make sure that its state is the newest there is, by a
+ * contact with a majority that begins now. Returns the number of that
+ * contact; 0 on any other replica, and until a new leader has committed an
+ * entry of its own. */
+uint64_t RpReplica_StartRead(struct rp_replica *replica, int64_t now);
+
+/* Whether a majority has answered that contact, or a later one, while this
+ * replica has led all along. */
+bool RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
+                          uint64_t round);
+
+/* The member that leads as far as this replica knows, or NULL. */
+const struct rp_replica_member *
+RpReplica_Leader(const struct rp_replica *replica);
+
 /* Leader: a replica wants to be a member. Done in steps; it asks again
  * until it is. */
 void RpReplica_Join(struct rp_replica *replica, int64_t now,
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -39,16 +39,18 @@
     return list;
 }
 
-/* The position of the member with this id, or of another one with this
- * name; -1 if there is none. */
+/* The position of the member with this name or at this address; -1 if there
+ * is none. */
 static int
-find_same_name(const struct rp_replica *replica,
+find_same_seat(const struct rp_replica *replica,
                const struct rp_replica_member *member)
 {
     for (guint i = 0; i < replica->members->len; i++) {
         const struct rp_replica_member *other = &g_array_index(
             replica->members, struct rp_replica_member, i);
-        if (RpName_Equal(&other->name, &member->name)) {
+        bool same_address = other->ip == member->ip &&
+                            other->port == member->port;
+        if (same_address || RpName_Equal(&other->name, &member->name)) {
             return (int)i;
         }
     }
@@ -61,28 +63,28 @@
 {
     const struct rp_replica_member *known = RpReplica_FindMember(replica,
                                                                  member->id);
-    int same_name = find_same_name(replica, member);
+    int same_seat = find_same_seat(replica, member);
 
-    bool is_my_name = same_name >= 0 &&
+    bool is_my_seat = same_seat >= 0 &&
                       g_array_index(replica->members, struct rp_replica_member,
-                                    same_name)
+                                    same_seat)
                               .id == replica->id;
 
-    if (!may_change(replica) || member->id == 0 || is_my_name ||
+    if (!may_change(replica) || member->id == 0 || is_my_seat ||
         (known && known->ip == member->ip && known->port == member->port)) {
         return;
     }
     GArray *list = copy_members(replica);
     if (known) {
         struct rp_replica_member *mine = &g_array_index(
-            list, struct rp_replica_member, (guint)same_name);
+            list, struct rp_replica_member, (guint)same_seat);
         mine->ip = member->ip;
         mine->port = member->port;
         propose_members(replica, now, list);
     }
-    else if (same_name >= 0) {
+    else if (same_seat >= 0) {
         /* Its disk was lost: the old one goes first. */
-        g_array_remove_index(list, (guint)same_name);
+        g_array_remove_index(list, (guint)same_seat);
         propose_members(replica, now, list);
     }
     else if (list->len < RP_REPLICA_MAX) {
@@ -104,22 +106,57 @@
            peer->match + CAUGHT_UP_ENTRIES >= RpLog_LastIndex(replica);
 }
 
-void
-RpReplica_PromoteLearner(struct rp_replica *replica, int64_t now)
+static struct rp_replica_member *
+first_learner(struct rp_replica *replica)
 {
-    if (!may_change(replica)) {
-        return;
+    for (guint i = 0; i < replica->members->len; i++) {
+        struct rp_replica_member *member = &g_array_index(
+            replica->members, struct rp_replica_member, i);
+        if (!member->voter && is_caught_up(replica, member->id)) {
+            return member;
+        }
     }
+    return NULL;
+}
+
+/* The position of a voter that has been silent for long; -1 if there is
+ * none. */
+static int
+find_silent_voter(struct rp_replica *replica, int64_t now)
+{
     for (guint i = 0; i < replica->members->len; i++) {
         const struct rp_replica_member *member = &g_array_index(
             replica->members, struct rp_replica_member, i);
-        if (member->voter || !is_caught_up(replica, member->id)) {
-            continue;
+        const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
+        if (member->voter && peer && peer->contact < now - RP_REPLACE_US) {
+            return (int)i;
         }
-        GArray *list = copy_members(replica);
-        g_array_index(list, struct rp_replica_member, i).voter = 1;
-        propose_members(replica, now, list);
-        g_array_free(list, TRUE);
+    }
+    return -1;
+}
+
+void
+RpReplica_PromoteLearner(struct rp_replica *replica, int64_t now)
+{
+    struct rp_replica_member *learner = may_change(replica)
+                                            ? first_learner(replica)
+                                            : NULL;
+
+    if (!learner) {
         return;
     }
+    guint position =
+        (guint)(learner -
+                (struct rp_replica_member *)(void *)replica->members->data);
+    int silent = find_silent_voter(replica, now);
+    GArray *list = copy_members(replica);
+    if (silent >= 0) {
+        /* The learner is to take its place, not to stand beside it. */
+        g_array_remove_index(list, (guint)silent);
+    }
+    else {
+        g_array_index(list, struct rp_replica_member, position).voter = 1;
+    }
+    propose_members(replica, now, list);
+    g_array_free(list, TRUE);
 }
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -5,7 +5,6 @@
 
 #include "rp_bytes.h"
 
-#define PROTOCOL_IPV4 0x0800
 #define OPTION_CLASS 0xff52 /* within the range for experiments */
 #define OPTION_HEADER 4
 #define OPTION_CRITICAL 0x80
@@ -94,8 +93,8 @@
 }
 
 bool
-RpGeneve_Parse(const uint8_t *data, size_t len, struct rp_geneve *out,
-               enum rp_counter *reason)
+RpGeneve_Parse(const uint8_t *data, size_t len, uint16_t protocol,
+               struct rp_geneve *out, enum rp_counter *reason)
 {
     out->has_tag = false;
     out->has_chain = false;
@@ -110,8 +109,7 @@
     }
     size_t options = (size_t)(data[0] & 63) * 4;
     bool control = data[1] & 0x80;
-    if (data[0] >> 6 != 0 || control ||
-        RpBytes_Get16(data + 2) != PROTOCOL_IPV4 ||
+    if (data[0] >> 6 != 0 || control || RpBytes_Get16(data + 2) != protocol ||
         len < RP_GENEVE_HEADER + options) {
         *reason = RP_COUNT_DROP_BAD_GENEVE;
         return false;
@@ -167,7 +165,7 @@
 }
 
 size_t
-RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM],
+RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
                const struct rp_service_tag *tag, const struct rp_chain *chain)
 {
     uint8_t *p = out + RP_GENEVE_HEADER;
@@ -182,7 +180,7 @@
     size_t options = (size_t)(p - out) - RP_GENEVE_HEADER;
     out[0] = (uint8_t)(options / 4);
     out[1] = options ? 0x40 : 0; /* the bit that announces critical options */
-    RpBytes_Put16(out + 2, PROTOCOL_IPV4);
+    RpBytes_Put16(out + 2, protocol);
     return (size_t)(p - out);
 }
 
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -21,6 +21,7 @@
 #include "rp_counters.h"
 #include "rp_endpoint.h"
 
+#define RP_GENEVE_IPV4 0x0800  /* protocol type of an inner IPv4 packet */
 #define RP_MAX_CHAIN 15        /* candidates that fit into one option */
 #define RP_GENEVE_HEADER 8     /* bytes */
 #define RP_GENEVE_HEADROOM 160 /* bytes that any header here fits into */
@@ -58,13 +59,14 @@
     size_t inner_len;
 };
 
-/* Reads a datagram. On failure `*reason` says which drop counter fits. */
-bool RpGeneve_Parse(const uint8_t *data, size_t len, struct rp_geneve *out,
-                    enum rp_counter *reason);
+/* Reads a datagram whose inner packet must have the format `protocol`. On
+ * failure `*reason` says which drop counter fits. */
+bool RpGeneve_Parse(const uint8_t *data, size_t len, uint16_t protocol,
+                    struct rp_geneve *out, enum rp_counter *reason);
 
-/* Writes a header for an inner IPv4 packet; NULL leaves an option out.
- * Returns its size, at most RP_GENEVE_HEADROOM. */
-size_t RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM],
+/* Writes a header for an inner packet of that format; NULL leaves an option
+ * out. Returns its size, at most RP_GENEVE_HEADROOM. */
+size_t RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
                       const struct rp_service_tag *tag,
                       const struct rp_chain *chain);
 
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -43,7 +43,7 @@
 static const struct rp_field member_fields[] = {
     NAME(rp_msg_member, upstream),   UINT(rp_msg_member, agent_ip),
     UINT(rp_msg_member, agent_port), UINT(rp_msg_member, slots),
-    UINT(rp_msg_member, state),
+    UINT(rp_msg_member, state),      NAME(rp_msg_member, zone),
 };
 const struct rp_schema rp_msg_member_schema = RP_SCHEMA(rp_msg_member,
                                                         member_fields);
@@ -70,12 +70,89 @@
 const struct rp_schema rp_msg_removed_schema = RP_SCHEMA(rp_msg_removed,
                                                          removed_fields);
 
+static const struct rp_field target_fields[] = {
+    UINT(rp_msg_target, service_id),
+    UINT(rp_msg_target, weight),
+};
+const struct rp_schema rp_msg_target_schema = RP_SCHEMA(rp_msg_target,
+                                                        target_fields);
+
+static const struct rp_field vip_fields[] = {
+    UINT(rp_msg_vip, address),
+    UINT(rp_msg_vip, port),
+    UINT(rp_msg_vip, kind),
+    UINT(rp_msg_vip, priority),
+    UINT(rp_msg_vip, timeout_ms),
+    UINT(rp_msg_vip, target_ms),
+    LIST(rp_msg_vip, targets, rp_msg_target_schema),
+};
+const struct rp_schema rp_msg_vip_schema = RP_SCHEMA(rp_msg_vip, vip_fields);
+
+static const struct rp_field removed_vip_fields[] = {
+    UINT(rp_msg_removed_vip, address),
+    UINT(rp_msg_removed_vip, port),
+};
+const struct rp_schema rp_msg_removed_vip_schema = RP_SCHEMA(
+    rp_msg_removed_vip, removed_vip_fields);
+
+static const struct rp_field edition_service_fields[] = {
+    NAME(rp_edition_service, name),
+    UINT(rp_edition_service, flows_per_upstream),
+};
+const struct rp_schema rp_edition_service_schema = RP_SCHEMA(
+    rp_edition_service, edition_service_fields);
+
+static const struct rp_field edition_target_fields[] = {
+    NAME(rp_edition_target, service),
+    UINT(rp_edition_target, weight),
+};
+const struct rp_schema rp_edition_target_schema = RP_SCHEMA(
+    rp_edition_target, edition_target_fields);
+
+static const struct rp_field edition_vip_fields[] = {
+    TEXT(rp_edition_vip, name),
+    UINT(rp_edition_vip, address),
+    UINT(rp_edition_vip, port),
+    UINT(rp_edition_vip, kind),
+    UINT(rp_edition_vip, priority),
+    UINT(rp_edition_vip, timeout_ms),
+    UINT(rp_edition_vip, target_ms),
+    LIST(rp_edition_vip, targets, rp_edition_target_schema),
+};
+const struct rp_schema rp_edition_vip_schema = RP_SCHEMA(rp_edition_vip,
+                                                         edition_vip_fields);
+
+static const struct rp_field edition_fields[] = {
+    UINT(rp_edition, version),
+    UINT(rp_edition, idle_timeout_ms),
+    LIST(rp_edition, services, rp_edition_service_schema),
+    LIST(rp_edition, vips, rp_edition_vip_schema),
+    TEXT(rp_edition, content),
+};
+const struct rp_schema rp_edition_schema = RP_SCHEMA(rp_edition,
+                                                     edition_fields);
+
+static const struct rp_field control_address_fields[] = {
+    UINT(rp_msg_control_address, ip),
+    UINT(rp_msg_control_address, port),
+};
+const struct rp_schema rp_msg_control_address_schema = RP_SCHEMA(
+    rp_msg_control_address, control_address_fields);
+
+static const struct rp_field controls_fields[] = {
+    LIST(rp_msg_controls, list, rp_msg_control_address_schema),
+};
+static const struct rp_schema rp_msg_controls_schema = RP_SCHEMA(
+    rp_msg_controls, controls_fields);
+
 static const struct rp_field table_fields[] = {
     UINT(rp_msg_table, revision),
     UINT(rp_msg_table, complete),
     BLOB(rp_msg_table, hash_key),
     LIST(rp_msg_table, services, rp_msg_service_schema),
     LIST(rp_msg_table, removed, rp_msg_removed_schema),
+    LIST(rp_msg_table, vips, rp_msg_vip_schema),
+    LIST(rp_msg_table, removed_vips, rp_msg_removed_vip_schema),
 };
 static const struct rp_schema rp_msg_table_schema = RP_SCHEMA(rp_msg_table,
                                                               table_fields);
@@ -111,6 +188,7 @@
     LIST(rp_msg_change_reply, findings, rp_msg_finding_schema),
     UINT(rp_msg_change_reply, service_id),
     UINT(rp_msg_change_reply, is_change),
+    UINT(rp_msg_change_reply, is_edition),
 };
 const struct rp_schema rp_msg_change_reply_schema = RP_SCHEMA(
     rp_msg_change_reply, change_reply_fields);
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -77,6 +77,38 @@
     uint16_t agent_port;
     uint32_t slots;
     uint8_t state; /* enum rp_upstream_state */
+    struct rp_name zone;
+};
+
+/* What the requests of a virtual address are; admission orders by it. */
+enum rp_request_kind {
+    RP_REQUEST_UNKNOWN,
+    RP_REQUEST_IDEMPOTENT,
+    RP_REQUEST_NON_IDEMPOTENT,
+    RP_REQUEST_DOWNLOAD
+};
+
+/* A service behind a virtual address, with its share of new flows. */
+struct rp_msg_target {
+    uint32_t service_id;
+    uint32_t weight;
+};
+
+/* One virtual address of an edition and where its flows go. */
+struct rp_msg_vip {
+    uint32_t address;
+    uint16_t port;
+    uint8_t kind;      /* enum rp_request_kind */
+    uint32_t priority; /* 0 is the highest */
+    uint32_t timeout_ms;
+    uint32_t target_ms; /* latency that callers hope for */
+    GArray *targets;    /* of struct rp_msg_target */
+};
+
+/* A virtual address that is not served any more. */
+struct rp_msg_removed_vip {
+    uint32_t address;
+    uint16_t port;
 };
 
 /* One service in a table. */
@@ -104,8 +136,52 @@
     uint64_t revision; /* configuration revision it contains */
     uint8_t complete;  /* 1: replaces everything */
     uint8_t hash_key[RP_HASH_KEY_SIZE];
-    GArray *services; /* of struct rp_msg_service */
-    GArray *removed;  /* of struct rp_msg_removed */
+    GArray *services;     /* of struct rp_msg_service */
+    GArray *removed;      /* of struct rp_msg_removed */
+    GArray *vips;         /* of struct rp_msg_vip */
+    GArray *removed_vips; /* of struct rp_msg_removed_vip */
+};
+
+/* A service as an edition names it. */
+struct rp_edition_service {
+    struct rp_name name;
+    uint32_t flows_per_upstream;
+};
+
+struct rp_edition_target {
+    struct rp_name service;
+    uint32_t weight;
+};
+
+struct rp_edition_vip {
+    GString *name; /* as the operator calls it */
+    uint32_t address;
+    uint16_t port;
+    uint8_t kind; /* enum rp_request_kind */
+    uint32_t priority;
+    uint32_t timeout_ms;
+    uint32_t target_ms;
+    GArray *targets; /* of struct rp_edition_target */
+};
+
+/* A whole configuration at once: services, virtual addresses and
+ * limits, under a version that the operator chose. */
+struct rp_edition {
+    uint64_t version;
+    uint32_t idle_timeout_ms;
+    GArray *services; /* of struct rp_edition_service */
+    GArray *vips;     /* of struct rp_edition_vip */
+    GString *content; /* as it was sent, to be read back */
+};
+
+/* Control to node: where the control instances are now. */
+struct rp_msg_control_address {
+    uint32_t ip;
+    uint16_t port;
+};
+
+struct rp_msg_controls {
+    GArray *list; /* of struct rp_msg_control_address */
 };
 
 /* Node to control: this revision is in force here. */
@@ -141,7 +217,8 @@
     struct rp_name service;
     GArray *findings; /* of struct rp_msg_finding */
     uint32_t service_id;
-    uint8_t is_change; /* 0: the command was not a change */
+    uint8_t is_change;  /* 0: the command was not a change */
+    uint8_t is_edition; /* 1: it was a whole edition */
 };
 
 enum rp_query_kind {
@@ -361,7 +438,8 @@
     X(SNAPSHOT_REPLY, snapshot_reply)                                         \
     X(JOIN, join)                                                             \
     X(ORDER, order)                                                           \
-    X(ORDER_REPLY, order_reply)
+    X(ORDER_REPLY, order_reply)                                               \
+    X(CONTROLS, controls)
 /* clang-format on */
 
 enum rp_msg_type {
@@ -384,6 +462,14 @@
 
 /* Schemas of the parts that callers build lists of. */
 extern const struct rp_schema rp_msg_member_schema;
+extern const struct rp_schema rp_msg_target_schema;
+extern const struct rp_schema rp_msg_vip_schema;
+extern const struct rp_schema rp_msg_removed_vip_schema;
+extern const struct rp_schema rp_edition_service_schema;
+extern const struct rp_schema rp_edition_target_schema;
+extern const struct rp_schema rp_edition_vip_schema;
+extern const struct rp_schema rp_edition_schema;
+extern const struct rp_schema rp_msg_control_address_schema;
 extern const struct rp_schema rp_msg_service_schema;
 extern const struct rp_schema rp_msg_removed_schema;
 extern const struct rp_schema rp_msg_finding_schema;
--- a/lib/wire/rp_packet.c
+++ b/lib/wire/rp_packet.c
@@ -100,6 +100,25 @@
                                 .dst_port = key.src_port};
 }
 
+unsigned
+RpFlowKey_Hash(const void *key)
+{
+    const struct rp_flow_key *flow = key;
+    uint64_t x = (uint64_t)flow->src_ip << 32 | flow->dst_ip;
+
+    x ^= ((uint64_t)flow->src_port << 16 | flow->dst_port) *
+         UINT64_C(0x9e3779b97f4a7c15);
+    x *= UINT64_C(0xd6e8feb86659fd93);
+    return (unsigned)(x >> 32);
+}
+
+int
+RpFlowKey_EqualKeys(const void *a, const void *b)
+{
+    return RpFlowKey_Equal(*(const struct rp_flow_key *)a,
+                           *(const struct rp_flow_key *)b);
+}
+
 /* Adds `len` bytes to a one's complement sum. */
 static uint32_t
 sum_bytes(uint32_t sum, const uint8_t *data, size_t len)
--- a/lib/wire/rp_packet.h
+++ b/lib/wire/rp_packet.h
@@ -43,6 +43,12 @@
     uint16_t header_len; /* IPv4 and TCP headers together */
     uint16_t window;
     uint8_t flags;
+    /* How often the caller had sent this SYN before; only some formats say
+     * it, 0 elsewhere. */
+    uint32_t copy;
+    /* The host gave the packet back: it refuses the SYN, or does not hold
+     * the flow. The key is that of the packet's sender. */
+    bool returned;
 };
 
 /* Reads the headers. On failure `*reason` says which drop counter fits. */
@@ -52,6 +58,18 @@
 /* The same flow seen from its other end. */
 struct rp_flow_key RpFlowKey_Reverse(struct rp_flow_key key);
 
+static inline bool
+RpFlowKey_Equal(struct rp_flow_key a, struct rp_flow_key b)
+{
+    return a.src_ip == b.src_ip && a.dst_ip == b.dst_ip &&
+           a.src_port == b.src_port && a.dst_port == b.dst_port;
+}
+
+/* The two functions that a GHashTable with `struct rp_flow_key` keys
+ * wants. */
+unsigned RpFlowKey_Hash(const void *key);
+int RpFlowKey_EqualKeys(const void *a, const void *b);
+
 /* The two ends. */
 static inline struct rp_endpoint
 RpFlowKey_Source(struct rp_flow_key key)
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -7,11 +7,15 @@
 #include "rp_agent.h"
 #include "rp_daemon.h"
 #include "rp_flow_chart.h"
+#include "rp_platform.h"
 #include "rp_udp.h"
 #include "rp_uplink.h"
+#include "rp_wake.h"
+#include "rp_clock.h"
 
-#define TICK_MS 20
 #define ANNOUNCES_PER_LEASE 3
+/* How often a stopping agent looks whether it may end. */
+#define STOP_CHECK_US (20 * RP_US_PER_MS)
 #define MAX_SLOTS 1000000
 #define MAX_SECONDS 86400
 
@@ -27,6 +31,11 @@
     uint32_t lease_ms;
     uint32_t ramp_seconds;
     uint32_t drain_seconds;
+    uint32_t control_port;
+    uint32_t patience_ms;
+    uint32_t report_ms;
+    GString *packets;
+    struct rp_endpoint host_reports; /* port 0: the host does not report */
 };
 
 struct agent {
@@ -36,6 +45,12 @@
     struct rp_udp *balancer_side;
     struct rp_udp *host_side;
     struct rp_chart chart;
+    const struct rp_codec *codec;
+    struct rp_platform *platform;
+    struct rp_wake *wake;
+    struct rp_host host; /* as it reports itself */
+    enum rp_host_state host_state;
+    int64_t started_ms; /* by the time of day, in Unix milliseconds */
     struct rp_agent *flows;
     struct rp_actions actions;
     const struct rp_service *service; /* in the uplink's table, or NULL */
@@ -109,6 +124,30 @@
      .help = "wait at most this long for open flows when stopped",
      .fallback = "60",
      .max = MAX_SECONDS},
+    {.flag = "host-patience-ms",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, patience_ms),
+     .value = "N",
+     .help = "how long the host may take to answer the start of a flow",
+     .fallback = "250",
+     .min = 5,
+     .max = 10000},
+    {.flag = "host-reports",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct agent_settings, host_reports),
+     .value = "ADDR:PORT",
+     .help = "the host reports itself here; no flow before it has",
+     .optional = true},
+    {.flag = "host-report-ms",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct agent_settings, report_ms),
+     .value = "N",
+     .help = "how often the host reports itself",
+     .fallback = "1000",
+     .min = 10,
+     .max = 60000},
+    RP_PACKETS_SETTING(agent_settings, packets),
+    RP_CONTROL_PORT_SETTING(agent_settings, control_port),
 };
 
 static void
@@ -158,9 +197,14 @@
 static void
 carry_out(struct agent *agent, const struct rp_action *action)
 {
+    const struct rp_codec_ops *ops = agent->codec->ops;
     uint8_t header[RP_GENEVE_HEADROOM];
-    size_t len = RpGeneve_Write(header, NULL, NULL);
+    struct rp_endpoint fabric = agent->settings.fabric;
+    size_t len = 0;
 
+    if (ops->framed) {
+        len = RpGeneve_Write(header, ops->protocol, NULL, NULL);
+    }
     log_action(agent, action);
     switch (action->kind) {
     case RP_ACTION_DROP:
@@ -170,11 +214,14 @@
                     action);
         break;
     case RP_ACTION_TO_CALLER:
-        send_action(agent, agent->balancer_side, agent->settings.fabric,
-                    header, len, action);
+        if (!ops->framed) {
+            fabric.ip = ops->target(action->data).ip;
+        }
+        send_action(agent, agent->balancer_side, fabric, header, len, action);
         break;
     case RP_ACTION_PASS:
-        len = RpGeneve_Write(header, &agent->service->tag, &action->chain);
+        len = RpGeneve_Write(header, ops->protocol, &agent->service->tag,
+                             &action->chain);
         send_action(agent, agent->balancer_side, action->next, header, len,
                     action);
         break;
@@ -194,11 +241,12 @@
       struct rp_endpoint from, struct rp_geneve *geneve,
       struct rp_packet *packet)
 {
+    const struct rp_codec_ops *ops = agent->codec->ops;
     enum rp_counter reason;
 
     agent->received = NULL;
-    if (RpGeneve_Parse(data, len, geneve, &reason) &&
-        RpPacket_Parse(geneve->inner, geneve->inner_len, packet, &reason)) {
+    if (RpGeneve_Parse(data, len, ops->protocol, geneve, &reason) &&
+        ops->parse(geneve->inner, geneve->inner_len, packet, &reason)) {
         agent->received = packet->data;
         return true;
     }
@@ -207,6 +255,26 @@
     return false;
 }
 
+/* The same for what the host sends, without Geneve. */
+static bool
+parse_bare(struct agent *agent, uint8_t *data, size_t len,
+           struct rp_endpoint from, struct rp_packet *packet)
+{
+    const struct rp_codec_ops *ops = agent->codec->ops;
+    enum rp_counter reason;
+    bool returned = ops->take_back && ops->take_back(data, len);
+
+    agent->received = NULL;
+    if (ops->parse(data, len, packet, &reason)) {
+        packet->returned = returned;
+        agent->received = data;
+        return true;
+    }
+    RpCounters_Add(&agent->daemon.counters, reason);
+    drop(agent, reason, from);
+    return false;
+}
+
 static void
 log_drops(struct agent *agent, struct rp_endpoint from)
 {
@@ -224,10 +292,11 @@
     while (RpAgent_OnTimer(agent->flows, now, &agent->actions)) {
         carry_out_all(agent);
     }
+    RpWake_At(agent->wake, RpAgent_NextTimer(agent->flows));
 }
 
 static void
-on_balancer_datagram(void *user, const uint8_t *data, size_t len,
+on_balancer_datagram(void *user, uint8_t *data, size_t len,
                      struct rp_endpoint from)
 {
     struct agent *agent = user;
@@ -235,7 +304,7 @@
     struct rp_packet packet;
 
     if (parse(agent, data, len, from, &geneve, &packet)) {
-        int64_t now = g_get_monotonic_time();
+        int64_t now = RpClock_Now();
         RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
                            &agent->actions);
         log_drops(agent, from);
@@ -246,15 +315,18 @@
 }
 
 static void
-on_host_datagram(void *user, const uint8_t *data, size_t len,
+on_host_datagram(void *user, uint8_t *data, size_t len,
                  struct rp_endpoint from)
 {
     struct agent *agent = user;
     struct rp_geneve geneve;
     struct rp_packet packet;
 
-    if (parse(agent, data, len, from, &geneve, &packet)) {
-        int64_t now = g_get_monotonic_time();
+    bool good = agent->codec->ops->framed
+                    ? parse(agent, data, len, from, &geneve, &packet)
+                    : parse_bare(agent, data, len, from, &packet);
+    if (good) {
+        int64_t now = RpClock_Now();
         RpAgent_FromHost(agent->flows, now, &packet, &agent->actions);
         log_drops(agent, from);
         carry_out_all(agent);
@@ -269,13 +341,15 @@
     if (agent->leaving) {
         return RP_UPSTREAM_GONE;
     }
-    return agent->draining ? RP_UPSTREAM_DRAINING : RP_UPSTREAM_READY;
+    return agent->draining || agent->host_state != RP_HOST_READY
+               ? RP_UPSTREAM_DRAINING
+               : RP_UPSTREAM_READY;
 }
 
 static void
 announce(struct agent *agent)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
     const struct agent_settings *settings = &agent->settings;
     struct rp_agent_load load = RpAgent_Load(agent->flows, now);
     const struct rp_msg msg = {
@@ -285,7 +359,7 @@
                      .zone = settings->common.zone,
                      .agent_ip = settings->listen.ip,
                      .agent_port = settings->listen.port,
-                     .slots = settings->slots,
+                     .slots = load.slots,
                      .state = (uint8_t)announced_state(agent),
                      .incarnation = agent->incarnation,
                      .sequence = ++agent->sequence,
@@ -324,7 +398,7 @@
     RpAgent_SetDraining(agent->flows, draining);
     RpLog_Event(agent->daemon.log, RP_LOG_INFO,
                 draining ? "drain_started" : "drain_ended", "flows=%u",
-                RpAgent_Load(agent->flows, g_get_monotonic_time()).flows);
+                RpAgent_Load(agent->flows, RpClock_Now()).flows);
     announce(agent);
 }
 
@@ -339,20 +413,169 @@
     }
 }
 
+/* Control has heard of a later life of this upstream than this process says
+ * it is: the time of day, from which lives are numbered, was stepped back. */
+static void
+on_overtaken(void *user, const struct rp_msg_announce *newer)
+{
+    struct agent *agent = user;
+
+    if (RpName_Equal(&newer->upstream, &agent->settings.common.name) &&
+        newer->incarnation >= agent->incarnation) {
+        agent->incarnation = newer->incarnation + 1;
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "incarnation_raised",
+                    "incarnation=%" G_GUINT64_FORMAT, agent->incarnation);
+        announce(agent);
+    }
+}
+
 static const struct rp_uplink_ops uplink_ops = {
     .connected = on_connected,
     .table_changed = on_table_changed,
-    .ordered = on_order};
+    .ordered = on_order,
+    .overtaken = on_overtaken};
+
+static void
+set_host_state(struct agent *agent, enum rp_host_state state)
+{
+    static const char *const names[] = {[RP_HOST_READY] = "ready",
+                                        [RP_HOST_UNKNOWN] = "unheard",
+                                        [RP_HOST_DRAINING] = "draining",
+                                        [RP_HOST_GONE] = "gone"};
+
+    if (agent->host_state == state) {
+        return;
+    }
+    agent->host_state = state;
+    RpAgent_SetHostState(agent->flows, state);
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_state",
+                "state=%s host=%s flows=%u", names[state],
+                agent->host.last.id.data,
+                RpAgent_Load(agent->flows, RpClock_Now()).flows);
+    announce(agent);
+}
+
+/* What follows from all that the host has said so far. */
+static void
+review_host(struct agent *agent, int64_t now)
+{
+    const struct rp_host *host = &agent->host;
+
+    if (agent->settings.host_reports.port == 0) {
+        return;
+    }
+    if (host->left) {
+        set_host_state(agent, RP_HOST_GONE);
+    }
+    else if (!RpHost_IsHeard(host, now)) {
+        set_host_state(agent, RP_HOST_UNKNOWN);
+    }
+    else {
+        set_host_state(agent,
+                       host->last.draining ? RP_HOST_DRAINING : RP_HOST_READY);
+    }
+}
+
+/* A life of the host begins: the flows of the one before are lost. An agent
+ * that was there before it knows all its flows. */
+static void
+on_host_started(struct agent *agent, int64_t now, bool known_before)
+{
+    const struct rp_host_report *report = &agent->host.last;
+
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_started",
+                "host=%s born=%" G_GUINT64_FORMAT
+                " sequence=%" G_GUINT64_FORMAT " slots=%u",
+                report->id.data, report->born_ms, report->sequence,
+                report->slots);
+    if (known_before) {
+        RpAgent_HostRestarted(agent->flows, now);
+    }
+    else if (report->sequence <= RP_HOST_FIRST_SEQUENCE ||
+             (int64_t)report->born_ms > agent->started_ms) {
+        RpAgent_SetKnowsAll(agent->flows);
+    }
+}
+
+static enum rp_code
+on_host_report(void *user, const struct rp_host_report *report)
+{
+    struct agent *agent = user;
+    int64_t now = RpClock_Now();
+    bool known_before = agent->host.known;
+    enum rp_host_news news = RpHost_Report(&agent->host, now, report);
+
+    if (news == RP_HOST_NEWS_FOREIGN) {
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_foreign",
+                    "host=%s service=%s", report->id.data,
+                    report->service.data);
+        return RP_ERR_NOT_FOUND;
+    }
+    if (news == RP_HOST_NEWS_STALE) {
+        RpLog_Event(
+            agent->daemon.log, RP_LOG_WARN, "host_report_late",
+            "host=%s sequence=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+            report->id.data, report->sequence, agent->host.last.sequence);
+        return RP_OK;
+    }
+    if (news == RP_HOST_NEWS_STARTED) {
+        on_host_started(agent, now, known_before);
+    }
+    RpAgent_SetHostSlots(agent->flows, report->slots, agent->host.cold_until);
+    review_host(agent, now);
+    run_timers(agent, now);
+    return RP_OK;
+}
+
+static enum rp_code
+on_host_leaves(void *user, const struct rp_name *id)
+{
+    struct agent *agent = user;
+    int64_t now = RpClock_Now();
+
+    if (!RpHost_Leave(&agent->host, now, id)) {
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_goodbye_foreign",
+                    "host=%s", id->data);
+    }
+    review_host(agent, now);
+    return RP_OK;
+}
 
-/* A stop request drains the upstream first. */
+static void
+on_unreadable(void *user, const char *what, const struct rp_error *error)
+{
+    struct agent *agent = user;
+    GString *text = g_string_new(NULL);
+    GString *quoted = g_string_new(NULL);
+
+    RpError_Format(error, text);
+    RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
+    RpLog_Event(agent->daemon.log, RP_LOG_WARN, "message_unreadable",
+                "what=%s findings=%s", what, quoted->str);
+    g_string_free(text, TRUE);
+    g_string_free(quoted, TRUE);
+}
+
+/* A stop request drains the upstream first. A host that reports itself
+ * drains by itself: while it is there this process alone is replaced, and
+ * its successor learns the flows from the host. */
 static void
 on_stop(void *user)
 {
     struct agent *agent = user;
 
-    agent->drain_deadline = g_get_monotonic_time() +
+    if (agent->host_state == RP_HOST_READY &&
+        agent->settings.host_reports.port != 0) {
+        RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
+        return;
+    }
+    agent->drain_deadline = RpClock_Now() +
                             agent->settings.drain_seconds * RP_US_PER_SECOND;
     set_draining(agent, true);
+    if (agent->settings.host_reports.port != 0) {
+        agent->drain_deadline = RpClock_Now();
+    }
+    RpWake_At(agent->wake, 0);
 }
 
 /* The agent alone is replaced: the host stays, and the next agent learns
@@ -388,18 +611,26 @@
     }
 }
 
-static gboolean
-on_tick(gpointer data)
+/* Something is due: a flow, the next announcement, the host's silence. */
+static void
+on_wake(void *user)
 {
-    struct agent *agent = data;
-    int64_t now = g_get_monotonic_time();
+    struct agent *agent = user;
+    int64_t now = RpClock_Now();
 
     run_timers(agent, now);
+    review_host(agent, now);
     if (now >= agent->announce_deadline) {
         announce(agent);
     }
     go_on_stopping(agent, now);
-    return G_SOURCE_CONTINUE;
+    RpWake_At(agent->wake, agent->announce_deadline);
+    if (RpHost_IsHeard(&agent->host, now)) {
+        RpWake_At(agent->wake, RpHost_SilenceDeadline(&agent->host));
+    }
+    if (agent->drain_deadline != RP_NEVER) {
+        RpWake_At(agent->wake, now + STOP_CHECK_US);
+    }
 }
 
 static bool
@@ -423,8 +654,7 @@
 write_gauges(void *user, GString *out)
 {
     const struct agent *agent = user;
-    struct rp_agent_load load = RpAgent_Load(agent->flows,
-                                             g_get_monotonic_time());
+    struct rp_agent_load load = RpAgent_Load(agent->flows, RpClock_Now());
 
     g_string_append_printf(
         out,
@@ -463,8 +693,10 @@
 static void
 create_flows(struct agent *agent)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
     struct rp_agent_config config = {
+        .codec = agent->codec,
+        .patience = agent->settings.patience_ms * RP_US_PER_MS,
         .self = agent->settings.listen,
         .started = now,
         .slots = agent->settings.slots,
@@ -473,10 +705,44 @@
 
     randombytes_buf(&config.seed, sizeof config.seed);
     agent->flows = RpAgent_Create(&config, &agent->chart,
-                                  RpAdmission_CreateLeast(),
+                                  RpAdmission_CreateBounded(),
                                   &agent->daemon.counters);
 }
 
+static void
+on_reload(void *user, const void *settings)
+{
+    struct agent *agent = user;
+    struct agent_settings fresh = *(const struct agent_settings *)settings;
+
+    RpDaemon_SetPorts(&fresh.controls, fresh.control_port);
+    RpUplink_SetControls(agent->uplink, &fresh.controls);
+}
+
+/* Serves the host's reports. Until the first one the host is unknown. */
+static bool
+open_platform(struct agent *agent)
+{
+    static const struct rp_platform_ops ops = {.host_report = on_host_report,
+                                               .host_leaves = on_host_leaves,
+                                               .unreadable = on_unreadable};
+    struct rp_error error;
+
+    if (agent->settings.host_reports.port == 0) {
+        return true;
+    }
+    agent->host_state = RP_HOST_UNKNOWN;
+    RpAgent_SetHostState(agent->flows, RP_HOST_UNKNOWN);
+    RpHost_Init(&agent->host, &agent->settings.service,
+                agent->settings.report_ms * RP_US_PER_MS);
+    RpError_Init(&error);
+    agent->platform = RpPlatform_Open(agent->settings.host_reports, &ops,
+                                      agent, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return agent->platform != NULL;
+}
+
 static bool
 start(struct agent *agent)
 {
@@ -491,11 +757,16 @@
     }
     agent->incarnation = (uint64_t)g_get_real_time();
     agent->drain_deadline = RP_NEVER;
+    agent->started_ms = g_get_real_time() / RP_US_PER_MS;
+    agent->wake = RpWake_Create(on_wake, agent);
     create_flows(agent);
+    if (!open_platform(agent)) {
+        return false;
+    }
     agent->uplink = RpUplink_Create(&agent->daemon, &agent->settings.controls,
                                     &agent->settings.service, &uplink_ops,
                                     agent);
-    g_timeout_add(TICK_MS, on_tick, agent);
+    RpWake_At(agent->wake, 0);
     g_unix_signal_add(SIGUSR2, on_replace_signal, agent);
     return RpDaemon_OpenAdmin(&agent->daemon, &agent->settings.common,
                               &admin_ops, agent);
@@ -515,6 +786,17 @@
             argc, argv, &agent.settings, &exit_code)) {
         return exit_code;
     }
+    const struct rp_settings_source source = {
+        .table = settings_table,
+        .count = G_N_ELEMENTS(settings_table),
+        .size = sizeof agent.settings,
+        .argc = argc,
+        .argv = argv};
+    agent.codec = RpDaemon_FindCodec(agent.settings.packets);
+    if (!agent.codec) {
+        return RP_EXIT_SETTINGS;
+    }
+    RpDaemon_SetPorts(&agent.settings.controls, agent.settings.control_port);
     if (!RpDaemon_Start(&agent.daemon, RP_ROLE_AGENT, &agent.settings.common,
                         on_stop, &agent)) {
         return agent.daemon.exit_code;
@@ -522,7 +804,10 @@
     if (!start(&agent)) {
         return RP_EXIT_FAILED;
     }
+    RpDaemon_WatchSettings(&agent.daemon, &source, on_reload, &agent);
     exit_code = RpDaemon_Run(&agent.daemon);
+    RpPlatform_Close(agent.platform);
+    RpWake_Free(agent.wake);
     RpUdp_Close(agent.balancer_side);
     RpUdp_Close(agent.host_side);
     RpUplink_Free(agent.uplink);
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -1,16 +1,22 @@
 /* The balancer role: a packet in, a table look-up, a packet out. */
 #include "rp_daemon.h"
 #include "rp_balancer.h"
+#include "rp_platform.h"
 #include "rp_udp.h"
 #include "rp_uplink.h"
 
 #define STOP_LINGER_MAX 300 /* seconds */
+#define ZONE_WEIGHT_MAX 100
 
 struct balancer_settings {
     struct rp_common_settings common;
     struct rp_endpoint listen;
     struct rp_endpoints controls;
     uint32_t linger_seconds;
+    uint32_t control_port;
+    uint32_t zone_weight;
+    GString *packets;
+    struct rp_endpoint fabric_ready; /* port 0: not served */
 };
 
 struct balancer {
@@ -18,6 +24,8 @@
     struct rp_daemon daemon;
     struct rp_udp *udp;
     struct rp_uplink *uplink;
+    const struct rp_codec *codec;
+    struct rp_platform *platform;
     bool stopping;
 };
 
@@ -40,6 +48,22 @@
      .help = "keep forwarding this long after a stop request",
      .fallback = "2",
      .max = STOP_LINGER_MAX},
+    {.flag = "zone-weight",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct balancer_settings, zone_weight),
+     .value = "N",
+     .help = "upstreams in this zone count N times as much as others",
+     .fallback = "1",
+     .min = 1,
+     .max = ZONE_WEIGHT_MAX},
+    {.flag = "fabric-ready",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct balancer_settings, fabric_ready),
+     .value = "ADDR:PORT",
+     .help = "tell the fabric here whether this balancer takes packets",
+     .optional = true},
+    RP_PACKETS_SETTING(balancer_settings, packets),
+    RP_CONTROL_PORT_SETTING(balancer_settings, control_port),
 };
 
 static void
@@ -58,26 +82,46 @@
 reset_caller(struct balancer *balancer, const struct rp_packet *packet,
              struct rp_endpoint from)
 {
+    const struct rp_codec_ops *ops = balancer->codec->ops;
     uint8_t header[RP_GENEVE_HEADROOM];
-    uint8_t reset[RP_RESET_SIZE];
-    size_t header_len = RpGeneve_Write(header, NULL, NULL);
-    size_t len = RpPacket_MakeReset(packet, reset);
+    uint8_t reset[RP_CODEC_SCRATCH];
+    size_t len = ops->make_reset(packet, reset);
+    size_t header_len = 0;
 
+    if (ops->framed) {
+        header_len = RpGeneve_Write(header, ops->protocol, NULL, NULL);
+    }
+    else {
+        from = (struct rp_endpoint){.ip = packet->key.src_ip,
+                                    .port = balancer->settings.listen.port};
+    }
     RpUdp_SendCopy(balancer->udp, from, header, header_len, reset, len);
 }
 
+/* Reads a datagram of the fabric. */
+static bool
+parse(const struct rp_codec_ops *ops, const uint8_t *data, size_t len,
+      struct rp_packet *packet, enum rp_counter *reason)
+{
+    struct rp_geneve geneve;
+
+    if (!ops->framed) {
+        return ops->parse(data, len, packet, reason);
+    }
+    return RpGeneve_Parse(data, len, ops->protocol, &geneve, reason) &&
+           ops->parse(geneve.inner, geneve.inner_len, packet, reason);
+}
+
 static void
-on_datagram(void *user, const uint8_t *data, size_t len,
-            struct rp_endpoint from)
+on_datagram(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
 {
     struct balancer *balancer = user;
-    struct rp_geneve geneve;
+    const struct rp_codec_ops *ops = balancer->codec->ops;
     struct rp_packet packet;
     struct rp_route route;
     enum rp_counter reason;
 
-    if (!RpGeneve_Parse(data, len, &geneve, &reason) ||
-        !RpPacket_Parse(geneve.inner, geneve.inner_len, &packet, &reason)) {
+    if (!parse(ops, data, len, &packet, &reason)) {
         drop(balancer, reason, from);
         return;
     }
@@ -93,7 +137,8 @@
     }
     uint8_t header[RP_GENEVE_HEADROOM];
     route.chain.visited = 1;
-    size_t header_len = RpGeneve_Write(header, &route.tag, &route.chain);
+    size_t header_len = RpGeneve_Write(header, ops->protocol, &route.tag,
+                                       &route.chain);
     RpUdp_Send(balancer->udp, route.chain.hop[0], header, header_len,
                packet.data, packet.len);
 }
@@ -137,6 +182,45 @@
                            RpUplink_IsConnected(balancer->uplink));
 }
 
+/* Only a balancer that control has just told what is in force takes
+ * packets; one that is stopping sends the fabric elsewhere first. */
+static bool
+is_ready(void *user)
+{
+    const struct balancer *balancer = user;
+
+    return !balancer->stopping &&
+           RpTable_Revision(RpUplink_Table(balancer->uplink)) > 0;
+}
+
+static void
+on_reload(void *user, const void *settings)
+{
+    struct balancer *balancer = user;
+    struct balancer_settings fresh = *(
+        const struct balancer_settings *)settings;
+
+    RpDaemon_SetPorts(&fresh.controls, fresh.control_port);
+    RpUplink_SetControls(balancer->uplink, &fresh.controls);
+}
+
+static bool
+open_platform(struct balancer *balancer)
+{
+    static const struct rp_platform_ops ops = {.ready = is_ready};
+    struct rp_error error;
+
+    if (balancer->settings.fabric_ready.port == 0) {
+        return true;
+    }
+    RpError_Init(&error);
+    balancer->platform = RpPlatform_Open(balancer->settings.fabric_ready, &ops,
+                                         balancer, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return balancer->platform != NULL;
+}
+
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
                                               .gauges = write_gauges};
 
@@ -189,18 +273,34 @@
                                argc, argv, &balancer.settings, &exit_code)) {
         return exit_code;
     }
+    const struct rp_settings_source source = {
+        .table = settings_table,
+        .count = G_N_ELEMENTS(settings_table),
+        .size = sizeof balancer.settings,
+        .argc = argc,
+        .argv = argv};
+    balancer.codec = RpDaemon_FindCodec(balancer.settings.packets);
+    if (!balancer.codec) {
+        return RP_EXIT_SETTINGS;
+    }
+    RpDaemon_SetPorts(&balancer.settings.controls,
+                      balancer.settings.control_port);
     if (!RpDaemon_Start(daemon, RP_ROLE_BALANCER, &balancer.settings.common,
                         on_stop, &balancer)) {
         return daemon->exit_code;
     }
     balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
                                       &all_services, &uplink_ops, &balancer);
-    if (!open_socket(&balancer) ||
+    RpUplink_PreferZone(balancer.uplink, &balancer.settings.common.zone,
+                        balancer.settings.zone_weight);
+    RpDaemon_WatchSettings(daemon, &source, on_reload, &balancer);
+    if (!open_socket(&balancer) || !open_platform(&balancer) ||
         !RpDaemon_OpenAdmin(daemon, &balancer.settings.common, &admin_ops,
                             &balancer)) {
         return RP_EXIT_FAILED;
     }
     exit_code = RpDaemon_Run(daemon);
+    RpPlatform_Close(balancer.platform);
     RpUdp_Close(balancer.udp);
     RpUplink_Free(balancer.uplink);
     RpDaemon_End(daemon);
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -4,7 +4,9 @@
 
 #include <sodium.h>
 
+#include "rp_bytes.h"
 #include "rp_journal.h"
+#include "rp_clock.h"
 
 #define TICK_MS 20
 #define REPORT_US (1 * RP_US_PER_SECOND)
@@ -39,6 +41,18 @@
      .kind = RP_SETTING_SWITCH,
      .offset = offsetof(struct control_settings, check_data),
      .help = "check the data folder, print what was found and exit"},
+    {.flag = "bootstrap",
+     .kind = RP_SETTING_SWITCH,
+     .offset = offsetof(struct control_settings, bootstrap),
+     .help = "the whole system starts for the first time: the control "
+             "instances listed are its first replicas"},
+    {.flag = "operator-http",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct control_settings, operator_http),
+     .value = "ADDR:PORT",
+     .help = "take whole configurations of the operator over HTTP here",
+     .optional = true},
+    RP_CONTROL_PORT_SETTING(control_settings, control_port),
 };
 
 static struct rp_replica *
@@ -80,7 +94,7 @@
 {
     const struct control *control = user;
 
-    RpDistribution_TouchAll(control->distribution, g_get_monotonic_time());
+    RpDistribution_TouchAll(control->distribution, RpClock_Now());
 }
 
 static void
@@ -107,8 +121,8 @@
     uint64_t index;
     uint64_t term;
 
-    if (RpControlReplica_Propose(control->replica, g_get_monotonic_time(),
-                                 command, &index, &term) == RP_OK) {
+    if (RpControlReplica_Propose(control->replica, RpClock_Now(), command,
+                                 &index, &term) == RP_OK) {
         RpControlReplica_CarryOut(control->replica);
     }
     g_string_free(command, TRUE);
@@ -203,7 +217,7 @@
 on_tick(gpointer data)
 {
     struct control *control = data;
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
 
     RpControlReplica_Tick(control->replica, now);
     RpControlLinks_Tick(control->links, now);
@@ -211,6 +225,10 @@
     expire_leases(control, now);
     report(control, now);
     RpDistribution_Flush(control->distribution, now);
+    RpControl_TellMembers(control);
+    if (control->editions) {
+        RpControlEditions_Review(control->editions, now);
+    }
     control->daemon.counters.value[RP_COUNT_TABLE_WITHHELD] =
         RpDistribution_Withheld(control->distribution);
     return G_SOURCE_CONTINUE;
@@ -258,6 +276,86 @@
     RpDaemon_Quit(&control->daemon, RP_EXIT_OK);
 }
 
+/* The identity of a first replica, which the others must know beforehand:
+ * it follows from its address. */
+static uint64_t
+seat_id(struct rp_endpoint address)
+{
+    static const uint8_t key[crypto_shorthash_KEYBYTES] = "replica-seat-v1";
+    char text[RP_ENDPOINT_TEXT_MAX];
+    uint8_t digest[crypto_shorthash_BYTES];
+
+    RpEndpoint_Format(address, text);
+    crypto_shorthash(digest, (const uint8_t *)text, strlen(text), key);
+    return MAX(RpBytes_Get64(digest), 1);
+}
+
+static bool
+is_first_replica(const struct control *control)
+{
+    const struct rp_endpoints *peers = &control->settings.peers;
+
+    for (size_t i = 0; control->settings.bootstrap && i < peers->count; i++) {
+        if (RpEndpoint_Equal(peers->item[i], control->settings.listen)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static uint64_t
+first_id(const struct control *control)
+{
+    return is_first_replica(control) ? seat_id(control->settings.listen) : 0;
+}
+
+static gint
+compare_members(gconstpointer a, gconstpointer b)
+{
+    uint64_t left = ((const struct rp_replica_member *)a)->id;
+    uint64_t right = ((const struct rp_replica_member *)b)->id;
+
+    return (left > right) - (left < right);
+}
+
+/* Every first replica makes the same list, whatever the order in which the
+ * settings name them. Names are not known yet. */
+static void
+create_group(struct control *control)
+{
+    const struct rp_endpoints *peers = &control->settings.peers;
+    GArray *members = RpSchema_NewList(&rp_replica_member_schema);
+
+    for (size_t i = 0; i < peers->count; i++) {
+        struct rp_replica_member member = {.id = seat_id(peers->item[i]),
+                                           .ip = peers->item[i].ip,
+                                           .port = peers->item[i].port,
+                                           .voter = 1};
+        gchar *name = g_strdup_printf("first-%08x-%u", member.ip, member.port);
+        RpName_Set(&member.name, RpStr_FromC(name));
+        g_free(name);
+        g_array_append_val(members, member);
+    }
+    g_array_sort(members, compare_members);
+    RpControlReplica_CreateGroup(control->replica, members);
+    g_array_free(members, TRUE);
+}
+
+static bool
+open_editions(struct control *control)
+{
+    struct rp_error error;
+
+    if (control->settings.operator_http.port == 0) {
+        return true;
+    }
+    RpError_Init(&error);
+    control->editions = RpControlEditions_Open(control, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return control->editions != NULL;
+}
+
 static bool
 open_replica(struct control *control)
 {
@@ -265,7 +363,7 @@
 
     RpError_Init(&error);
     control->replica = RpControlReplica_Open(control->settings.data->str,
-                                             g_get_monotonic_time(),
+                                             first_id(control), RpClock_Now(),
                                              &replica_ops, control, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
@@ -322,7 +420,7 @@
         return false;
     }
     control->registry = RpRegistry_Create();
-    RpRegistry_SetCutOff(control->registry, g_get_monotonic_time(), true);
+    RpRegistry_SetCutOff(control->registry, RpClock_Now(), true);
     control->distribution = RpDistribution_Create(
         catalog_of(control), control->registry, RpControl_SendTable, control);
     control->clients = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -330,10 +428,14 @@
     control->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                              g_free, g_free);
     control->links = RpControlLinks_Create(control);
-    control->cut_off_since = g_get_monotonic_time();
+    control->cut_off_since = RpClock_Now();
     control->next_send_away = control->cut_off_since + SEND_AWAY_MIN_US;
     g_timeout_add(TICK_MS, on_tick, control);
-    return RpControl_Listen(control) &&
+    RpDistribution_TouchAll(control->distribution, RpClock_Now());
+    if (is_first_replica(control)) {
+        create_group(control);
+    }
+    return RpControl_Listen(control) && open_editions(control) &&
            RpDaemon_OpenAdmin(&control->daemon, &control->settings.common,
                               &admin_ops, control);
 }
@@ -353,6 +455,7 @@
             argc, argv, &control.settings, &exit_code)) {
         return exit_code;
     }
+    RpDaemon_SetPorts(&control.settings.peers, control.settings.control_port);
     if (control.settings.check_data) {
         return check_data(&control.settings);
     }
@@ -367,6 +470,7 @@
         return RP_EXIT_FAILED;
     }
     exit_code = RpDaemon_Run(&control.daemon);
+    RpControlEditions_Close(control.editions);
     g_socket_service_stop(control.listener);
     RpControlReplica_Close(control.replica);
     RpDaemon_End(&control.daemon);
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -5,6 +5,7 @@
 #include "control_replica.h"
 #include "rp_daemon.h"
 #include "rp_distribution.h"
+#include "rp_platform.h"
 #include "rp_registry.h"
 
 struct control_settings {
@@ -14,9 +15,13 @@
     GString *data;
     bool create;
     bool check_data;
+    bool bootstrap;
+    uint32_t control_port;
+    struct rp_endpoint operator_http; /* port 0: not served */
 };
 
 struct control_links;
+struct control_editions;
 
 struct control {
     struct control_settings settings;
@@ -25,6 +30,8 @@
     struct rp_registry *registry;
     struct rp_distribution *distribution;
     struct control_links *links;
+    struct control_editions *editions; /* NULL: not served */
+    uint64_t told_members; /* what nodes were last told of the replicas */
     GSocketService *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
@@ -49,9 +56,27 @@
 
 /* Merges an announcement and tells those whom it concerns; `via` is the
  * replica that passed it on, or NULL. */
-void RpControl_Announce(struct control *control,
-                        const struct rp_msg_announce *announce,
-                        const struct rp_name *via);
+enum rp_registry_change
+RpControl_Announce(struct control *control,
+                   const struct rp_msg_announce *announce,
+                   const struct rp_name *via);
+
+/* Tells all nodes where the replicas are, if that has changed. */
+void RpControl_TellMembers(struct control *control);
+
+/* control_editions.c: the operator's editions. NULL with a finding on
+ * failure. */
+struct control_editions *RpControlEditions_Open(struct control *control,
+                                                struct rp_error *error);
+void RpControlEditions_Close(struct control_editions *editions);
+
+/* Answers what can be answered now, and what has waited too long. */
+void RpControlEditions_Review(struct control_editions *editions, int64_t now);
+
+/* An edition was applied: answers whoever sent it. */
+void RpControlEditions_Applied(struct control_editions *editions,
+                               const struct rp_log_entry *entry,
+                               const struct rp_msg_change_reply *reply);
 
 /* control_links.c: connections to the other replicas. */
 struct control_links *RpControlLinks_Create(struct control *control);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -1,6 +1,7 @@
 /* Connections from this replica to the others. Each replica opens one to
  * every other; what the others send comes in over theirs. */
 #include "control.h"
+#include "rp_clock.h"
 
 #define RETRY_US (500 * RP_US_PER_MS)
 #define JOIN_US (1 * RP_US_PER_SECOND)
@@ -94,7 +95,7 @@
     (void)conn;
     link->conn = NULL;
     link->ready = false;
-    link->retry_deadline = g_get_monotonic_time() + RETRY_US;
+    link->retry_deadline = RpClock_Now() + RETRY_US;
 }
 
 static void
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -1,6 +1,7 @@
 /* What connects to a control instance: nodes, operators, other replicas. */
 #include "control.h"
 #include "rp_status.h"
+#include "rp_clock.h"
 
 #define MAX_CONNECTIONS 30000
 #define LISTEN_BACKLOG 1024
@@ -85,7 +86,7 @@
 static void
 publish(struct control *control, const struct rp_msg_change_reply *reply)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
 
     RpCounters_Add(&control->daemon.counters, counter_for(reply));
     RpLog_Event(control->daemon.log, RP_LOG_INFO, "change_decided",
@@ -106,6 +107,28 @@
     }
 }
 
+/* An edition has been decided. */
+static void
+publish_edition(struct control *control, const struct rp_log_entry *entry,
+                const struct rp_msg_change_reply *reply)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(catalog_of(control));
+
+    RpCounters_Add(&control->daemon.counters, counter_for(reply));
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "edition_decided",
+                "result=%s version=%" G_GUINT64_FORMAT
+                " revision=%" G_GUINT64_FORMAT " repeated=%d",
+                RpCode_Name((enum rp_code)reply->code),
+                edition ? edition->version : 0, reply->revision,
+                reply->repeated);
+    if (reply->code == RP_OK && !reply->repeated) {
+        RpDistribution_TouchEdition(control->distribution, RpClock_Now());
+    }
+    if (control->editions) {
+        RpControlEditions_Applied(control->editions, entry, reply);
+    }
+}
+
 void
 RpControl_Applied(void *user, const struct rp_log_entry *entry,
                   const struct rp_msg_change_reply *reply)
@@ -117,6 +140,9 @@
     if (reply->is_change) {
         publish(control, reply);
     }
+    if (reply->is_edition) {
+        publish_edition(control, entry, reply);
+    }
     if (!pending) {
         return;
     }
@@ -157,8 +183,7 @@
 
     pending->connection = RpConn_Number(client->conn);
     enum rp_code code = RpControlReplica_Propose(
-        control->replica, g_get_monotonic_time(), command, &index,
-        &pending->term);
+        control->replica, RpClock_Now(), command, &index, &pending->term);
     if (code == RP_OK) {
         g_hash_table_replace(control->pending, g_memdup2(&index, sizeof index),
                              pending);
@@ -171,12 +196,12 @@
     g_string_free(command, TRUE);
 }
 
-void
+enum rp_registry_change
 RpControl_Announce(struct control *control,
                    const struct rp_msg_announce *announce,
                    const struct rp_name *via)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
     struct rp_counters *counters = &control->daemon.counters;
     const struct rp_upstream *known = RpRegistry_Find(control->registry,
                                                       &announce->upstream);
@@ -189,11 +214,11 @@
                                                       announce, via);
     if (change == RP_REGISTRY_STALE || change == RP_REGISTRY_REFUSED) {
         RpCounters_Add(counters, RP_COUNT_ANNOUNCE_STALE);
-        return;
+        return change;
     }
     RpCounters_Add(counters, RP_COUNT_ANNOUNCE_ACCEPTED);
     if (change != RP_REGISTRY_CHANGED) {
-        return;
+        return change;
     }
     const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE, .announce = *announce};
     if (!via) {
@@ -208,6 +233,88 @@
     if (old_service.len) {
         RpDistribution_Touch(control->distribution, now, &old_service);
     }
+    return change;
+}
+
+/* An agent's announcement. One that is older than what is known of its
+ * upstream is answered with that, so that the agent can say more. */
+static void
+on_announce(struct control *control, const struct client *client,
+            const struct rp_msg_announce *announce)
+{
+    if (RpControl_Announce(control, announce, NULL) != RP_REGISTRY_STALE) {
+        return;
+    }
+    const struct rp_upstream *known = RpRegistry_Find(control->registry,
+                                                      &announce->upstream);
+    if (known && known->last.incarnation > announce->incarnation) {
+        const struct rp_msg msg = {.type = RP_MSG_ANNOUNCE,
+                                   .announce = known->last};
+        RpConn_Send(client->conn, &msg);
+    }
+}
+
+/* The replicas' addresses as nodes are told them. */
+static void
+fill_controls(const struct control *control, struct rp_msg *msg)
+{
+    const GArray *members = RpReplica_Members(replica_of(control));
+
+    *msg = (struct rp_msg){.type = RP_MSG_CONTROLS,
+                           .controls = {.list = RpSchema_NewList(
+                                            &rp_msg_control_address_schema)}};
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            members, struct rp_replica_member, i);
+        const struct rp_msg_control_address row = {.ip = member->ip,
+                                                   .port = member->port};
+        g_array_append_val(msg->controls.list, row);
+    }
+}
+
+void
+RpControl_TellMembers(struct control *control)
+{
+    const GArray *members = RpReplica_Members(replica_of(control));
+    uint64_t digest = members->len;
+
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            members, struct rp_replica_member, i);
+        digest = digest * UINT64_C(0x9e3779b97f4a7c15) + member->id;
+    }
+    if (digest == control->told_members) {
+        return;
+    }
+    control->told_members = digest;
+    GArray *list = RpDistribution_Connections(control->distribution);
+    struct rp_msg msg;
+    fill_controls(control, &msg);
+    for (guint i = 0; i < list->len; i++) {
+        const struct client *client = find_client(
+            control, g_array_index(list, uint64_t, i));
+        if (client) {
+            RpConn_Send(client->conn, &msg);
+        }
+    }
+    RpMsg_Clear(&msg);
+    g_array_free(list, TRUE);
+}
+
+static void
+on_subscribe(struct control *control, const struct client *client,
+             const struct rp_msg_subscribe *subscribe)
+{
+    struct rp_msg msg;
+
+    RpDistribution_Subscribe(control->distribution, RpClock_Now(),
+                             RpConn_Number(client->conn), &client->hello,
+                             subscribe);
+    if (RpReplica_Members(replica_of(control))->len > 0) {
+        fill_controls(control, &msg);
+        RpConn_Send(client->conn, &msg);
+        RpMsg_Clear(&msg);
+    }
 }
 
 static GArray *
@@ -235,7 +342,7 @@
 
     RpStatus_Document(catalog_of(control), service, msg);
     if (RpReplica_Role(replica) != RP_REPLICA_LEADER ||
-        !RpReplica_IsFresh(replica, g_get_monotonic_time())) {
+        !RpReplica_IsFresh(replica, RpClock_Now())) {
         msg->document.code = RP_ERR_NO_LEADER;
     }
 }
@@ -255,8 +362,8 @@
         break;
     default:
         RpStatus_Status(catalog_of(control), control->registry,
-                        control->distribution, g_get_monotonic_time(),
-                        &query->service, &msg);
+                        control->distribution, RpClock_Now(), &query->service,
+                        &msg);
         g_array_free(msg.status.replicas, TRUE);
         msg.status.replicas = list_replicas(control);
     }
@@ -322,7 +429,7 @@
 on_confirm(struct control *control, const struct client *client,
            uint64_t revision)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
 
     if (client->hello.role == RP_ROLE_CONTROL) {
         RpControlLinks_Report(control->links, now, &client->hello.name,
@@ -338,7 +445,7 @@
 dispatch(struct control *control, struct client *client,
          const struct rp_msg *msg)
 {
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
 
     switch (msg->type) {
     case RP_MSG_CHANGE:
@@ -351,14 +458,15 @@
         on_order(control, client, msg);
         break;
     case RP_MSG_ANNOUNCE:
-        RpControl_Announce(
-            control, &msg->announce,
-            client->hello.role == RP_ROLE_AGENT ? NULL : &client->hello.name);
+        if (client->hello.role == RP_ROLE_AGENT) {
+            on_announce(control, client, &msg->announce);
+        }
+        else {
+            RpControl_Announce(control, &msg->announce, &client->hello.name);
+        }
         break;
     case RP_MSG_SUBSCRIBE:
-        RpDistribution_Subscribe(control->distribution, now,
-                                 RpConn_Number(client->conn), &client->hello,
-                                 &msg->subscribe);
+        on_subscribe(control, client, &msg->subscribe);
         break;
     case RP_MSG_CONFIRM:
         on_confirm(control, client, msg->confirm.revision);
@@ -370,6 +478,9 @@
         RpControlLinks_Heard(control->links, RpReplica_Sender(msg),
                              &client->hello.name);
         RpControlReplica_Receive(control->replica, now, msg);
+        if (control->editions) {
+            RpControlEditions_Review(control->editions, now);
+        }
     }
 }
 
@@ -410,8 +521,7 @@
     struct control *control = client->control;
     uint64_t number = RpConn_Number(conn);
 
-    RpDistribution_Disconnect(control->distribution, g_get_monotonic_time(),
-                              number);
+    RpDistribution_Disconnect(control->distribution, RpClock_Now(), number);
     g_hash_table_remove(control->clients, &number);
 }
 
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -171,13 +171,15 @@
 /* A new folder gets an id of its own: whoever lost its disk is another
  * replica from then on. */
 static bool
-create_identity(struct rp_control_replica *self, struct rp_error *error)
+create_identity(struct rp_control_replica *self, uint64_t id,
+                struct rp_error *error)
 {
     uint8_t bytes[NUMBER_SIZE];
 
-    do {
+    RpBytes_Put64(bytes, id);
+    while (RpBytes_Get64(bytes) == 0) {
         randombytes_buf(bytes, sizeof bytes);
-    } while (RpBytes_Get64(bytes) == 0);
+    }
     struct rp_str payload = {.data = (char *)bytes, .len = sizeof bytes};
     append_record(self, RECORD_IDENTITY, payload);
     self->unsynced = false;
@@ -186,7 +188,7 @@
 }
 
 struct rp_control_replica *
-RpControlReplica_Open(const char *folder, int64_t now,
+RpControlReplica_Open(const char *folder, uint64_t first_id, int64_t now,
                       const struct rp_control_replica_ops *ops, void *user,
                       struct rp_error *error)
 {
@@ -198,7 +200,8 @@
     self->catalog = RpCatalog_Create();
     const struct rp_journal_reader reader = {.visit = visit, .user = self};
     self->journal = RpJournal_Open(folder, &reader, error);
-    if (!self->journal || (!self->replica && !create_identity(self, error))) {
+    if (!self->journal ||
+        (!self->replica && !create_identity(self, first_id, error))) {
         RpControlReplica_Close(self);
         return NULL;
     }
@@ -401,6 +404,17 @@
     return self->failed ? RP_ERR_IO : RP_OK;
 }
 
+void
+RpControlReplica_CreateGroup(struct rp_control_replica *self,
+                             const GArray *members)
+{
+    if (RpReplica_LastIndex(self->replica) == 0 &&
+        RpReplica_Term(self->replica) == 0) {
+        RpReplica_BootstrapGroup(self->replica, members);
+        carry_out(self);
+    }
+}
+
 const struct rp_catalog *
 RpControlReplica_Catalog(const struct rp_control_replica *self)
 {
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -23,10 +23,11 @@
     void (*failed)(void *user, const struct rp_error *error);
 };
 
-/* Opens the data folder, creating it if it is missing. NULL with findings
- * on failure. */
+/* Opens the data folder, creating it if it is missing. A new folder gets the
+ * identity `first_id`, or a drawn one if that is 0. NULL with findings on
+ * failure. */
 struct rp_control_replica *
-RpControlReplica_Open(const char *folder, int64_t now,
+RpControlReplica_Open(const char *folder, uint64_t first_id, int64_t now,
                       const struct rp_control_replica_ops *ops, void *user,
                       struct rp_error *error);
 
@@ -38,6 +39,11 @@
                                      const struct rp_replica_member *member,
                                      struct rp_error *error);
 
+/* Makes this one of the first replicas of a new system, which are all given
+ * the same members; does nothing if the folder holds a state already. */
+void RpControlReplica_CreateGroup(struct rp_control_replica *self,
+                                  const GArray *members);
+
 const struct rp_catalog *
 RpControlReplica_Catalog(const struct rp_control_replica *self);
 struct rp_replica *
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -1,11 +1,18 @@
 #include "rp_daemon.h"
 
 #include <glib-unix.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
 
+#include "rp_clock.h"
 #include "rp_keyfile.h"
+#include "rp_platform.h"
+
+/* How often the settings file is looked at, in case it changes without a
+ * signal. Seconds. */
+#define WATCH_SECONDS 5
 
 void
 RpDaemon_PrintFindings(const struct rp_error *error)
@@ -54,9 +61,18 @@
 {
     struct rp_error error;
 
+    enum rp_code code;
+
     RpError_Init(&error);
-    enum rp_code code = RpKeyfile_Read(settings->key_file->str,
-                                       &daemon->keyring, &error);
+    if (settings->key_file) {
+        code = RpKeyfile_Read(settings->key_file->str, &daemon->keyring,
+                              &error);
+    }
+    else {
+        struct rp_str text = {.data = settings->key->str,
+                              .len = settings->key->len};
+        code = RpKeyfile_Parse(text, "--key", &daemon->keyring, &error);
+    }
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return code == RP_OK;
@@ -74,7 +90,7 @@
     }
     daemon->role_name = RpRole_Name(role);
     daemon->exit_code = RP_EXIT_OK;
-    daemon->log = RpLog_Create(stderr, settings->log_level, daemon->role_name,
+    daemon->log = RpLog_Create(stdout, settings->log_level, daemon->role_name,
                                settings->name.data);
     daemon->context = (struct rp_conn_context){
         .keyring = &daemon->keyring,
@@ -93,6 +109,108 @@
     return true;
 }
 
+/* When the settings file was last changed; 0 if there is none. */
+static int64_t
+change_time(const struct rp_settings_source *source)
+{
+    gchar *path = RpSettings_FilePath(source->argc, source->argv);
+    GStatBuf status = {0};
+
+    if (!path || g_stat(path, &status)) {
+        g_free(path);
+        return 0;
+    }
+    g_free(path);
+    return (int64_t)status.st_mtim.tv_sec * RP_US_PER_SECOND +
+           status.st_mtim.tv_nsec / 1000;
+}
+
+static void
+read_again(struct rp_daemon *daemon)
+{
+    const struct rp_settings_source *source = &daemon->source;
+    /* Texts inside live on: the role may have taken them. */
+    void *settings = g_malloc0(source->size);
+    struct rp_error error;
+
+    RpError_Init(&error);
+    daemon->file_changed = change_time(source);
+    if (RpSettings_Read(source->table, source->count, daemon->role_name, "",
+                        source->argc, source->argv, settings,
+                        &error) == RP_SETTINGS_READY) {
+        daemon->reload(daemon->reload_user, settings);
+        RpLog_Event(daemon->log, RP_LOG_INFO, "settings_reloaded", "%s", "");
+    }
+    else {
+        GString *text = g_string_new(NULL);
+        GString *quoted = g_string_new(NULL);
+        RpError_Format(&error, text);
+        RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
+        RpLog_Event(daemon->log, RP_LOG_ERROR, "settings_refused",
+                    "findings=%s", quoted->str);
+        g_string_free(text, TRUE);
+        g_string_free(quoted, TRUE);
+    }
+    RpError_Clear(&error);
+    g_free(settings);
+}
+
+static gboolean
+on_hangup(gpointer data)
+{
+    read_again(data);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_watch(gpointer data)
+{
+    struct rp_daemon *daemon = data;
+
+    if (change_time(&daemon->source) != daemon->file_changed) {
+        read_again(daemon);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void
+RpDaemon_WatchSettings(struct rp_daemon *daemon,
+                       const struct rp_settings_source *source,
+                       RpDaemon_Reload reload, void *user)
+{
+    daemon->source = *source;
+    daemon->reload = reload;
+    daemon->reload_user = user;
+    daemon->file_changed = change_time(source);
+    g_unix_signal_add(SIGHUP, on_hangup, daemon);
+    if (daemon->file_changed) {
+        g_timeout_add_seconds(WATCH_SECONDS, on_watch, daemon);
+    }
+}
+
+const struct rp_codec *
+RpDaemon_FindCodec(const GString *name)
+{
+    static const struct rp_codec *const codecs[] = {&rp_codec_ipv4,
+                                                    &rp_codec_platform};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(codecs); i++) {
+        if (!strcmp(name->str, codecs[i]->ops->name)) {
+            return codecs[i];
+        }
+    }
+    fprintf(stderr, "--packets: \"%s\" is no format of packets\n", name->str);
+    return NULL;
+}
+
+void
+RpDaemon_SetPorts(struct rp_endpoints *endpoints, uint32_t port)
+{
+    for (size_t i = 0; port != 0 && i < endpoints->count; i++) {
+        endpoints->item[i].port = (uint16_t)port;
+    }
+}
+
 bool
 RpDaemon_OpenAdmin(struct rp_daemon *daemon,
                    const struct rp_common_settings *settings,
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -8,7 +8,8 @@
 
 struct rp_uplink {
     struct rp_daemon *daemon;
-    const struct rp_endpoints *controls;
+    struct rp_endpoints controls; /* as set */
+    struct rp_endpoints told;     /* as control says */
     struct rp_name service;
     const struct rp_uplink_ops *ops;
     void *user;
@@ -88,6 +89,18 @@
                 RpTable_Count(uplink->table));
 }
 
+static void
+take_controls(struct rp_uplink *uplink, const struct rp_msg_controls *controls)
+{
+    uplink->told.count = 0;
+    for (guint i = 0; i < controls->list->len && i < RP_ENDPOINTS_MAX; i++) {
+        const struct rp_msg_control_address *row = &g_array_index(
+            controls->list, struct rp_msg_control_address, i);
+        uplink->told.item[uplink->told.count++] = (struct rp_endpoint){
+            .ip = row->ip, .port = row->port};
+    }
+}
+
 static void
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
@@ -101,6 +114,14 @@
         uplink->ops->ordered(uplink->user, &msg->order);
         return;
     }
+    if (msg->type == RP_MSG_CONTROLS) {
+        take_controls(uplink, &msg->controls);
+        return;
+    }
+    if (msg->type == RP_MSG_ANNOUNCE && uplink->ops->overtaken) {
+        uplink->ops->overtaken(uplink->user, &msg->announce);
+        return;
+    }
     RpCounters_Add(&uplink->daemon->counters, RP_COUNT_FRAME_UNEXPECTED);
     RpConn_Close(conn);
 }
@@ -140,9 +161,12 @@
 static void
 connect_next(struct rp_uplink *uplink)
 {
-    struct rp_endpoint to = uplink->controls->item[uplink->next];
+    const struct rp_endpoints *told = &uplink->told;
+    size_t place = uplink->next++ % (told->count + uplink->controls.count);
+    struct rp_endpoint to = place < told->count
+                                ? told->item[place]
+                                : uplink->controls.item[place - told->count];
 
-    uplink->next = (uplink->next + 1) % uplink->controls->count;
     uplink->conn = RpConn_Open(&uplink->daemon->context, to, &conn_ops,
                                uplink);
 }
@@ -155,7 +179,7 @@
     struct rp_uplink *uplink = g_new0(struct rp_uplink, 1);
 
     uplink->daemon = daemon;
-    uplink->controls = controls;
+    uplink->controls = *controls;
     uplink->service = *service;
     uplink->ops = ops;
     uplink->user = user;
@@ -166,6 +190,20 @@
     return uplink;
 }
 
+void
+RpUplink_SetControls(struct rp_uplink *uplink,
+                     const struct rp_endpoints *controls)
+{
+    uplink->controls = *controls;
+}
+
+void
+RpUplink_PreferZone(struct rp_uplink *uplink, const struct rp_name *zone,
+                    uint32_t weight)
+{
+    RpTable_PreferZone(uplink->table, zone, weight);
+}
+
 void
 RpUplink_Free(struct rp_uplink *uplink)
 {
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -1,6 +1,7 @@
 /* A node's connection to control: it keeps a table up to date.
  *
- * The uplink tries the control instances in turn until one answers, asks
+ * The uplink tries the control instances in turn, those of its settings and
+ * those that control has told it of, until one answers, asks
  * for the table, applies what comes and confirms each revision. While no
  * control instance answers, the node goes on with the table it has.
  */
@@ -17,8 +18,20 @@
     void (*table_changed)(void *user);
     /* An operator's order; NULL where none is expected. */
     void (*ordered)(void *user, const struct rp_msg_order *order);
+    /* Control knows a newer announcement of this upstream than the one it
+     * was just sent; NULL where none is expected. */
+    void (*overtaken)(void *user, const struct rp_msg_announce *newer);
 };
 
+/* Takes another list of control instances, as after a change of settings. */
+void RpUplink_SetControls(struct rp_uplink *uplink,
+                          const struct rp_endpoints *controls);
+
+/* Members in `zone` count `weight` times as much when flows are placed. To
+ * be called before the main loop runs. */
+void RpUplink_PreferZone(struct rp_uplink *uplink, const struct rp_name *zone,
+                         uint32_t weight);
+
 /* `service` is empty for all services. Everything passed is borrowed. */
 struct rp_uplink *RpUplink_Create(struct rp_daemon *daemon,
                                   const struct rp_endpoints *controls,
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -1,4 +1,5 @@
 #include "rp_conn.h"
+#include "rp_clock.h"
 
 #include <netinet/tcp.h>
 #include <sodium.h>
@@ -153,7 +154,7 @@
 {
     RpSession_Send(conn->session, msg, conn->output);
     RpCounters_Add(conn->context->counters, RP_COUNT_FRAMES_OUT);
-    conn->ping_deadline = g_get_monotonic_time() + RP_CONN_PING_US;
+    conn->ping_deadline = RpClock_Now() + RP_CONN_PING_US;
     if (conn->output->len + conn->writing->len > RP_CONN_QUEUE_MAX) {
         fail(conn, RP_COUNT_PEER_TOO_SLOW);
         return;
@@ -287,7 +288,7 @@
         finish_if_done(conn);
         return;
     }
-    conn->silence_deadline = g_get_monotonic_time() + RP_CONN_SILENCE_US;
+    conn->silence_deadline = RpClock_Now() + RP_CONN_SILENCE_US;
     RpSession_Receive(conn->session, (struct rp_str){.data = conn->input,
                                                      .len = (size_t)got});
     take_messages(conn);
@@ -309,7 +310,7 @@
 on_tick(gpointer data)
 {
     struct rp_conn *conn = data;
-    int64_t now = g_get_monotonic_time();
+    int64_t now = RpClock_Now();
 
     if (now >= conn->silence_deadline) {
         conn->tick_source = 0;
@@ -342,7 +343,7 @@
     conn->output = g_string_new(NULL);
     conn->writing = g_string_new(NULL);
     conn->input = g_malloc(READ_SIZE);
-    conn->silence_deadline = g_get_monotonic_time() + RP_CONN_SILENCE_US;
+    conn->silence_deadline = RpClock_Now() + RP_CONN_SILENCE_US;
     conn->tick_source = g_timeout_add(TICK_MS, on_tick, conn);
     g_queue_init(&conn->waiting);
     return conn;
--- a/programs/shared/rp_keyfile.c
+++ b/programs/shared/rp_keyfile.c
@@ -45,6 +45,25 @@
     return RP_OK;
 }
 
+enum rp_code
+RpKeyfile_Parse(struct rp_str text, const char *place,
+                struct rp_keyring *keyring, struct rp_error *error)
+{
+    enum rp_code code = RP_OK;
+
+    memset(keyring, 0, sizeof *keyring);
+    while (text.len && code == RP_OK) {
+        struct rp_str rest;
+        struct rp_str line = RpStr_Trim(RpStr_Split(text, '\n', &rest));
+        code = add_key(keyring, line, place, error);
+        text = rest;
+    }
+    if (code == RP_OK && keyring->count == 0) {
+        code = RpError_Add(error, RP_ERR_SETTING, place, "holds no key");
+    }
+    return code;
+}
+
 enum rp_code
 RpKeyfile_Read(const char *path, struct rp_keyring *keyring,
                struct rp_error *error)
@@ -58,18 +77,9 @@
         return RpError_Add(error, RP_ERR_SETTING, path, "cannot read");
     }
     struct rp_str text = {.data = content, .len = len};
-    enum rp_code code = RP_OK;
-    while (text.len && code == RP_OK) {
-        struct rp_str rest;
-        struct rp_str line = RpStr_Trim(RpStr_Split(text, '\n', &rest));
-        code = add_key(keyring, line, path, error);
-        text = rest;
-    }
+    enum rp_code code = RpKeyfile_Parse(text, path, keyring, error);
     sodium_memzero(content, len);
     g_free(content);
-    if (code == RP_OK && keyring->count == 0) {
-        code = RpError_Add(error, RP_ERR_SETTING, path, "holds no key");
-    }
     return code;
 }
 
--- a/programs/shared/rp_keyfile.h
+++ b/programs/shared/rp_keyfile.h
@@ -13,6 +13,11 @@
 enum rp_code RpKeyfile_Read(const char *path, struct rp_keyring *keyring,
                             struct rp_error *error);
 
+/* The same for keys that are given as text, one a line. */
+enum rp_code RpKeyfile_Parse(struct rp_str text, const char *place,
+                             struct rp_keyring *keyring,
+                             struct rp_error *error);
+
 void RpKeyfile_Clear(struct rp_keyring *keyring);
 
 #endif
--- a/programs/shared/rp_settings.c
+++ b/programs/shared/rp_settings.c
@@ -6,11 +6,15 @@
 
 #define MAX_SETTINGS 32
 #define MAX_PARSE_ERRORS 20
+#define FILE_FLAG "settings"
+#define FILE_VARIABLE "RADISHPORT_SETTINGS"
+#define FILE_GROUP "radishport"
 
 /* argtable's view of a settings table: the settings first, then help,
  * version and the end marker. */
 struct arguments {
-    void *table[MAX_SETTINGS + 3];
+    void *table[MAX_SETTINGS + 4];
+    struct arg_str *file;
     struct arg_lit *help;
     struct arg_lit *version;
     struct arg_end *end;
@@ -44,13 +48,16 @@
                 : (void *)arg_str0(NULL, setting->flag, setting->value,
                                    setting->help);
     }
+    arguments->file = arg_str0(NULL, FILE_FLAG, "FILE",
+                               "read settings from this key file");
     arguments->help = arg_lit0("h", "help", "print this help and exit");
     arguments->version = arg_lit0("V", "version",
                                   "print the version and exit");
     arguments->end = arg_end(MAX_PARSE_ERRORS);
-    arguments->table[count] = arguments->help;
-    arguments->table[count + 1] = arguments->version;
-    arguments->table[count + 2] = arguments->end;
+    arguments->table[count] = arguments->file;
+    arguments->table[count + 1] = arguments->help;
+    arguments->table[count + 2] = arguments->version;
+    arguments->table[count + 3] = arguments->end;
     arguments->count = count;
 }
 
@@ -63,7 +70,8 @@
     printf("%s\n\n", usage);
     arg_print_glossary(stdout, (void **)arguments->table, "  %-28s %s\n");
     printf("\nEach flag can be set as an environment variable instead: "
-           "--some-flag is RADISHPORT_SOME_FLAG.\n");
+           "--some-flag is RADISHPORT_SOME_FLAG;\nor as a line some-flag = "
+           "value below [radishport] in the settings file.\n");
 }
 
 /* Turns argtable's own complaints into findings, a line each. */
@@ -103,6 +111,14 @@
     return endpoints->count > 0;
 }
 
+/* An empty value is off, as in an environment variable that is empty. */
+static bool
+parse_switch(const char *value, bool *on)
+{
+    *on = !strcmp(value, "1") || !strcmp(value, "true");
+    return *on || !value[0] || !strcmp(value, "0") || !strcmp(value, "false");
+}
+
 static enum rp_code
 store(const struct rp_setting *setting, const char *place, const char *value,
       void *member, struct rp_error *error)
@@ -152,44 +168,178 @@
         return RpError_Add(error, RP_ERR_SETTING, place,
                            "\"%s\" is not debug, info, warn or error", value);
     case RP_SETTING_SWITCH:
-        *(bool *)member = strcmp(value, "0") != 0 && value[0];
-        return RP_OK;
+        if (parse_switch(value, member)) {
+            return RP_OK;
+        }
+        return RpError_Add(error, RP_ERR_SETTING, place,
+                           "\"%s\" is not 1, 0, true or false", value);
     }
     return RP_OK;
 }
 
-static void
-read_one(const struct rp_setting *setting, void *argument, void *target,
-         struct rp_error *error)
+/* What the settings file says of a setting; an empty value counts as none.
+ * Free it. */
+static gchar *
+value_in_file(GKeyFile *file, const struct rp_setting *setting)
+{
+    gchar *value = file && setting->flag
+                       ? g_key_file_get_string(file, FILE_GROUP, setting->flag,
+                                               NULL)
+                       : NULL;
+
+    if (value && !*g_strstrip(value)) {
+        g_free(value);
+        return NULL;
+    }
+    return value;
+}
+
+/* What a setting is given, and where: by flag, variable, file or default.
+ * Free both; the value is NULL if there is none. */
+static gchar *
+value_of(const struct rp_setting *setting, void *argument, GKeyFile *file,
+         gchar **place)
 {
     gchar *variable = variable_name(setting->flag);
-    gchar *flag = setting->flag ? g_strdup_printf("--%s", setting->flag)
-                                : g_strdup(setting->value);
-    const char *place = flag;
-    const char *value = NULL;
+    gchar *value = NULL;
 
+    *place = setting->flag ? g_strdup_printf("--%s", setting->flag)
+                           : g_strdup(setting->value);
     if (setting->kind == RP_SETTING_SWITCH) {
-        value = ((struct arg_lit *)argument)->count ? "1" : NULL;
+        value = ((struct arg_lit *)argument)->count ? g_strdup("1") : NULL;
     }
     else if (((struct arg_str *)argument)->count) {
-        value = ((struct arg_str *)argument)->sval[0];
+        value = g_strdup(((struct arg_str *)argument)->sval[0]);
     }
     if (!value && variable && g_getenv(variable)) {
-        value = g_getenv(variable);
-        place = variable;
+        value = g_strdup(g_getenv(variable));
+        g_free(*place);
+        *place = g_strdup(variable);
     }
-    if (!value) {
-        value = setting->fallback;
+    if (!value && (value = value_in_file(file, setting)) != NULL) {
+        g_free(*place);
+        *place = g_strdup_printf("settings file: %s", setting->flag);
+    }
+    g_free(variable);
+    return value ? value : g_strdup(setting->fallback);
+}
+
+/* Whether the setting of this name is given somewhere. */
+static bool
+is_given(const struct arguments *arguments, const struct rp_setting *settings,
+         GKeyFile *file, const char *flag)
+{
+    bool given = false;
+
+    for (size_t i = 0; flag && i < arguments->count; i++) {
+        if (settings[i].flag && !strcmp(settings[i].flag, flag)) {
+            gchar *place;
+            gchar *value = value_of(&settings[i], arguments->table[i], file,
+                                    &place);
+            given = value != NULL;
+            g_free(value);
+            g_free(place);
+        }
     }
+    return given;
+}
+
+static void
+read_one(const struct arguments *arguments, const struct rp_setting *settings,
+         size_t index, GKeyFile *file, void *target, struct rp_error *error)
+{
+    const struct rp_setting *setting = &settings[index];
+    gchar *place;
+    gchar *value = value_of(setting, arguments->table[index], file, &place);
+
     if (value) {
         store(setting, place, value, (char *)target + setting->offset, error);
     }
-    else if (!setting->optional && setting->kind != RP_SETTING_SWITCH) {
+    else if (!setting->optional && setting->kind != RP_SETTING_SWITCH &&
+             !is_given(arguments, settings, file, setting->unless)) {
+        gchar *variable = variable_name(setting->flag);
         RpError_Add(error, RP_ERR_SETTING, place, "is required%s%s",
                     variable ? ", or set " : "", variable ? variable : "");
+        g_free(variable);
     }
-    g_free(flag);
-    g_free(variable);
+    g_free(value);
+    g_free(place);
+}
+
+/* Names in the file that are no setting are findings, too. */
+static void
+check_names(GKeyFile *file, const struct rp_setting *settings, size_t count,
+            struct rp_error *error)
+{
+    gchar **groups = g_key_file_get_groups(file, NULL);
+    gchar **keys = g_key_file_get_keys(file, FILE_GROUP, NULL, NULL);
+
+    for (gchar **group = groups; *group; group++) {
+        if (strcmp(*group, FILE_GROUP) != 0) {
+            RpError_Add(error, RP_ERR_SETTING, "settings file",
+                        "unknown group [%s]", *group);
+        }
+    }
+    for (gchar **key = keys; key && *key; key++) {
+        size_t i = 0;
+        while (i < count &&
+               (!settings[i].flag || strcmp(settings[i].flag, *key) != 0)) {
+            i++;
+        }
+        if (i == count) {
+            RpError_Add(error, RP_ERR_SETTING, "settings file",
+                        "unknown setting %s", *key);
+        }
+    }
+    g_strfreev(groups);
+    g_strfreev(keys);
+}
+
+/* Reads the settings file; NULL if there is none, or if it cannot be read,
+ * which is a finding. */
+static GKeyFile *
+load_file(const char *path, const struct rp_setting *settings, size_t count,
+          struct rp_error *error)
+{
+    GKeyFile *file = g_key_file_new();
+    GError *failure = NULL;
+    gchar *text = NULL;
+    gsize len = 0;
+
+    if (!g_file_get_contents(path, &text, &len, &failure) ||
+        !g_key_file_load_from_data(file, text, len, G_KEY_FILE_NONE,
+                                   &failure)) {
+        RpError_Add(error, RP_ERR_SETTING, path, "%s", failure->message);
+        g_error_free(failure);
+        g_key_file_free(file);
+        file = NULL;
+    }
+    else if (len > RP_SETTINGS_FILE_MAX) {
+        RpError_Add(error, RP_ERR_LIMIT, path, "larger than %d bytes",
+                    RP_SETTINGS_FILE_MAX);
+    }
+    else {
+        check_names(file, settings, count, error);
+    }
+    g_free(text);
+    return file;
+}
+
+gchar *
+RpSettings_FilePath(int argc, char **argv)
+{
+    static const char flag[] = "--" FILE_FLAG;
+
+    for (int i = 1; i < argc; i++) {
+        if (!strcmp(argv[i], flag) && i + 1 < argc) {
+            return g_strdup(argv[i + 1]);
+        }
+        if (g_str_has_prefix(argv[i], flag) && argv[i][strlen(flag)] == '=') {
+            return g_strdup(argv[i] + strlen(flag) + 1);
+        }
+    }
+    const char *named = g_getenv(FILE_VARIABLE);
+    return named && *named ? g_strdup(named) : NULL;
 }
 
 enum rp_settings_result
@@ -214,13 +364,19 @@
         if (errors) {
             collect_parse_errors(&arguments, program, error);
         }
+        gchar *path = RpSettings_FilePath(argc, argv);
+        GKeyFile *file = path ? load_file(path, settings, count, error) : NULL;
         for (size_t i = 0; i < count; i++) {
-            read_one(&settings[i], arguments.table[i], target, error);
+            read_one(&arguments, settings, i, file, target, error);
+        }
+        if (file) {
+            g_key_file_free(file);
         }
+        g_free(path);
         if (RpError_Count(error)) {
             result = RP_SETTINGS_BAD;
         }
     }
-    arg_freetable(arguments.table, count + 3);
+    arg_freetable(arguments.table, count + 4);
     return result;
 }
--- a/programs/shared/rp_settings.h
+++ b/programs/shared/rp_settings.h
@@ -1,8 +1,11 @@
-/* Settings: flags with an environment variable behind each.
+/* Settings: flags, with an environment variable and a line in a settings
+ * file behind each.
  *
  * A program describes its settings in a table. A value comes from the flag,
- * else from the variable RADISHPORT_<FLAG>, else from the default. Every
- * finding on all of them is collected before the program gives up.
+ * else from the variable RADISHPORT_<FLAG>, else from the settings file, else
+ * from the default. The file is named by --settings or RADISHPORT_SETTINGS;
+ * it is a key file whose group [radishport] has the flags' names as keys.
+ * Every finding on all of them is collected before the program gives up.
  */
 #ifndef RP_SETTINGS_H
 #define RP_SETTINGS_H
@@ -15,7 +18,8 @@
 #include "rp_error.h"
 #include "rp_log.h"
 
-#define RP_ENDPOINTS_MAX 15 /* addresses in one setting */
+#define RP_ENDPOINTS_MAX 15        /* addresses in one setting */
+#define RP_SETTINGS_FILE_MAX 65536 /* bytes */
 
 struct rp_endpoints {
     size_t count;
@@ -41,7 +45,8 @@
     const char *fallback; /* NULL: required, except for switches */
     uint32_t min;         /* of numbers */
     uint32_t max;
-    bool optional; /* may stay unset without a default */
+    bool optional;      /* may stay unset without a default */
+    const char *unless; /* as `optional`, if the setting of this name is set */
 };
 
 enum rp_settings_result {
@@ -50,6 +55,10 @@
     RP_SETTINGS_BAD   /* findings are in `error`: exit with 2 */
 };
 
+/* The settings file that the arguments or the environment name, or NULL.
+ * Free it. */
+gchar *RpSettings_FilePath(int argc, char **argv);
+
 /* Reads all settings into the zeroed struct at `target`. `usage` is the
  * text above the list of flags. */
 enum rp_settings_result RpSettings_Read(const struct rp_setting *settings,
--- a/programs/shared/rp_udp.h
+++ b/programs/shared/rp_udp.h
@@ -21,7 +21,7 @@
 
 /* One datagram. Longer ones than RP_DATAGRAM_MAX are dropped and counted
  * before this is called. */
-typedef void (*RpUdp_Receive)(void *user, const uint8_t *data, size_t len,
+typedef void (*RpUdp_Receive)(void *user, uint8_t *data, size_t len,
                               struct rp_endpoint from);
 
 /* Opens a socket bound to `listen`. `counters` is borrowed. NULL with a
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -308,12 +308,14 @@
 static void
 do_show(const struct session *session, const char **words)
 {
-    struct rp_endpoint caller = {.ip = CALLER_IP,
-                                 .port = (uint16_t)number(words[1])};
+    struct rp_flow_key flow = {.src_ip = CALLER_IP,
+                               .src_port = (uint16_t)number(words[1]),
+                               .dst_ip = session->service.address,
+                               .dst_port = session->service.port};
     struct rp_agent_load load = RpAgent_Load(session->agent, session->now);
 
     printf("  state=%s flows=%u busy=%u slots=%u\n",
-           RpFlowState_Name(RpAgent_FlowState(session->agent, caller)),
+           RpFlowState_Name(RpAgent_FlowState(session->agent, flow)),
            load.flows, load.busy, load.slots);
 }
 
--- a/tests/measure/cost.c
+++ b/tests/measure/cost.c
@@ -153,7 +153,8 @@
             bytes[20] = (uint8_t)j;
             RpPacket_Parse(bytes, len, &packet, &reason);
             RpBalancer_Route(table, &packet, &route);
-            sum += RpGeneve_Write(header, &route.tag, &route.chain);
+            sum += RpGeneve_Write(header, RP_GENEVE_IPV4, &route.tag,
+                                  &route.chain);
         }
         double each = (double)(now_ns() - start) / PACKETS;
         printf("cost route members=%u ns_per_packet=%.1f check=%zu\n",
@@ -242,7 +243,7 @@
 };
 
 static void
-on_relay(void *user, const uint8_t *data, size_t len, struct rp_endpoint from)
+on_relay(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
 {
     struct relay *relay = user;
     struct rp_geneve geneve;
@@ -256,13 +257,14 @@
         RpUdp_Send(relay->udp, relay->sink, data, 0, data, len);
         return;
     }
-    if (!RpGeneve_Parse(data, len, &geneve, &reason) ||
+    if (!RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason) ||
         !RpPacket_Parse(geneve.inner, geneve.inner_len, &packet, &reason)) {
         return;
     }
     RpBalancer_Route(relay->table, &packet, &route);
     route.chain.visited = 1;
-    size_t header_len = RpGeneve_Write(header, &route.tag, &route.chain);
+    size_t header_len = RpGeneve_Write(header, RP_GENEVE_IPV4, &route.tag,
+                                       &route.chain);
     RpUdp_Send(relay->udp, relay->sink, header, header_len, packet.data,
                packet.len);
 }
@@ -306,7 +308,7 @@
     struct sockaddr_in to = {.sin_family = AF_INET,
                              .sin_port = htons(in.port),
                              .sin_addr.s_addr = htonl(in.ip)};
-    size_t header_len = RpGeneve_Write(datagram, NULL, NULL);
+    size_t header_len = RpGeneve_Write(datagram, RP_GENEVE_IPV4, NULL, NULL);
     for (unsigned round = 0; round < RELAY_ROUNDS; round++) {
         for (unsigned i = 0; i < RP_UDP_BATCH; i++) {
             size_t len = header_len +
--- a/tests/measure/pinned_model.c
+++ b/tests/measure/pinned_model.c
@@ -99,11 +99,11 @@
 static void
 let_next_in(struct model *model, uint32_t host, int64_t now)
 {
-    struct rp_endpoint caller;
+    struct rp_flow_key caller;
     bool is_long;
 
     while (RpGate_Next(model->gates[host], now, &caller, &is_long)) {
-        go_in(model, caller.ip, now);
+        go_in(model, caller.src_ip, now);
     }
 }
 
@@ -158,7 +158,7 @@
         go_in(model, number, now);
         return;
     }
-    struct rp_endpoint caller = {.ip = number, .port = 1};
+    struct rp_flow_key caller = {.src_ip = number, .src_port = 1};
     if (RpGate_Enter(model->gates[request.host], now, caller,
                      request.believed_long)) {
         go_in(model, number, now);
--- a/tests/standins/fabric.c
+++ b/tests/standins/fabric.c
@@ -205,7 +205,7 @@
     struct rp_geneve geneve;
     enum rp_counter reason;
 
-    if (!RpGeneve_Parse(data, len, &geneve, &reason) ||
+    if (!RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason) ||
         !RpPacket_Parse(geneve.inner, geneve.inner_len, packet, &reason)) {
         return NULL;
     }
@@ -216,7 +216,7 @@
 }
 
 static void
-on_caller_datagram(void *user, const uint8_t *data, size_t len,
+on_caller_datagram(void *user, uint8_t *data, size_t len,
                    struct rp_endpoint from)
 {
     struct rp_packet packet;
@@ -234,7 +234,7 @@
 }
 
 static void
-on_system_datagram(void *user, const uint8_t *data, size_t len,
+on_system_datagram(void *user, uint8_t *data, size_t len,
                    struct rp_endpoint from)
 {
     struct rp_packet packet;
--- a/tests/standins/link.c
+++ b/tests/standins/link.c
@@ -27,7 +27,7 @@
 
     (void)interface;
     (void)next;
-    size_t header_len = RpGeneve_Write(header, NULL, NULL);
+    size_t header_len = RpGeneve_Write(header, RP_GENEVE_IPV4, NULL, NULL);
     u16_t len = pbuf_copy_partial(packet, body, sizeof body, 0);
     RpUdp_SendCopy(udp, peer, header, header_len, body, len);
     return ERR_OK;
@@ -44,15 +44,14 @@
 }
 
 static void
-on_datagram(void *user, const uint8_t *data, size_t len,
-            struct rp_endpoint from)
+on_datagram(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
 {
     struct rp_geneve geneve;
     enum rp_counter reason;
 
     (void)user;
     (void)from;
-    if (!RpGeneve_Parse(data, len, &geneve, &reason)) {
+    if (!RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason)) {
         return;
     }
     struct pbuf *packet = pbuf_alloc(PBUF_RAW, (u16_t)geneve.inner_len,
--- a/tests/unit/test_tables.c
+++ b/tests/unit/test_tables.c
@@ -197,7 +197,7 @@
     (void)state;
     for (int i = 0; i < 200000; i++) {
         guint number = (guint)g_rand_int_range(dice, 1, 5000);
-        struct rp_endpoint caller = {.ip = number, .port = 9};
+        struct rp_flow_key caller = {.src_ip = number, .src_port = 9};
         struct rp_flow *flow = RpFlowTable_Find(table, caller);
         bool known = g_hash_table_contains(model, GUINT_TO_POINTER(number));
         assert_int_equal(flow != NULL, known);
@@ -224,7 +224,7 @@
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         due += GPOINTER_TO_UINT(key) <= 2500;
     }
-    struct rp_endpoint *found = g_new(struct rp_endpoint, 10000);
+    struct rp_flow_key *found = g_new(struct rp_flow_key, 10000);
     size_t places = RpFlowTable_Places(table) + RP_FLOW_SHARDS;
     assert_int_equal(RpFlowTable_Due(table, 2500, places, found, 10000), due);
     g_free(found);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -102,7 +102,7 @@
 
     RpChain_Append(&chain, (struct rp_endpoint){.ip = 1, .port = 2});
     RpChain_Append(&chain, (struct rp_endpoint){.ip = 3, .port = 4});
-    size_t len = RpGeneve_Write(out, &tag, &chain);
+    size_t len = RpGeneve_Write(out, RP_GENEVE_IPV4, &tag, &chain);
     memset(out + len, 'x', 20);
     return len + 20;
 }
@@ -116,7 +116,7 @@
     size_t len = write_test_datagram(data);
 
     (void)state;
-    assert_true(RpGeneve_Parse(data, len, &geneve, &reason));
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
     assert_true(geneve.has_tag && geneve.has_chain);
     assert_int_equal(geneve.tag.service_id, 3);
     assert_int_equal(geneve.tag.incarnation, 4);
@@ -166,7 +166,8 @@
         if (cases[i].len) {
             len = cases[i].len;
         }
-        assert_false(RpGeneve_Parse(data, len, &geneve, &reason));
+        assert_false(
+            RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
         assert_int_equal(reason, cases[i].reason);
     }
 }
@@ -180,7 +181,8 @@
     enum rp_counter reason;
 
     (void)state;
-    assert_true(RpGeneve_Parse(data, sizeof data, &geneve, &reason));
+    assert_true(
+        RpGeneve_Parse(data, sizeof data, RP_GENEVE_IPV4, &geneve, &reason));
     assert_false(geneve.has_tag);
     assert_int_equal(geneve.inner_len, 1);
 }
@@ -402,7 +404,7 @@
                          &msg)) {
             RpMsg_Clear(&msg);
         }
-        if (RpGeneve_Parse(data, len, &geneve, &reason)) {
+        if (RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason)) {
             RpPacket_Parse(geneve.inner, geneve.inner_len, &packet, &reason);
         }
         g_string_free(bad, TRUE);
