Control reads its settings again on SIGHUP

Ruled out: a crash of its own (the exit code is that of the signal). Change: RpDaemon_WatchSettings in the control role, too.

--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -341,6 +341,16 @@
     g_array_free(members, TRUE);
 }
 
+static void
+on_reload(void *user, const void *settings)
+{
+    struct control *control = user;
+    struct control_settings fresh = *(const struct control_settings *)settings;
+
+    RpDaemon_SetPorts(&fresh.peers, fresh.control_port);
+    control->settings.peers = fresh.peers;
+}
+
 static bool
 open_editions(struct control *control)
 {
@@ -462,6 +472,12 @@
     if (control.settings.create) {
         return create(&control);
     }
+    const struct rp_settings_source source = {
+        .table = settings_table,
+        .count = G_N_ELEMENTS(settings_table),
+        .size = sizeof control.settings,
+        .argc = argc,
+        .argv = argv};
     if (!RpDaemon_Start(&control.daemon, RP_ROLE_CONTROL,
                         &control.settings.common, on_stop, &control)) {
         return control.daemon.exit_code;
@@ -469,6 +485,7 @@
     if (!start(&control)) {
         return RP_EXIT_FAILED;
     }
+    RpDaemon_WatchSettings(&control.daemon, &source, on_reload, &control);
     exit_code = RpDaemon_Run(&control.daemon);
     RpControlEditions_Close(control.editions);
     g_socket_service_stop(control.listener);
