--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -11,6 +11,11 @@
  *   caller FLAGS PORT SEQ ACK LEN CHAIN [tag ID INCARNATION]
  *                                       [best INDEX SHARE [forced]]
  *   host FLAGS PORT SEQ ACK LEN
+ *   returned FLAGS PORT SEQ ACK LEN   the host gives a caller's packet back
+ *   host-state ready|unheard|draining|gone
+ *   knows-all                     the agent has run since before its host
+ *   host-restarts
+ *   format platform               packets as the users' platform has them
  *   timers                        runs what is due
  *   drain | resume
  *   show PORT                     prints a flow's state and the load
@@ -25,6 +30,7 @@
 #include "rp_agent.h"
 #include "rp_bytes.h"
 #include "rp_flow_chart.h"
+#include "rp_platform.h"
 #include "rp_time.h"
 
 #define CALLER_IP 0x0a090001u
@@ -39,6 +45,7 @@
     struct rp_counters counters;
     struct rp_agent *agent;
     struct rp_actions actions;
+    const struct rp_codec *codec;
     int64_t now;
     uint64_t revision;
 };
@@ -113,7 +120,7 @@
 }
 
 static void
-print_action(const struct rp_action *action)
+print_action(const struct session *session, const struct rp_action *action)
 {
     static const char *const kinds[] = {"drop", "to_host", "to_caller",
                                         "pass"};
@@ -122,8 +129,8 @@
 
     printf("  %s reason=%s", kinds[action->kind],
            RpCounter_Name(action->reason));
-    if (action->data &&
-        RpPacket_Parse(action->data, action->len, &packet, &reason)) {
+    if (action->data && session->codec->ops->parse(action->data, action->len,
+                                                   &packet, &reason)) {
         printf(" flags=");
         print_flags(packet.flags);
         printf(" seq=%u ack=%u len=%u", packet.seq, packet.ack,
@@ -140,7 +147,7 @@
 print_actions(const struct session *session)
 {
     for (size_t i = 0; i < session->actions.count; i++) {
-        print_action(&session->actions.item[i]);
+        print_action(session, &session->actions.item[i]);
     }
 }
 
@@ -211,7 +218,8 @@
 static void
 do_agent(struct session *session, const char **words)
 {
-    const struct rp_agent_config config = {.self = endpoint_of(words[1]),
+    const struct rp_agent_config config = {.codec = session->codec,
+                                           .self = endpoint_of(words[1]),
                                            .slots = number(words[2]),
                                            .ramp_from = ms(words[3]),
                                            .ramp_until = ms(words[4]),
@@ -224,10 +232,48 @@
     set_table(session);
 }
 
+/* A packet of the platform's format; see rp_platform_packet.c. */
+static size_t
+write_platform(uint8_t *bytes, struct rp_flow_key key, const char **words)
+{
+    uint8_t flags = parse_flags(words[1]);
+
+    memset(bytes, 0, 31);
+    RpBytes_Put32(bytes, key.dst_ip);
+    RpBytes_Put16(bytes + 4, key.dst_port);
+    RpBytes_Put32(bytes + 6, key.src_ip);
+    RpBytes_Put16(bytes + 10, key.src_port);
+    RpBytes_Put32(bytes + 16, number(words[3]));
+    RpBytes_Put32(bytes + 20, number(words[4]));
+    bytes[24] = (flags & RP_TCP_SYN ? 16 : 0) | (flags & RP_TCP_ACK ? 4 : 0) |
+                (flags & RP_TCP_FIN ? 2 : 0) | (flags & RP_TCP_RST ? 8 : 0);
+    RpBytes_Put16(bytes + 29, (uint16_t)number(words[5]));
+    return 31;
+}
+
 static void
-make_packet(uint8_t *bytes, struct rp_packet *packet, struct rp_flow_key key,
+make_platform_packet(uint8_t *bytes, struct rp_packet *packet,
+                     struct rp_flow_key key, const char **words)
+{
+    size_t len = write_platform(bytes, key, words);
+    enum rp_counter reason;
+
+    memset(bytes + len, 'x', number(words[5]));
+    if (!rp_codec_platform.ops->parse(bytes, len + number(words[5]), packet,
+                                      &reason)) {
+        printf("  bad packet in the script\n");
+    }
+}
+
+static void
+make_packet(const struct session *session, uint8_t *bytes,
+            struct rp_packet *packet, struct rp_flow_key key,
             const char **words)
 {
+    if (session->codec == &rp_codec_platform) {
+        make_platform_packet(bytes, packet, key, words);
+        return;
+    }
     size_t payload = number(words[5]);
     size_t len = RpPacket_MakeSegment(
         key, parse_flags(words[1]), number(words[3]), number(words[4]), bytes);
@@ -261,7 +307,7 @@
                 .incarnation = session->service.incarnation},
         .chain = {.best_share = RP_CHAIN_NO_SHARE}};
 
-    make_packet(bytes, &packet, caller_key(session, words[2]), words);
+    make_packet(session, bytes, &packet, caller_key(session, words[2]), words);
     for (const char *c = words[6]; *c; c++) {
         if (*c == '|') {
             geneve.chain.visited = geneve.chain.count;
@@ -290,12 +336,39 @@
     uint8_t bytes[PACKET_MAX];
     struct rp_packet packet;
 
-    make_packet(bytes, &packet,
+    make_packet(session, bytes, &packet,
                 RpFlowKey_Reverse(caller_key(session, words[2])), words);
     RpAgent_FromHost(session->agent, session->now, &packet, &session->actions);
     print_actions(session);
 }
 
+static void
+do_returned(struct session *session, const char **words)
+{
+    uint8_t bytes[PACKET_MAX];
+    struct rp_packet packet;
+
+    make_packet(session, bytes, &packet, caller_key(session, words[2]), words);
+    packet.returned = true;
+    RpAgent_FromHost(session->agent, session->now, &packet, &session->actions);
+    print_actions(session);
+}
+
+static void
+do_host_state(struct session *session, const char *word)
+{
+    static const char *const names[] = {[RP_HOST_READY] = "ready",
+                                        [RP_HOST_UNKNOWN] = "unheard",
+                                        [RP_HOST_DRAINING] = "draining",
+                                        [RP_HOST_GONE] = "gone"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (!strcmp(word, names[i])) {
+            RpAgent_SetHostState(session->agent, (enum rp_host_state)i);
+        }
+    }
+}
+
 static void
 do_timers(struct session *session)
 {
@@ -349,6 +422,21 @@
     else if (!strcmp(words[0], "at")) {
         session->now = number(words[1]) * RP_US_PER_MS;
     }
+    else if (!strcmp(words[0], "format")) {
+        session->codec = &rp_codec_platform;
+    }
+    else if (!strcmp(words[0], "returned")) {
+        do_returned(session, words);
+    }
+    else if (!strcmp(words[0], "host-state")) {
+        do_host_state(session, words[1]);
+    }
+    else if (!strcmp(words[0], "knows-all")) {
+        RpAgent_SetKnowsAll(session->agent);
+    }
+    else if (!strcmp(words[0], "host-restarts")) {
+        RpAgent_HostRestarted(session->agent, session->now);
+    }
     else if (!strcmp(words[0], "caller")) {
         do_caller(session, words);
     }
@@ -375,7 +463,8 @@
 int
 main(int argc, char **argv)
 {
-    struct session session = {.routes = RpTable_Create()};
+    struct session session = {.routes = RpTable_Create(),
+                              .codec = &rp_codec_ipv4};
     FILE *in = argc == 2 ? fopen(argv[1], "r") : NULL;
     char line[512];
 
--- /dev/null
+++ b/tests/unit/test_edition.c
@@ -0,0 +1,379 @@
+/* Editions: bodies that carry them, what is refused, which one is in force,
+ * and what nodes are sent when it changes. */
+#include <glib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_catalog.h"
+#include "rp_distribution.h"
+#include "rp_platform.h"
+#include "rp_table.h"
+
+#define SERVICES                                                              \
+    "\"services\":[{\"name\":\"lens\",\"max-conns\":2000},"                   \
+    "{\"name\":\"shelf\",\"max-conns\":10}]"
+#define ROUTE(host, port, timeout, service)                                   \
+    "{\"name\":\"r\",\"host\":\"" host "\",\"path-prefix\":\"/" port          \
+    "/\",\"route-type\":\"idempotent\",\"timeout-ms\":" timeout               \
+    ",\"target-latency-ms\":250,\"priority\":2,\"service\":\"" service "\"}"
+#define SPLIT(host, port, first, second)                                      \
+    "{\"name\":\"w\",\"host\":\"" host "\",\"path-prefix\":\"/" port          \
+    "/\",\"route-type\":\"download\",\"timeout-ms\":9,\"backends\":["         \
+    "{\"service\":\"lens\",\"weight\":" first                                 \
+    "},{\"service\":\"shelf\",\"weight\":" second "}]}"
+#define EDITION(version, routes)                                              \
+    "{\"version\":" version ",\"routes\":[" routes "]," SERVICES "}"
+
+static const char one_route[] = EDITION(
+    "7", ROUTE("10.1.0.1", "443", "1500", "lens"));
+static const char two_routes[] = EDITION(
+    "9", ROUTE("10.1.0.1", "443", "1500", "lens") "," SPLIT("10.1.0.2", "80",
+                                                            "90", "10"));
+
+static enum rp_code
+decode(const char *body, struct rp_edition *edition, struct rp_error *error)
+{
+    enum rp_code code = RpPlatform_DecodeEdition(RpStr_FromC(body), edition,
+                                                 error);
+    enum rp_code checked = RpEdition_Check(edition, error);
+
+    return code == RP_OK ? checked : code;
+}
+
+/* Bodies with all findings that each must get. */
+static void
+test_bodies(void **state)
+{
+    static const struct {
+        const char *body;
+        const char *findings;
+    } cases[] = {
+        {one_route, ""},
+        {two_routes, ""},
+        {EDITION("1", ""), ""},
+        {EDITION("1", ROUTE("10.1.0.1", "443", "0", "lens")),
+         "routes[0]: its timeout is 0\n"},
+        {EDITION("1", ROUTE("10.1.0.1", "443", "5", "desk")),
+         "routes[0]: leads to an unknown service: desk\n"},
+        {EDITION("1", ROUTE("10.1.0.1", "443", "5", "lens") "," ROUTE(
+                          "10.1.0.1", "443", "6", "shelf")),
+         "routes[1]: address is taken by another entry: 10.1.0.1:443\n"},
+        {EDITION("1", SPLIT("10.1.0.1", "443", "0", "0")),
+         "routes[0]: its weights do not add up to a share\n"},
+        {EDITION("1", SPLIT("10.1.0.1", "443", "-1", "2")),
+         "routes[0]: weight is missing or no whole number in range\n"},
+        {EDITION("0", ""), "configuration: version is not above 0\n"},
+        {EDITION("\"7\"", ROUTE("10.1.0", "x", "5", "lens")),
+         "configuration: version is missing or no whole number in range\n"
+         "configuration: version is not above 0\n"
+         "routes[0]: host is no IPv4 address\n"
+         "routes[0]: path-prefix is no port between slashes\n"
+         "routes[0]: has no port\n"},
+        {"{\"version\":3}", "configuration: services is missing or no list\n"
+                            "configuration: routes is missing or no list\n"},
+        {"{\"version\":3,\"services\":[7],\"routes\":[null]}",
+         "services[0]: entry is no object\n"
+         "routes[0]: entry is no object\n"},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct rp_edition edition;
+        struct rp_error error;
+        GString *text = g_string_new(NULL);
+        RpError_Init(&error);
+        enum rp_code code = decode(cases[i].body, &edition, &error);
+        RpError_Format(&error, text);
+        assert_string_equal(text->str, cases[i].findings);
+        assert_int_equal(code == RP_OK, text->len == 0);
+        RpError_Clear(&error);
+        RpEdition_Clear(&edition);
+        g_string_free(text, TRUE);
+    }
+}
+
+/* Each beginning of a body is refused: none of them is the whole. */
+static void
+test_cut_bodies(void **state)
+{
+    size_t whole = strlen(two_routes);
+
+    (void)state;
+    for (size_t len = 0; len < whole; len++) {
+        struct rp_edition edition;
+        struct rp_str part = {.data = two_routes, .len = len};
+        assert_int_not_equal(RpPlatform_DecodeEdition(part, &edition, NULL),
+                             RP_OK);
+        RpEdition_Clear(&edition);
+    }
+}
+
+static struct rp_msg_change_reply
+apply(struct rp_catalog *catalog, const char *body)
+{
+    struct rp_msg_change_reply reply = {0};
+    struct rp_edition edition;
+
+    RpPlatform_DecodeEdition(RpStr_FromC(body), &edition, NULL);
+    GString *command = RpCatalog_EncodeEdition(&edition);
+    RpCatalog_Apply(catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    &reply);
+    g_string_free(command, TRUE);
+    RpEdition_Clear(&edition);
+    return reply;
+}
+
+static void
+expect(struct rp_catalog *catalog, const char *body, enum rp_code code,
+       bool repeated, uint64_t version)
+{
+    struct rp_msg_change_reply reply = apply(catalog, body);
+    const struct rp_edition *edition = RpCatalog_Edition(catalog);
+
+    assert_int_equal(reply.code, code);
+    assert_int_equal(reply.repeated, repeated);
+    assert_int_equal(edition ? edition->version : 0, version);
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+}
+
+static uint32_t
+id_of(const struct rp_catalog *catalog, const char *text)
+{
+    struct rp_name name;
+
+    RpName_Set(&name, RpStr_FromC(text));
+    const struct rp_entry *entry = RpCatalog_Find(catalog, &name);
+    return entry ? entry->id : 0;
+}
+
+/* The highest version is in force; equal and lower ones are accepted and
+ * change nothing; bad ones change nothing. Services keep their ids. */
+static void
+test_versions(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+
+    (void)state;
+    assert_null(RpCatalog_Edition(catalog));
+    expect(catalog, one_route, RP_OK, false, 7);
+    uint32_t lens = id_of(catalog, "lens");
+    expect(catalog, one_route, RP_OK, true, 7);
+    expect(catalog, EDITION("7", ""), RP_OK, true, 7);
+    assert_string_equal(RpCatalog_Edition(catalog)->content->str, one_route);
+    expect(catalog, two_routes, RP_OK, false, 9);
+    expect(catalog, one_route, RP_OK, true, 9);
+    expect(catalog, EDITION("12", ROUTE("10.1.0.1", "1", "0", "lens")),
+           RP_ERR_DOCUMENT, false, 9);
+    assert_string_equal(RpCatalog_Edition(catalog)->content->str, two_routes);
+    assert_int_equal(id_of(catalog, "lens"), lens);
+    uint64_t before = RpCatalog_Revision(catalog);
+    expect(catalog,
+           "{\"version\":13,\"routes\":[],\"services\":[{\"name\":\"new\"}]}",
+           RP_OK, false, 13);
+    assert_int_equal(id_of(catalog, "lens"), 0);
+    assert_int_not_equal(id_of(catalog, "new"), 0);
+    assert_int_equal(RpCatalog_Revision(catalog), before + 1);
+    RpCatalog_Free(catalog);
+}
+
+/* A snapshot holds the edition, its content and its services' ids. */
+static void
+test_snapshot(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_catalog *copy = RpCatalog_Create();
+
+    (void)state;
+    expect(catalog, one_route, RP_OK, false, 7);
+    expect(catalog, two_routes, RP_OK, false, 9);
+    GString *bytes = RpCatalog_Snapshot(catalog);
+    struct rp_str view = {.data = bytes->str, .len = bytes->len};
+    assert_int_equal(RpCatalog_Restore(copy, view), RP_OK);
+    assert_string_equal(RpCatalog_Edition(copy)->content->str, two_routes);
+    assert_int_equal(id_of(copy, "lens"), id_of(catalog, "lens"));
+    assert_int_equal(id_of(copy, "shelf"), id_of(catalog, "shelf"));
+    expect(copy, two_routes, RP_OK, true, 9);
+    GString *again = RpCatalog_Snapshot(copy);
+    assert_true(g_string_equal(bytes, again));
+    g_string_free(bytes, TRUE);
+    g_string_free(again, TRUE);
+    RpCatalog_Free(catalog);
+    RpCatalog_Free(copy);
+}
+
+/* A service has either a document or a place in the edition. */
+static void
+test_documents_beside(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_msg_change change = {
+        .id = {1},
+        .kind = RP_CHANGE_APPLY,
+        .document = g_string_new(
+            "[service]\nname = lens\naddress = 10.80.0.1:7000\n")};
+    struct rp_msg_change_reply reply = {0};
+
+    (void)state;
+    GString *command = RpCatalog_EncodeChange(&change);
+    struct rp_str view = {.data = command->str, .len = command->len};
+    RpCatalog_Apply(catalog, view, NULL);
+    expect(catalog, one_route, RP_ERR_DOCUMENT, false, 0);
+    RpCatalog_Free(catalog);
+    catalog = RpCatalog_Create();
+    expect(catalog, one_route, RP_OK, false, 7);
+    RpCatalog_Apply(catalog, view, &reply);
+    assert_int_equal(reply.code, RP_ERR_DOCUMENT);
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+    g_string_free(command, TRUE);
+    g_string_free(change.document, TRUE);
+    RpCatalog_Free(catalog);
+}
+
+/* What the last message to a node held. */
+struct sent {
+    uint32_t count;
+    uint32_t vips;
+    uint32_t removed_vips;
+    uint32_t services;
+    uint32_t removed;
+    struct rp_table *table;
+};
+
+static void
+on_send(void *user, uint64_t connection, const struct rp_msg *msg)
+{
+    struct sent *sent = (struct sent *)user + connection;
+
+    sent->count++;
+    sent->vips = msg->table.vips->len;
+    sent->removed_vips = msg->table.removed_vips->len;
+    sent->services = msg->table.services->len;
+    sent->removed = msg->table.removed->len;
+    assert_int_equal(RpTable_Apply(sent->table, &msg->table), RP_OK);
+}
+
+static void
+subscribe(struct rp_distribution *distribution, uint64_t connection,
+          const char *name, enum rp_role role, const char *service)
+{
+    struct rp_msg_hello hello = {.role = (uint8_t)role};
+    struct rp_msg_subscribe subscription = {0};
+
+    RpName_Set(&hello.name, RpStr_FromC(name));
+    RpName_Set(&subscription.service, RpStr_FromC(service));
+    RpDistribution_Subscribe(distribution, 0, connection, &hello,
+                             &subscription);
+}
+
+static bool
+leads_to(const struct rp_table *table, uint32_t ip, uint16_t port,
+         const char *service)
+{
+    const struct rp_service *found = RpTable_Resolve(
+        table, (struct rp_endpoint){.ip = ip, .port = port}, 12345);
+
+    return found ? !strcmp(found->name.data, service) : service[0] == '\0';
+}
+
+/* A changed edition costs each node only what differs and concerns it. */
+static void
+test_distribution(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_registry *registry = RpRegistry_Create();
+    struct sent sent[3] = {0};
+    const int64_t later = 1000000;
+
+    (void)state;
+    sent[1].table = RpTable_Create();
+    sent[2].table = RpTable_Create();
+    expect(catalog, one_route, RP_OK, false, 7);
+    struct rp_distribution *distribution = RpDistribution_Create(
+        catalog, registry, on_send, sent);
+    RpDistribution_TouchAll(distribution, 0);
+    RpDistribution_SetFresh(distribution, 0, true);
+    subscribe(distribution, 1, "balancer-1", RP_ROLE_BALANCER, "");
+    subscribe(distribution, 2, "agent-1", RP_ROLE_AGENT, "shelf");
+    RpDistribution_Flush(distribution, later);
+    assert_int_equal(sent[1].vips, 1);
+    assert_int_equal(sent[2].vips, 0);
+    assert_true(leads_to(sent[1].table, 0x0a010001, 443, "lens"));
+
+    expect(catalog, two_routes, RP_OK, false, 9);
+    RpDistribution_TouchEdition(distribution, later);
+    RpDistribution_Flush(distribution, 2 * later);
+    assert_int_equal(sent[1].vips, 1);
+    assert_int_equal(sent[1].services, 0);
+    assert_int_equal(sent[2].vips, 1);
+    assert_true(leads_to(sent[1].table, 0x0a010001, 443, "lens"));
+
+    expect(catalog,
+           "{\"version\":13,\"routes\":[" ROUTE(
+               "10.1.0.2", "80", "9",
+               "new") "],\"services\":[{\"name\":\"new\"}]}",
+           RP_OK, false, 13);
+    RpDistribution_TouchEdition(distribution, 2 * later);
+    RpDistribution_Flush(distribution, 3 * later);
+    assert_int_equal(sent[1].vips, 1);
+    assert_int_equal(sent[1].removed_vips, 1);
+    assert_int_equal(sent[1].services, 1);
+    assert_int_equal(sent[1].removed, 2);
+    assert_true(leads_to(sent[1].table, 0x0a010001, 443, ""));
+    assert_true(leads_to(sent[1].table, 0x0a010002, 80, "new"));
+    assert_int_equal(RpTable_Revision(sent[1].table),
+                     RpCatalog_Revision(catalog));
+    RpDistribution_Free(distribution);
+    RpRegistry_Free(registry);
+    RpCatalog_Free(catalog);
+    RpTable_Free(sent[1].table);
+    RpTable_Free(sent[2].table);
+}
+
+/* A virtual address gives each target its share of new flows. */
+static void
+test_weights(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_registry *registry = RpRegistry_Create();
+    struct sent sent[2] = {0};
+    uint32_t lens = 0;
+
+    (void)state;
+    sent[1].table = RpTable_Create();
+    expect(catalog, two_routes, RP_OK, false, 9);
+    struct rp_distribution *distribution = RpDistribution_Create(
+        catalog, registry, on_send, sent);
+    RpDistribution_SetFresh(distribution, 0, true);
+    subscribe(distribution, 1, "balancer-1", RP_ROLE_BALANCER, "");
+    RpDistribution_Flush(distribution, 0);
+    for (uint32_t i = 0; i < 10000; i++) {
+        struct rp_flow_key key = {.src_ip = i, .dst_ip = 0x0a010002};
+        const struct rp_service *service = RpTable_Resolve(
+            sent[1].table, (struct rp_endpoint){.ip = 0x0a010002, .port = 80},
+            RpTable_HashFlow(sent[1].table, key));
+        lens += !strcmp(service->name.data, "lens");
+    }
+    /* 90 of 100, within four standard deviations. */
+    assert_in_range(lens, 8880, 9120);
+    RpDistribution_Free(distribution);
+    RpRegistry_Free(registry);
+    RpCatalog_Free(catalog);
+    RpTable_Free(sent[1].table);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_bodies),
+        cmocka_unit_test(test_cut_bodies),
+        cmocka_unit_test(test_versions),
+        cmocka_unit_test(test_snapshot),
+        cmocka_unit_test(test_documents_beside),
+        cmocka_unit_test(test_distribution),
+        cmocka_unit_test(test_weights),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_host.c
@@ -0,0 +1,213 @@
+/* Hosts that report themselves: a table of reports and what each must mean,
+ * and the bodies that carry them. */
+#include <glib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_host.h"
+#include "rp_platform.h"
+
+#define INTERVAL_US (1200 * RP_US_PER_MS)
+
+static struct rp_name
+name_of(const char *text)
+{
+    struct rp_name name;
+
+    RpName_Set(&name, RpStr_FromC(text));
+    return name;
+}
+
+/* One event of a script: a report (or a goodbye, when `leaves` is set) and
+ * what must follow from it. */
+struct step {
+    uint32_t at_ms;
+    const char *id;
+    const char *service; /* NULL: the agent's own */
+    uint64_t born;
+    uint64_t sequence;
+    bool draining;
+    bool leaves;
+    enum rp_host_news news; /* of a report */
+    bool heard;             /* the host may get new flows afterwards */
+};
+
+static void
+play(const char *title, const struct step *steps, size_t count)
+{
+    struct rp_name service = name_of("lens-desk");
+    struct rp_host host;
+
+    RpHost_Init(&host, &service, INTERVAL_US);
+    for (size_t i = 0; i < count; i++) {
+        const struct step *step = &steps[i];
+        int64_t now = step->at_ms * RP_US_PER_MS;
+        const struct rp_host_report report = {
+            .id = name_of(step->id),
+            .service = step->service ? name_of(step->service) : service,
+            .born_ms = step->born,
+            .sequence = step->sequence,
+            .slots = 7,
+            .draining = step->draining};
+
+        if (step->leaves) {
+            RpHost_Leave(&host, now, &report.id);
+        }
+        else {
+            enum rp_host_news news = RpHost_Report(&host, now, &report);
+            if (news != step->news) {
+                fail_msg("%s, step %zu: news %d", title, i, news);
+            }
+        }
+        if (RpHost_IsHeard(&host, now) != step->heard) {
+            fail_msg("%s, step %zu: heard %d", title, i, !step->heard);
+        }
+    }
+}
+
+#define PLAY(title, ...)                                                      \
+    do {                                                                      \
+        static const struct step steps[] = {__VA_ARGS__};                     \
+        play(title, steps, G_N_ELEMENTS(steps));                              \
+    } while (0)
+
+static void
+test_reports(void **state)
+{
+    (void)state;
+    PLAY("an ordinary life",
+         {0, "i-1", NULL, 100, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {1200, "i-1", NULL, 100, 2, false, false, RP_HOST_NEWS_SAME, true},
+         {2400, "i-1", NULL, 100, 3, true, false, RP_HOST_NEWS_CHANGED, true},
+         {3000, "i-1", NULL, 100, 0, false, true, RP_HOST_NEWS_SAME, false},
+         {3100, "i-1", NULL, 100, 4, false, false, RP_HOST_NEWS_STALE, false});
+    PLAY("late and doubled reports",
+         {0, "i-1", NULL, 100, 5, false, false, RP_HOST_NEWS_STARTED, true},
+         {10, "i-1", NULL, 100, 5, true, false, RP_HOST_NEWS_STALE, true},
+         {20, "i-1", NULL, 100, 4, true, false, RP_HOST_NEWS_STALE, true},
+         {30, "i-1", NULL, 100, 6, true, false, RP_HOST_NEWS_CHANGED, true},
+         {40, "i-1", NULL, 100, 5, false, false, RP_HOST_NEWS_STALE, true});
+    PLAY("another service's host",
+         {0, "i-9", "photo-shelf", 100, 1, false, false, RP_HOST_NEWS_FOREIGN,
+          false},
+         {10, "i-1", NULL, 90, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {20, "i-9", "photo-shelf", 200, 9, true, false, RP_HOST_NEWS_FOREIGN,
+          true},
+         {30, "i-9", NULL, 90, 9, false, true, RP_HOST_NEWS_SAME, true});
+    PLAY("a new life under a new id",
+         {0, "i-1", NULL, 100, 8, false, false, RP_HOST_NEWS_STARTED, true},
+         {900, "i-2", NULL, 200, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {950, "i-1", NULL, 100, 9, true, false, RP_HOST_NEWS_STALE, true});
+    PLAY("a new life under the old id: its numbers start anew",
+         {0, "i-1", NULL, 100, 8, false, false, RP_HOST_NEWS_STARTED, true},
+         {900, "i-1", NULL, 200, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {950, "i-1", NULL, 100, 9, true, false, RP_HOST_NEWS_STALE, true},
+         {990, "i-1", NULL, 200, 2, false, false, RP_HOST_NEWS_SAME, true});
+    PLAY("silence, then the same life again",
+         {0, "i-1", NULL, 100, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {9000, "i-1", NULL, 100, 2, false, false, RP_HOST_NEWS_SAME, true});
+    PLAY("born earlier by a clock that was stepped back: only once the one "
+         "before is not heard any more",
+         {0, "i-1", NULL, 100, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {500, "i-2", NULL, 50, 1, false, false, RP_HOST_NEWS_STALE, true},
+         {3700, "i-2", NULL, 50, 2, false, false, RP_HOST_NEWS_STARTED, true});
+    PLAY("after a goodbye the next life counts",
+         {0, "i-1", NULL, 100, 1, false, false, RP_HOST_NEWS_STARTED, true},
+         {10, "i-1", NULL, 100, 0, false, true, RP_HOST_NEWS_SAME, false},
+         {20, "i-2", NULL, 300, 1, false, false, RP_HOST_NEWS_STARTED, true});
+}
+
+static void
+test_silence(void **state)
+{
+    struct rp_name service = name_of("lens-desk");
+    struct rp_host host;
+    const struct rp_host_report report = {
+        .id = name_of("i-1"), .service = service, .sequence = 1, .slots = 7};
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    assert_false(RpHost_IsHeard(&host, 0));
+    RpHost_Report(&host, 0, &report);
+    assert_int_equal(RpHost_SilenceDeadline(&host), 3 * INTERVAL_US);
+    assert_true(RpHost_IsHeard(&host, 3 * INTERVAL_US - 1));
+    assert_false(RpHost_IsHeard(&host, 3 * INTERVAL_US));
+}
+
+/* Bodies of reports, with all findings that each must get. */
+static void
+test_report_bodies(void **state)
+{
+    static const struct {
+        const char *body;
+        const char *findings;
+    } cases[] = {
+        {"{\"service\":\"lens\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+         "\"version\":\"v1\",\"slots\":7,\"state\":\"ready\","
+         "\"cold-left-ms\":0,\"seq\":4,\"born\":1700000000000}",
+         ""},
+        {"{\"service\":\"lens\",\"slots\":7,\"state\":\"draining\","
+         "\"seq\":4,\"new-field\":[1,2]}",
+         ""},
+        {"", "body: is no object\n"},
+        {"[1]", "body: is no object\n"},
+        {"{\"service\":7,\"slots\":\"many\",\"state\":\"resting\",\"seq\":-1,"
+         "\"born\":\"today\"}",
+         "report: service is missing or no text\n"
+         "report: service is no name\n"
+         "report: born is missing or no whole number in range\n"
+         "report: seq is missing or no whole number in range\n"
+         "report: slots is missing or no whole number in range\n"
+         "report: state is neither ready nor draining\n"},
+        {"{}", "report: service is missing or no text\n"
+               "report: service is no name\n"
+               "report: seq is missing or no whole number in range\n"
+               "report: slots is missing or no whole number in range\n"
+               "report: state is missing or no text\n"
+               "report: state is neither ready nor draining\n"},
+        {"{\"service\":\"lens\",\"slots\":0.5,\"state\":null,\"seq\":1}",
+         "report: slots is missing or no whole number in range\n"
+         "report: state is missing or no text\n"
+         "report: state is neither ready nor draining\n"},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct rp_host_report report;
+        struct rp_error error;
+        GString *text = g_string_new(NULL);
+        RpError_Init(&error);
+        enum rp_code code = RpPlatform_DecodeReport(
+            RP_STR("i-1"), RpStr_FromC(cases[i].body), &report, &error);
+        RpError_Format(&error, text);
+        assert_string_equal(text->str, cases[i].findings);
+        assert_int_equal(code == RP_OK, text->len == 0);
+        RpError_Clear(&error);
+        g_string_free(text, TRUE);
+    }
+}
+
+static void
+test_unreadable_body(void **state)
+{
+    struct rp_host_report report;
+
+    (void)state;
+    assert_int_equal(RpPlatform_DecodeReport(RP_STR("i-1"),
+                                             RP_STR("{\"service\":\"le"),
+                                             &report, NULL),
+                     RP_ERR_FORMAT);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_reports),
+        cmocka_unit_test(test_silence),
+        cmocka_unit_test(test_report_bodies),
+        cmocka_unit_test(test_unreadable_body),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
