--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -26,18 +26,22 @@
 #include "rp_time.h"
 
 #define RP_REPLICA_MAX 15 /* members */
-#define RP_HEARTBEAT_US (200 * RP_US_PER_MS)
-/* A follower waits one to two times this long for its leader. */
-#define RP_ELECTION_US (1000 * RP_US_PER_MS)
+#define RP_HEARTBEAT_US (100 * RP_US_PER_MS)
+/* A follower waits one to two times this long for its leader: five missed
+ * heartbeats, so that a pause of a few hundred milliseconds (a slow disk, a
+ * used-up share of the processor) deposes nobody. After a loss of power
+ * callers wait for this and little else. */
+#define RP_ELECTION_US (500 * RP_US_PER_MS)
 /* How long a leader may trust its last contact with a majority. Shorter
  * than RP_ELECTION_US by what clocks may differ in speed. */
-#define RP_LEASE_US (800 * RP_US_PER_MS)
+#define RP_LEASE_US (400 * RP_US_PER_MS)
 /* After this long without a leader a replica asks to be let in again. */
-#define RP_REJOIN_US (5 * RP_ELECTION_US)
+#define RP_REJOIN_US (10 * RP_ELECTION_US)
 /* A voter that has been silent this long gives its place to a learner that
  * waits for one: a machine that was replaced never comes back, and until it
- * is out one loss less can be borne. Ten missed heartbeats. */
-#define RP_REPLACE_US (10 * RP_HEARTBEAT_US)
+ * is out one loss less can be borne. Half of the four seconds that users
+ * give a successor to catch up. */
+#define RP_REPLACE_US (2 * RP_US_PER_SECOND)
 #define RP_APPEND_MAX_ENTRIES 64
 #define RP_SNAPSHOT_CHUNK (256u << 10) /* bytes */
 
