--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -2,8 +2,6 @@
 
 #include <sodium.h>
 
-#define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 2000
 #define FIRST_TABLE_MS 3000 /* then another control instance is tried */
 
 struct rp_uplink {
@@ -56,7 +54,7 @@
                       .revision = RpTable_Revision(uplink->table)}};
 
     uplink->ready = true;
-    uplink->retry_ms = RETRY_MIN_MS;
+    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
     RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_connected",
                 "control=%s", hello->name.data);
     RpConn_Send(conn, &msg);
@@ -152,7 +150,7 @@
     uint32_t jitter = randombytes_uniform(uplink->retry_ms + 1);
     uplink->retry_source = g_timeout_add(uplink->retry_ms / 2 + jitter,
                                          on_retry, uplink);
-    uplink->retry_ms = MIN(uplink->retry_ms * 2, RETRY_MAX_MS);
+    uplink->retry_ms = MIN(uplink->retry_ms * 2, RP_UPLINK_RETRY_MAX_MS);
 }
 
 static const struct rp_conn_ops conn_ops = {
@@ -183,7 +181,7 @@
     uplink->service = *service;
     uplink->ops = ops;
     uplink->user = user;
-    uplink->retry_ms = RETRY_MIN_MS;
+    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
     uplink->next = randombytes_uniform((uint32_t)controls->count);
     uplink->table = RpTable_Create();
     connect_next(uplink);
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -7,7 +7,6 @@
 
 #define READ_SIZE 8192 /* bytes; an instance may hold thousands of these */
 #define TICK_MS 250
-#define CONNECT_TIMEOUT_S 2
 
 struct rp_conn {
     const struct rp_conn_context *context;
@@ -396,7 +395,7 @@
         RpIp_Format(to.ip, ip), to.port);
 
     g_socket_client_set_enable_proxy(client, FALSE);
-    g_socket_client_set_timeout(client, CONNECT_TIMEOUT_S);
+    g_socket_client_set_timeout(client, RP_CONN_CONNECT_S);
     conn->operations++;
     g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
                                   conn->cancellable, on_connected, conn);
--- a/programs/shared/rp_conn.h
+++ b/programs/shared/rp_conn.h
@@ -15,8 +15,12 @@
 #include "rp_session.h"
 #include "rp_time.h"
 
-#define RP_CONN_PING_US (1 * RP_US_PER_SECOND)
-#define RP_CONN_SILENCE_US (3 * RP_US_PER_SECOND)
+/* A change must be in force everywhere 3 s after it was acknowledged. A node
+ * whose control instance has just frozen needs one silence, one retry, one
+ * failed attempt and one table for that: see test_budget.c. */
+#define RP_CONN_PING_US (400 * RP_US_PER_MS)
+#define RP_CONN_SILENCE_US (1200 * RP_US_PER_MS)
+#define RP_CONN_CONNECT_S 1 /* seconds until an attempt to connect fails */
 #define RP_CONN_QUEUE_MAX (32u << 20) /* bytes not yet taken by the peer */
 
 struct rp_conn;
--- /dev/null
+++ b/tests/unit/test_budget.c
@@ -0,0 +1,75 @@
+/* Times that add up: the longest way that something may take, against the
+ * bound that the users give for it. */
+#include <glib.h>
+
+#include "check.h"
+#include "rp_conn.h"
+#include "rp_distribution.h"
+#include "rp_replica.h"
+#include "rp_uplink.h"
+
+/* Users: a change is in force on every machine in touch after 3 s. */
+#define IN_FORCE_US (3 * RP_US_PER_SECOND)
+/* Users: a successor has 4 s to catch up before the next loss. */
+#define CATCH_UP_US (4 * RP_US_PER_SECOND)
+
+/* A node's control instance freezes just before a change is acknowledged;
+ * the first one that it tries next is frozen, too. */
+static void
+test_change_reaches_node_of_frozen_replica(void **state)
+{
+    int64_t notice = RP_CONN_SILENCE_US;
+    int64_t retry = RP_UPLINK_RETRY_MIN_MS * RP_US_PER_MS * 3 / 2;
+    int64_t spread = RP_HEARTBEAT_US + RP_TABLE_BATCH_US;
+
+    (void)state;
+    assert_true(notice + retry + spread < IN_FORCE_US);
+    assert_true(notice + retry + RP_CONN_CONNECT_S * RP_US_PER_SECOND +
+                    2 * retry + spread <
+                IN_FORCE_US);
+}
+
+/* A replica that is cut off sends its nodes away, and they find another. */
+static void
+test_change_reaches_node_of_cut_off_replica(void **state)
+{
+    int64_t send_away = RP_LEASE_US + 1 * RP_US_PER_SECOND;
+    int64_t retry = RP_UPLINK_RETRY_MIN_MS * RP_US_PER_MS * 3 / 2;
+
+    (void)state;
+    assert_true(send_away + retry + RP_HEARTBEAT_US + RP_TABLE_BATCH_US <
+                IN_FORCE_US);
+}
+
+/* A removed replica's place is taken, with an election in between. */
+static void
+test_replica_is_replaced(void **state)
+{
+    (void)state;
+    assert_true(2 * RP_ELECTION_US + RP_REPLACE_US + 2 * RP_HEARTBEAT_US <
+                CATCH_UP_US);
+}
+
+/* A lease ends before another leader can be elected, and a lost heartbeat or
+ * two does not end it. */
+static void
+test_lease(void **state)
+{
+    (void)state;
+    assert_true(RP_LEASE_US < RP_ELECTION_US);
+    assert_true(RP_LEASE_US > 2 * RP_HEARTBEAT_US);
+    assert_true(RP_CONN_SILENCE_US > 2 * RP_CONN_PING_US);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_change_reaches_node_of_frozen_replica),
+        cmocka_unit_test(test_change_reaches_node_of_cut_off_replica),
+        cmocka_unit_test(test_replica_is_replaced),
+        cmocka_unit_test(test_lease),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
