--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -16,13 +16,12 @@
 #define RP_SHARE_UNIT 64 /* a share of 64 means: all slots are busy */
 #define RP_SHARE_MAX 255 /* also: no candidate before this one */
 
-/* Work that a host may have, in slots, before requests are refused. With
- * spread-out work a request behind `n` slots' worth of others waits about
- * n - 1 times the mean work; the users' latency targets are 5 to 6 times
- * it, and a queue of twice the slots leaves half of that for the work's own
- * tail and for the network. */
-#define RP_FULL_SHARE_IMPORTANT (3 * RP_SHARE_UNIT)
-#define RP_FULL_SHARE_OTHERS (2 * RP_SHARE_UNIT)
+/* Work that a host may have, in slots, before requests are refused. A
+ * request behind `n` slots' worth of others waits about n - 1 times the mean
+ * work; the users' latency targets are 5 to 6 times it, which leaves the
+ * rest for the work's own tail and for the network. */
+#define RP_FULL_SHARE_IMPORTANT (RP_SHARE_MAX - 1)
+#define RP_FULL_SHARE_OTHERS (3 * RP_SHARE_UNIT)
 /* Priorities up to this one count as important. */
 #define RP_IMPORTANT_PRIORITY 1
 
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -4,8 +4,6 @@
 
 #include "rp_agent_internal.h"
 
-#define ALL_PERCENT 100
-
 struct rp_agent *
 RpAgent_Create(const struct rp_agent_config *config,
                const struct rp_chart *chart, struct rp_admission *policy,
@@ -76,11 +74,9 @@
 }
 
 void
-RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots,
-                     int64_t cold_until)
+RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots)
 {
     agent->config.slots = MAX(slots, 1);
-    agent->cold_until = cold_until;
     RpAgent_GateConfigure(agent);
 }
 
@@ -430,9 +426,6 @@
         int64_t part = MAX(now - config->ramp_from, 0);
         slots = (uint32_t)(slots * part / whole);
     }
-    if (now < agent->cold_until) {
-        slots = slots * RP_COLD_SLOTS_PERCENT / ALL_PERCENT;
-    }
     return (struct rp_agent_load){
         .slots = MAX(slots, 1), .flows = agent->owned, .busy = agent->busy};
 }
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -103,9 +103,9 @@
  * flows. */
 void RpAgent_SetHostState(struct rp_agent *agent, enum rp_host_state state);
 
-/* Its slots, and until when it is slow after its start (0: it is not). */
-void RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots,
-                          int64_t cold_until);
+/* Its slots. A cold start does not count here: a slow host's requests take
+ * longer, and so fill its slots by themselves. */
+void RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots);
 
 /* The agent has run since before its host started: it knows every flow of
  * the host, and an unknown one is certainly not the host's. */
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -33,9 +33,6 @@
 #define RP_REDIRECT_LINGER_US (120 * RP_US_PER_SECOND)
 /* An answer that takes longer than this makes its flow one for long work. */
 #define RP_LONG_AFTER_US (200 * RP_US_PER_MS)
-/* A host that is slow after its start gets through about this share of its
- * usual work: cold hosts are known to take 1.6 times as long. */
-#define RP_COLD_SLOTS_PERCENT 60
 /* Entries of any kind; a SYN flood gets no further than this. */
 #define RP_AGENT_MAX_ENTRIES 1000000
 /* Retries that may be saved up, in hundredths of a retry. */
@@ -58,7 +55,6 @@
     bool draining;
     bool knows_all; /* there is no flow of the host that it does not know */
     enum rp_host_state host;
-    int64_t cold_until;
     GArray *lost; /* of struct rp_flow_key: the host has lost them */
     struct rp_health health;
     struct rp_flow_table *flows;
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -521,7 +521,7 @@
     if (news == RP_HOST_NEWS_STARTED) {
         on_host_started(agent, now, known_before);
     }
-    RpAgent_SetHostSlots(agent->flows, report->slots, agent->host.cold_until);
+    RpAgent_SetHostSlots(agent->flows, report->slots);
     review_host(agent, now);
     run_timers(agent, now);
     return RP_OK;
