--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -45,6 +45,7 @@
     uint64_t generation;
     uint64_t sent_revision;
     uint64_t withheld;
+    int64_t gather_until; /* 0: all upstreams are known */
     bool fresh;
 };
 
@@ -187,6 +188,7 @@
            RP_HASH_KEY_SIZE);
     msg->table.services = RpSchema_NewList(&rp_msg_service_schema);
     msg->table.removed = RpSchema_NewList(&rp_msg_removed_schema);
+    msg->table.gathering = distribution->gather_until != 0;
     msg->table.vips = RpSchema_NewList(&rp_msg_vip_schema);
     msg->table.removed_vips = RpSchema_NewList(&rp_msg_removed_vip_schema);
 }
@@ -592,11 +594,22 @@
     }
 }
 
+void
+RpDistribution_GatherUntil(struct rp_distribution *distribution, int64_t until)
+{
+    distribution->gather_until = until;
+}
+
 int64_t
 RpDistribution_Flush(struct rp_distribution *distribution, int64_t now)
 {
     struct pending *pending = &distribution->pending;
 
+    if (distribution->gather_until && now >= distribution->gather_until) {
+        distribution->gather_until = 0;
+        pending->everything = true;
+        pending->deadline = now;
+    }
     if (now < pending->deadline) {
         return pending->deadline;
     }
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -20,6 +20,10 @@
 /* A node that has been away this long is forgotten. */
 #define RP_NODE_KEEP_US (3600 * RP_US_PER_SECOND)
 #define RP_NODE_MAX 65536
+/* How long upstreams may take to be heard by a replica that has just
+ * started: they notice the loss of another one (1.2 s), then try each of
+ * the others. */
+#define RP_GATHER_US (2500 * RP_US_PER_MS)
 
 /* Called to send a message on a connection. */
 typedef void (*RpDistribution_Send)(void *user, uint64_t connection,
@@ -72,6 +76,12 @@
 void RpDistribution_SetFresh(struct rp_distribution *distribution, int64_t now,
                              bool fresh);
 
+/* Tables say that members may be missing until `until`: agents take a moment
+ * to find a replica that has just started. Then every node gets a whole
+ * table. */
+void RpDistribution_GatherUntil(struct rp_distribution *distribution,
+                                int64_t until);
+
 /* Sends what is due. Returns the next time at which something may be. */
 int64_t RpDistribution_Flush(struct rp_distribution *distribution,
                              int64_t now);
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -57,7 +57,7 @@
         route->kind = RP_ROUTE_SEND;
         route->reason = RP_COUNT_ROUTED;
     }
-    else if (opens) {
+    else if (opens && !RpTable_IsGathering(table)) {
         route->kind = RP_ROUTE_RESET;
         route->reason = RP_COUNT_RESET_NO_MEMBER;
     }
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -20,6 +20,7 @@
     GHashTable *vips;       /* address key -> struct rp_vip */
     struct rp_name zone;    /* whose members are preferred */
     uint32_t zone_weight;
+    bool gathering;
 };
 
 /* log2 of 1 + i / LOG_TABLE_SIZE in fixed point; the last entry is 1. */
@@ -111,6 +112,30 @@
     member->seed = RpBytes_Get64(seed);
 }
 
+static bool
+has_member(const struct rp_service *service, const struct rp_name *name)
+{
+    for (size_t i = 0; i < service->count; i++) {
+        if (RpName_Equal(&service->members[i].name, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds the members of `old` that `service` does not have. */
+static void
+keep_members(struct rp_service *service, const struct rp_service *old)
+{
+    for (size_t i = 0; i < old->count; i++) {
+        if (!has_member(service, &old->members[i].name)) {
+            service->members = g_renew(struct rp_member, service->members,
+                                       service->count + 1);
+            service->members[service->count++] = old->members[i];
+        }
+    }
+}
+
 static struct rp_service *
 make_service(const struct rp_table *table, const struct rp_msg_service *from)
 {
@@ -156,7 +181,12 @@
 {
     struct rp_service *service = make_service(table, from);
     guint64 key = RpEndpoint_Key(service->address);
+    const struct rp_service *old = g_hash_table_lookup(
+        table->by_id, GUINT_TO_POINTER(from->id));
 
+    if (old && table->gathering) {
+        keep_members(service, old);
+    }
     remove_service(table, from->id);
     g_hash_table_insert(table->by_id, GUINT_TO_POINTER(from->id), service);
     if (service->address.port != 0) {
@@ -210,16 +240,47 @@
     }
 }
 
+/* Drops what a whole table does not list: all of it, but for the services
+ * whose members may have to be kept. */
+static void
+drop_unlisted(struct rp_table *table, const struct rp_msg_table *update)
+{
+    GHashTable *listed = g_hash_table_new(NULL, NULL);
+    GHashTableIter iter;
+    gpointer id;
+
+    for (guint i = 0; update->services && i < update->services->len; i++) {
+        g_hash_table_add(
+            listed,
+            GUINT_TO_POINTER(
+                g_array_index(update->services, struct rp_msg_service, i).id));
+    }
+    g_hash_table_remove_all(table->by_address);
+    g_hash_table_remove_all(table->vips);
+    g_hash_table_iter_init(&iter, table->by_id);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        if (!g_hash_table_contains(listed, id)) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    g_hash_table_destroy(listed);
+}
+
+bool
+RpTable_IsGathering(const struct rp_table *table)
+{
+    return table->gathering;
+}
+
 enum rp_code
 RpTable_Apply(struct rp_table *table, const struct rp_msg_table *update)
 {
     if (update->revision < table->revision) {
         return RP_ERR_CONFLICT;
     }
+    table->gathering = update->gathering;
     if (update->complete) {
-        g_hash_table_remove_all(table->by_address);
-        g_hash_table_remove_all(table->by_id);
-        g_hash_table_remove_all(table->vips);
+        drop_unlisted(table, update);
     }
     for (guint i = 0; update->removed && i < update->removed->len; i++) {
         remove_service(
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -85,6 +85,10 @@
 enum rp_code RpTable_Apply(struct rp_table *table,
                            const struct rp_msg_table *update);
 
+/* Whether the table may lack members, since it comes from a replica that
+ * has just started. */
+bool RpTable_IsGathering(const struct rp_table *table);
+
 /* The configuration revision in force; 0 before the first table. */
 uint64_t RpTable_Revision(const struct rp_table *table);
 
--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -48,9 +48,13 @@
     replica->peers = g_array_new(FALSE, TRUE, sizeof(struct rp_peer));
     replica->round_times = g_array_new(FALSE, TRUE, sizeof(int64_t));
     /* It may have answered a leader just before it was stopped: that
-     * leader's lease must run out before this replica votes again. */
-    replica->leader_seen = now;
-    RpReplica_ResetElection(replica, now);
+     * leader's lease must run out before this replica votes again. After
+     * that there is nothing to wait for: a leader that lives makes itself
+     * heard by then, and the trial round keeps others from disturbing it. */
+    replica->leader_seen = now - RP_ELECTION_US + RP_LEASE_US;
+    replica->election_deadline = now + RP_LEASE_US +
+                                 (int64_t)(g_rand_double(replica->dice) *
+                                           (double)RP_LEASE_US / 2);
     return replica;
 }
 
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -153,6 +153,7 @@
     LIST(rp_msg_table, removed, rp_msg_removed_schema),
     LIST(rp_msg_table, vips, rp_msg_vip_schema),
     LIST(rp_msg_table, removed_vips, rp_msg_removed_vip_schema),
+    UINT(rp_msg_table, gathering),
 };
 static const struct rp_schema rp_msg_table_schema = RP_SCHEMA(rp_msg_table,
                                                               table_fields);
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -140,6 +140,9 @@
     GArray *removed;      /* of struct rp_msg_removed */
     GArray *vips;         /* of struct rp_msg_vip */
     GArray *removed_vips; /* of struct rp_msg_removed_vip */
+    /* 1: this replica has not heard of all upstreams yet, for it has just
+     * started. Members that a node knows stay until a table without it. */
+    uint8_t gathering;
 };
 
 /* A service as an edition names it. */
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -468,6 +468,8 @@
     control->next_send_away = control->cut_off_since + SEND_AWAY_MIN_US;
     g_timeout_add(TICK_MS, on_tick, control);
     RpDistribution_TouchAll(control->distribution, RpClock_Now());
+    RpDistribution_GatherUntil(control->distribution,
+                               RpClock_Now() + RP_GATHER_US);
     if (is_first_replica(control)) {
         create_group(control);
     }
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -14,7 +14,7 @@
 /* First and longest pause between attempts, of which a random half to one
  * and a half is waited. */
 #define RP_UPLINK_RETRY_MIN_MS 100
-#define RP_UPLINK_RETRY_MAX_MS 2000
+#define RP_UPLINK_RETRY_MAX_MS 800
 
 struct rp_uplink;
 
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -330,6 +330,38 @@
     RpTable_Free(sent[2].table);
 }
 
+/* A replica that has just started marks its tables, and sends whole ones
+ * when upstreams have had their time. */
+static void
+test_gathering_tables(void **state)
+{
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_registry *registry = RpRegistry_Create();
+    struct sent sent[2] = {0};
+
+    (void)state;
+    sent[1].table = RpTable_Create();
+    expect(catalog, two_routes, RP_OK, false, 9);
+    struct rp_distribution *distribution = RpDistribution_Create(
+        catalog, registry, on_send, sent);
+    RpDistribution_GatherUntil(distribution, RP_GATHER_US);
+    RpDistribution_SetFresh(distribution, 0, true);
+    subscribe(distribution, 1, "balancer-1", RP_ROLE_BALANCER, "");
+    RpDistribution_Flush(distribution, 1);
+    assert_int_equal(sent[1].count, 1);
+    assert_true(RpTable_IsGathering(sent[1].table));
+    RpDistribution_Flush(distribution, RP_GATHER_US - 1);
+    assert_int_equal(sent[1].count, 1);
+    RpDistribution_Flush(distribution, RP_GATHER_US);
+    assert_int_equal(sent[1].count, 2);
+    assert_false(RpTable_IsGathering(sent[1].table));
+    assert_int_equal(sent[1].vips, 2);
+    RpDistribution_Free(distribution);
+    RpRegistry_Free(registry);
+    RpCatalog_Free(catalog);
+    RpTable_Free(sent[1].table);
+}
+
 /* A virtual address gives each target its share of new flows. */
 static void
 test_weights(void **state)
@@ -372,6 +404,7 @@
         cmocka_unit_test(test_snapshot),
         cmocka_unit_test(test_documents_beside),
         cmocka_unit_test(test_distribution),
+        cmocka_unit_test(test_gathering_tables),
         cmocka_unit_test(test_weights),
     };
 
--- a/tests/unit/test_tables.c
+++ b/tests/unit/test_tables.c
@@ -233,6 +233,70 @@
     RpFlowTable_Free(table);
 }
 
+static void
+apply_lettered(struct rp_table *table, bool complete, bool gathering,
+               const char *names, enum rp_upstream_state state)
+{
+    struct rp_msg_table update = {
+        .revision = 5,
+        .complete = complete,
+        .gathering = gathering,
+        .services = RpSchema_NewList(&rp_msg_service_schema)};
+    struct rp_msg_service service = {
+        .id = 3, .members = RpSchema_NewList(&rp_msg_member_schema)};
+
+    for (; *names; names++) {
+        struct rp_msg_member member = {
+            .agent_ip = (uint8_t)*names, .slots = 2, .state = (uint8_t)state};
+        RpName_Set(&member.upstream, (struct rp_str){.data = names, .len = 1});
+        g_array_append_val(service.members, member);
+    }
+    g_array_append_val(update.services, service);
+    assert_int_equal(RpTable_Apply(table, &update), RP_OK);
+    RpSchema_Clear(&rp_msg_service_schema,
+                   &g_array_index(update.services, struct rp_msg_service, 0));
+    g_array_free(update.services, TRUE);
+}
+
+/* The members' names with their states, as "a1b2". */
+static void
+expect_members(const struct rp_table *table, const char *expected)
+{
+    const struct rp_name no_name = {0};
+    const struct rp_service *service = RpTable_FindName(table, &no_name);
+    GString *text = g_string_new(NULL);
+
+    for (size_t i = 0; service && i < service->count; i++) {
+        g_string_append_printf(text, "%s%d", service->members[i].name.data,
+                               service->members[i].state);
+    }
+    assert_string_equal(text->str, expected);
+    g_string_free(text, TRUE);
+}
+
+/* A control instance that has just started knows few upstreams. A node keeps
+ * those that it knows until the instance says that it has heard of all. */
+static void
+test_gathering(void **state)
+{
+    struct rp_table *table = RpTable_Create();
+
+    (void)state;
+    apply_lettered(table, true, false, "ab", RP_UPSTREAM_READY);
+    apply_lettered(table, true, true, "", RP_UPSTREAM_READY);
+    expect_members(table, "a1b1");
+    apply_lettered(table, false, true, "b", RP_UPSTREAM_DRAINING);
+    expect_members(table, "b2a1");
+    apply_lettered(table, false, true, "c", RP_UPSTREAM_READY);
+    expect_members(table, "c1b2a1");
+    assert_true(RpTable_IsGathering(table));
+    apply_lettered(table, true, false, "bc", RP_UPSTREAM_READY);
+    expect_members(table, "b1c1");
+    apply_lettered(table, true, false, "", RP_UPSTREAM_READY);
+    expect_members(table, "");
+    RpTable_Free(table);
+}
+
 int
 main(void)
 {
@@ -242,6 +306,7 @@
         cmocka_unit_test(test_revision_never_falls),
         cmocka_unit_test(test_routes),
         cmocka_unit_test(test_flow_table_model),
+        cmocka_unit_test(test_gathering),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
