--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -364,6 +364,20 @@
     }
 }
 
+/* An agent that has just started has no table yet, but its host's answers
+ * are ready: callers get them all the same. */
+static void
+forward_without_table(struct rp_agent *agent, const struct rp_packet *packet,
+                      struct rp_actions *actions)
+{
+    if (packet->returned) {
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_NO_TABLE);
+        return;
+    }
+    RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_PACKETS_OUT,
+                 packet->data, packet->len);
+}
+
 void
 RpAgent_FromHost(struct rp_agent *agent, int64_t now,
                  const struct rp_packet *packet, struct rp_actions *actions)
@@ -377,7 +391,7 @@
         RpCounters_Add(agent->counters, RP_COUNT_HOST_GAVE_BACK);
     }
     if (!agent->service) {
-        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_NO_TABLE);
+        forward_without_table(agent, packet, actions);
         return;
     }
     if (!is_own_address(agent->service, RpFlowKey_Target(caller))) {
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -28,7 +28,7 @@
     GQueue waiting; /* of encoded messages, as GString */
     char *input;
     guint tick_source;
-    guint connect_source; /* runs out while the connection is being opened */
+    guint connect_source; /* runs out while the peer's hello is awaited */
     int64_t silence_deadline;
     int64_t ping_deadline;
     uint64_t pings;
@@ -224,6 +224,7 @@
         return;
     }
     conn->hello_seen = true;
+    stop_connect_timer(conn);
     conn->peer = msg->hello;
     if (!conn->hello_sent) {
         send_hello(conn);
@@ -389,7 +390,6 @@
     struct rp_conn *conn = data;
 
     conn->operations--;
-    stop_connect_timer(conn);
     conn->stream = g_socket_client_connect_finish(G_SOCKET_CLIENT(source),
                                                   result, NULL);
     if (!conn->stream) {
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -7,6 +7,7 @@
  *   member NAME SLOTS STATE       upstream NAME, whose agent is NAME
  *   agent NAME SLOTS [FROM UNTIL] starts the agent of that member; its host
  *                                 starts cold from and until these MS
+ *   start-bare NAME SLOTS         the same without a table
  *   at MS                         sets the time
  *   caller FLAGS PORT SEQ ACK LEN CHAIN [tag ID INCARNATION]
  *                                       [best INDEX SHARE [forced]]
@@ -216,7 +217,7 @@
 }
 
 static void
-do_agent(struct session *session, const char **words)
+do_agent(struct session *session, const char **words, bool with_table)
 {
     const struct rp_agent_config config = {.codec = session->codec,
                                            .self = endpoint_of(words[1]),
@@ -229,7 +230,9 @@
     session->agent = RpAgent_Create(&config, &session->chart,
                                     RpAdmission_CreateLeast(),
                                     &session->counters);
-    set_table(session);
+    if (with_table) {
+        set_table(session);
+    }
 }
 
 /* A packet of the platform's format; see rp_platform_packet.c. */
@@ -417,7 +420,10 @@
         do_member(session, words);
     }
     else if (!strcmp(words[0], "agent")) {
-        do_agent(session, words);
+        do_agent(session, words, true);
+    }
+    else if (!strcmp(words[0], "start-bare")) {
+        do_agent(session, words, false);
     }
     else if (!strcmp(words[0], "at")) {
         session->now = number(words[1]) * RP_US_PER_MS;
