--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -65,6 +65,15 @@
     }
 }
 
+void
+RpCatalog_Reset(struct rp_catalog *catalog)
+{
+    RpCatalog_Clear(catalog);
+    catalog->revision = 0;
+    catalog->next_id = 1;
+    catalog->initialised = false;
+}
+
 void
 RpCatalog_Free(struct rp_catalog *catalog)
 {
--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -51,6 +51,9 @@
 
 void RpCatalog_Free(struct rp_catalog *catalog);
 
+/* Makes it an empty catalogue again, as after RpCatalog_Create. */
+void RpCatalog_Reset(struct rp_catalog *catalog);
+
 /* Commands. Free the result. */
 GString *RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE]);
 GString *RpCatalog_EncodeChange(const struct rp_msg_change *change);
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -423,16 +423,20 @@
     }
 }
 
-void
+bool
 RpDistribution_Confirm(struct rp_distribution *distribution, int64_t now,
                        uint64_t connection, uint64_t revision)
 {
     struct node *node = find_connection(distribution, connection);
 
-    if (node) {
-        node->confirmed = MAX(node->confirmed, revision);
-        note_confirmed(distribution, node, now);
+    if (!node) {
+        return false;
     }
+    bool is_news = revision > node->confirmed &&
+                   revision == RpCatalog_Revision(distribution->catalog);
+    node->confirmed = MAX(node->confirmed, revision);
+    note_confirmed(distribution, node, now);
+    return is_news;
 }
 
 void
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -45,8 +45,8 @@
                               const struct rp_msg_hello *hello,
                               const struct rp_msg_subscribe *subscribe);
 
-/* A node runs a revision. */
-void RpDistribution_Confirm(struct rp_distribution *distribution, int64_t now,
+/* A node runs a revision; true if it is the newest and news. */
+bool RpDistribution_Confirm(struct rp_distribution *distribution, int64_t now,
                             uint64_t connection, uint64_t revision);
 
 /* The connection has ended. */
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -26,7 +26,9 @@
      .kind = RP_SETTING_TEXT,
      .offset = offsetof(struct control_settings, data),
      .value = "FOLDER",
-     .help = "keep the durable state here"},
+     .help = "keep the durable state here; without it this instance keeps "
+             "nothing and only names others",
+     .optional = true},
     {.flag = "control",
      .kind = RP_SETTING_ENDPOINTS,
      .offset = offsetof(struct control_settings, peers),
@@ -94,19 +96,28 @@
 {
     const struct control *control = user;
 
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "state_restored",
+                "revision=%" G_GUINT64_FORMAT,
+                RpCatalog_Revision(catalog_of(control)));
     RpDistribution_TouchAll(control->distribution, RpClock_Now());
 }
 
 static void
 on_failed(void *user, const struct rp_error *error)
 {
-    struct control *control = user;
+    const struct control *control = user;
+    GString *text = g_string_new(NULL);
+    GString *quoted = g_string_new(NULL);
 
-    RpDaemon_PrintFindings(error);
-    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "storage_failed", "%s", "");
-    if (control->daemon.loop) {
-        RpDaemon_Quit(&control->daemon, RP_EXIT_FAILED);
+    if (!control->daemon.log) {
+        RpDaemon_PrintFindings(error);
     }
+    RpError_Format(error, text);
+    RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
+    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "storage_failed",
+                "findings=%s", quoted->str);
+    g_string_free(text, TRUE);
+    g_string_free(quoted, TRUE);
 }
 
 static const struct rp_control_replica_ops replica_ops = {
@@ -234,8 +245,7 @@
                 " leader=%s committed=%" G_GUINT64_FORMAT " members=%u",
                 RpReplica_RoleName(replica), control->was_term,
                 leader ? leader->name.data : "none",
-                RpReplica_Committed(replica),
-                RpReplica_Members(replica)->len);
+                RpReplica_Committed(replica), RpReplica_Members(replica)->len);
 }
 
 static gboolean
@@ -470,6 +480,7 @@
     RpDistribution_TouchAll(control->distribution, RpClock_Now());
     RpDistribution_GatherUntil(control->distribution,
                                RpClock_Now() + RP_GATHER_US);
+    RpControlReplica_SetCounters(control->replica, &control->daemon.counters);
     if (is_first_replica(control)) {
         create_group(control);
     }
@@ -493,19 +504,26 @@
             argc, argv, &control.settings, &exit_code)) {
         return exit_code;
     }
+    const struct rp_settings_source source = {
+        .table = settings_table,
+        .count = G_N_ELEMENTS(settings_table),
+        .size = sizeof control.settings,
+        .argc = argc,
+        .argv = argv};
     RpDaemon_SetPorts(&control.settings.peers, control.settings.control_port);
+    if (!control.settings.data) {
+        if (control.settings.check_data || control.settings.create) {
+            fprintf(stderr, "--data: is required with this flag\n");
+            return RP_EXIT_SETTINGS;
+        }
+        return RpControlRelay_Run(&control.settings, &source);
+    }
     if (control.settings.check_data) {
         return check_data(&control.settings);
     }
     if (control.settings.create) {
         return create(&control);
     }
-    const struct rp_settings_source source = {
-        .table = settings_table,
-        .count = G_N_ELEMENTS(settings_table),
-        .size = sizeof control.settings,
-        .argc = argc,
-        .argv = argv};
     if (!RpDaemon_Start(&control.daemon, RP_ROLE_CONTROL,
                         &control.settings.common, on_stop, &control)) {
         return control.daemon.exit_code;
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -35,6 +35,7 @@
     GSocketService *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
+    int64_t changed_at;  /* when the newest change was decided; 0: none */
     bool was_fresh;
     enum rp_replica_role was_role;
     uint64_t was_leader; /* id; 0: none known */
@@ -67,6 +68,11 @@
 /* Tells all nodes where the replicas are, if that has changed. */
 void RpControl_TellMembers(struct control *control);
 
+/* control_relay.c: a control instance without a disk; returns the process's
+ * exit code. */
+int RpControlRelay_Run(const struct control_settings *settings,
+                       const struct rp_settings_source *source);
+
 /* control_editions.c: the operator's editions. NULL with a finding on
  * failure. */
 struct control_editions *RpControlEditions_Open(struct control *control,
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -197,6 +197,9 @@
         if (call->index != entry->index) {
             continue;
         }
+        RpCounters_Time(&editions->control->daemon.counters,
+                        RP_HISTOGRAM_CHANGE_DECIDED,
+                        RpClock_Now() - (call->deadline - ANSWER_US));
         enum rp_code code = call->term == entry->term
                                 ? (enum rp_code)reply->code
                                 : RP_ERR_TIMEOUT;
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -98,6 +98,7 @@
     if (reply->code != RP_OK || reply->repeated) {
         return;
     }
+    control->changed_at = now;
     if (RpCatalog_Find(catalog_of(control), &reply->service)) {
         RpDistribution_Touch(control->distribution, now, &reply->service);
     }
@@ -122,7 +123,9 @@
                 edition ? edition->version : 0, reply->revision,
                 reply->repeated);
     if (reply->code == RP_OK && !reply->repeated) {
-        RpDistribution_TouchEdition(control->distribution, RpClock_Now());
+        control->changed_at = RpClock_Now();
+        RpDistribution_TouchEdition(control->distribution,
+                                    control->changed_at);
     }
     if (control->editions) {
         RpControlEditions_Applied(control->editions, entry, reply);
@@ -437,8 +440,12 @@
         RpRegistry_ReplicaSeen(control->registry, now, &client->hello.name);
         return;
     }
-    RpDistribution_Confirm(control->distribution, now,
-                           RpConn_Number(client->conn), revision);
+    if (RpDistribution_Confirm(control->distribution, now,
+                               RpConn_Number(client->conn), revision) &&
+        control->changed_at) {
+        RpCounters_Time(&control->daemon.counters, RP_HISTOGRAM_IN_FORCE,
+                        now - control->changed_at);
+    }
 }
 
 static void
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "rp_bytes.h"
+#include "rp_clock.h"
 #include "rp_journal.h"
 
 /* Growth of the journal, in bytes, that asks for a snapshot. */
@@ -22,7 +23,9 @@
 struct rp_control_replica {
     const struct rp_control_replica_ops *ops;
     void *user;
-    struct rp_journal *journal;
+    struct rp_counters *counters; /* NULL: nobody counts */
+    char *folder;
+    struct rp_journal *journal; /* NULL while the disk does not work */
     struct rp_replica *replica;
     struct rp_catalog *catalog;
     uint64_t id;
@@ -30,6 +33,7 @@
     int64_t opened;
     bool unsynced;
     bool failed;
+    int64_t retry_deadline; /* after a failure */
     bool busy; /* carrying out actions: events wait for their end */
 };
 
@@ -145,9 +149,48 @@
 fail(struct rp_control_replica *self, struct rp_error *error)
 {
     self->failed = true;
+    self->retry_deadline = RpClock_Now() + RP_STORAGE_RETRY_US;
     self->ops->failed(self->user, error);
 }
 
+static enum rp_code visit(void *user, const struct rp_record *record,
+                          struct rp_error *error);
+
+/* Starts over from what the disk holds, as a new process would: after a
+ * failed sync nobody knows what else was kept. */
+static void
+reopen(struct rp_control_replica *self, int64_t now)
+{
+    const struct rp_journal_reader reader = {.visit = visit, .user = self};
+    uint64_t id = self->id;
+    struct rp_error error;
+    uint64_t seed;
+
+    RpError_Init(&error);
+    RpJournal_Close(self->journal);
+    RpReplica_Free(self->replica);
+    self->replica = NULL;
+    RpCatalog_Reset(self->catalog);
+    self->opened = now;
+    self->unsynced = false;
+    self->journal = RpJournal_Open(self->folder, &reader, &error);
+    self->failed = !self->journal;
+    if (!self->replica) {
+        /* Not even its identity could be read: it stays silent. */
+        randombytes_buf(&seed, sizeof seed);
+        self->replica = RpReplica_Create(id, seed, now);
+        self->failed = true;
+    }
+    if (self->failed) {
+        self->retry_deadline = now + RP_STORAGE_RETRY_US;
+    }
+    else {
+        self->compact_at = RpJournal_Size(self->journal) + COMPACT_BYTES;
+    }
+    self->ops->restored(self->user);
+    RpError_Clear(&error);
+}
+
 /* Makes durable what was stored; false if that failed. */
 static bool
 sync_now(struct rp_control_replica *self)
@@ -158,11 +201,16 @@
     if (!self->unsynced) {
         return true;
     }
+    int64_t begun = RpClock_Now();
     RpError_Init(&error);
     if (RpJournal_Sync(self->journal, &error) != RP_OK) {
         fail(self, &error);
         good = false;
     }
+    if (self->counters) {
+        RpCounters_Time(self->counters, RP_HISTOGRAM_DISK_SYNC,
+                        RpClock_Now() - begun);
+    }
     RpError_Clear(&error);
     self->unsynced = false;
     return good;
@@ -197,6 +245,7 @@
     self->ops = ops;
     self->user = user;
     self->opened = now;
+    self->folder = g_strdup(folder);
     self->catalog = RpCatalog_Create();
     const struct rp_journal_reader reader = {.visit = visit, .user = self};
     self->journal = RpJournal_Open(folder, &reader, error);
@@ -209,6 +258,13 @@
     return self;
 }
 
+void
+RpControlReplica_SetCounters(struct rp_control_replica *self,
+                             struct rp_counters *counters)
+{
+    self->counters = counters;
+}
+
 void
 RpControlReplica_Close(struct rp_control_replica *self)
 {
@@ -216,6 +272,7 @@
         RpJournal_Close(self->journal);
         RpReplica_Free(self->replica);
         RpCatalog_Free(self->catalog);
+        g_free(self->folder);
         g_free(self);
     }
 }
@@ -430,6 +487,12 @@
 void
 RpControlReplica_Tick(struct rp_control_replica *self, int64_t now)
 {
+    if (self->failed) {
+        if (now >= self->retry_deadline) {
+            reopen(self, now);
+        }
+        return;
+    }
     RpReplica_Tick(self->replica, now);
     carry_out(self);
 }
@@ -438,16 +501,20 @@
 RpControlReplica_Receive(struct rp_control_replica *self, int64_t now,
                          const struct rp_msg *msg)
 {
-    RpReplica_Receive(self->replica, now, msg);
-    carry_out(self);
+    if (!self->failed) {
+        RpReplica_Receive(self->replica, now, msg);
+        carry_out(self);
+    }
 }
 
 void
 RpControlReplica_Join(struct rp_control_replica *self, int64_t now,
                       const struct rp_replica_member *member)
 {
-    RpReplica_Join(self->replica, now, member);
-    carry_out(self);
+    if (!self->failed) {
+        RpReplica_Join(self->replica, now, member);
+        carry_out(self);
+    }
 }
 
 enum rp_code
@@ -455,6 +522,9 @@
                          const GString *command, uint64_t *index,
                          uint64_t *term)
 {
+    if (self->failed) {
+        return RP_ERR_NO_LEADER;
+    }
     *term = RpReplica_Term(self->replica);
     return RpReplica_Propose(self->replica, now, command, index);
 }
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -5,9 +5,13 @@
 #define RP_CONTROL_REPLICA_H
 
 #include "rp_catalog.h"
+#include "rp_counters.h"
 #include "rp_error.h"
 #include "rp_replica.h"
 
+/* How often a failed disk is tried again: it may be full for a moment. */
+#define RP_STORAGE_RETRY_US (500 * RP_US_PER_MS)
+
 struct rp_control_replica;
 
 /* What its owner is told. */
@@ -19,7 +23,9 @@
                     const struct rp_msg_change_reply *reply);
     /* The whole catalogue was replaced by a snapshot. */
     void (*restored)(void *user);
-    /* The disk failed: what was acknowledged is safe; stop. */
+    /* The disk failed: what was acknowledged is safe. The replica takes no
+     * part until the disk works again; it tries every
+     * RP_STORAGE_RETRY_US. */
     void (*failed)(void *user, const struct rp_error *error);
 };
 
@@ -31,6 +37,10 @@
                       const struct rp_control_replica_ops *ops, void *user,
                       struct rp_error *error);
 
+/* Counts how long syncs take. Borrowed. */
+void RpControlReplica_SetCounters(struct rp_control_replica *self,
+                                  struct rp_counters *counters);
+
 void RpControlReplica_Close(struct rp_control_replica *self);
 
 /* Makes this the first replica of a new system; fails if the folder holds
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -230,6 +230,12 @@
     }
 }
 
+const struct rp_endpoints *
+RpUplink_Controls(const struct rp_uplink *uplink)
+{
+    return &uplink->told;
+}
+
 const struct rp_table *
 RpUplink_Table(const struct rp_uplink *uplink)
 {
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -48,6 +48,9 @@
 /* Sends a message if there is a connection; it is dropped otherwise. */
 void RpUplink_Send(struct rp_uplink *uplink, const struct rp_msg *msg);
 
+/* Where control is as it says itself; empty before the first answer. */
+const struct rp_endpoints *RpUplink_Controls(const struct rp_uplink *uplink);
+
 /* The table so far. */
 const struct rp_table *RpUplink_Table(const struct rp_uplink *uplink);
 
--- /dev/null
+++ b/tests/unit/test_control_replica.c
@@ -0,0 +1,151 @@
+/* A control instance's replica on a disk that takes no more bytes for a
+ * while. The limit on file sizes plays the full disk. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sodium.h>
+#include <sys/resource.h>
+
+#include "check.h"
+#include "control_replica.h"
+#include "rp_clock.h"
+
+struct seen {
+    unsigned failed;
+    unsigned restored;
+    unsigned applied; /* editions */
+};
+
+static void
+on_send(void *user, uint64_t to, const struct rp_msg *msg)
+{
+    (void)user;
+    (void)to;
+    (void)msg;
+}
+
+static void
+on_applied(void *user, const struct rp_log_entry *entry,
+           const struct rp_msg_change_reply *reply)
+{
+    struct seen *seen = user;
+
+    (void)entry;
+    seen->applied += reply->is_edition;
+}
+
+static void
+on_restored(void *user)
+{
+    struct seen *seen = user;
+
+    seen->restored++;
+}
+
+static void
+on_failed(void *user, const struct rp_error *error)
+{
+    struct seen *seen = user;
+
+    assert_int_not_equal(RpError_Count(error), 0);
+    seen->failed++;
+}
+
+static const struct rp_control_replica_ops ops = {.send = on_send,
+                                                  .applied = on_applied,
+                                                  .restored = on_restored,
+                                                  .failed = on_failed};
+
+static enum rp_code
+propose(struct rp_control_replica *replica, uint64_t version)
+{
+    struct rp_edition edition;
+    uint64_t index;
+    uint64_t term;
+
+    RpEdition_Init(&edition);
+    edition.version = version;
+    GString *command = RpCatalog_EncodeEdition(&edition);
+    enum rp_code code = RpControlReplica_Propose(replica, RpClock_Now(),
+                                                 command, &index, &term);
+    if (code == RP_OK) {
+        RpControlReplica_CarryOut(replica);
+    }
+    g_string_free(command, TRUE);
+    RpEdition_Clear(&edition);
+    return code;
+}
+
+static uint64_t
+version_of(const struct rp_control_replica *replica)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(
+        RpControlReplica_Catalog(replica));
+
+    return edition ? edition->version : 0;
+}
+
+static void
+limit_files(rlim_t bytes)
+{
+    struct rlimit limit;
+
+    getrlimit(RLIMIT_FSIZE, &limit);
+    limit.rlim_cur = MIN(bytes, limit.rlim_max);
+    setrlimit(RLIMIT_FSIZE, &limit);
+}
+
+static void
+test_full_disk(void **state)
+{
+    struct seen seen = {0};
+    const struct rp_replica_member member = {.ip = 1, .port = 1, .voter = 1};
+    gchar *folder = g_dir_make_tmp("rp-replica-XXXXXX", NULL);
+    struct rp_control_replica *replica = RpControlReplica_Open(
+        folder, 0, RpClock_Now(), &ops, &seen, NULL);
+
+    (void)state;
+    assert_int_equal(RpControlReplica_Create(replica, &member, NULL), RP_OK);
+    int64_t later = RpClock_Now() + RP_US_PER_SECOND;
+    RpControlReplica_Tick(replica, later);
+    assert_int_equal(propose(replica, 7), RP_OK);
+    assert_int_equal(version_of(replica), 7);
+
+    /* Full: nothing is acknowledged, and the replica takes no part. */
+    limit_files(64);
+    propose(replica, 8);
+    assert_int_equal(seen.failed, 1);
+    assert_int_equal(version_of(replica), 7);
+    assert_int_equal(propose(replica, 9), RP_ERR_NO_LEADER);
+    assert_int_equal(seen.applied, 1);
+
+    /* Room again: it starts over from the disk and leads on. */
+    limit_files(RLIM_INFINITY);
+    later = RpClock_Now() + 2 * RP_US_PER_SECOND;
+    RpControlReplica_Tick(replica, later);
+    assert_int_equal(seen.restored, 1);
+    RpControlReplica_Tick(replica, later + RP_US_PER_SECOND);
+    assert_int_equal(version_of(replica), 7);
+    assert_int_equal(propose(replica, 10), RP_OK);
+    assert_int_equal(version_of(replica), 10);
+    RpControlReplica_Close(replica);
+    gchar *path = g_build_filename(folder, "journal", NULL);
+    g_remove(path);
+    g_rmdir(folder);
+    g_free(path);
+    g_free(folder);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_full_disk),
+    };
+
+    signal(SIGXFSZ, SIG_IGN);
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
