Logs: a line for each decision on a flow; histograms; never waiting

What an on-call engineer has is logs and metrics. Agents and balancers now write one line for each decision on a flow (routed, admitted, passed on, refused, retried, reset, asked, dropped) with its ends, what decided it and the table's revision; the first packet of a request with the id that its caller gave it; the begin of the answer. Each event has a budget of lines a second and tells what it left out; a full pipe loses lines and counts them. A balancer's last candidate is one of another zone when the others are of its own.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -9,6 +9,8 @@
 
 #include <stdint.h>
 
+#include "rp_histogram.h"
+
 /* clang-format off */
 #define RP_COUNTER_LIST(X)                                                    \
     /* Link format and inner packet, at balancers and agents. */              \
@@ -92,7 +94,9 @@
     X(TABLE_SENT, "table_sent", "table updates sent")                         \
     X(TABLE_WITHHELD, "table_withheld", "first tables held back: not fresh")  \
     X(TABLE_APPLIED, "table_applied", "table updates taken")                  \
-    X(TABLE_STALE, "table_stale", "table updates refused: older")
+    X(TABLE_STALE, "table_stale", "table updates refused: older")             \
+    /* Logs. */                                                               \
+    X(LOG_LINES_LOST, "log_lines_lost", "log lines lost: nobody reads them")
 /* clang-format on */
 
 enum rp_counter {
@@ -102,10 +106,20 @@
         RP_COUNTER_COUNT
 };
 
+/* Everything that a process counts. */
 struct rp_counters {
     uint64_t value[RP_COUNTER_COUNT];
+    struct rp_histograms histograms;
 };
 
+/* Adds a duration in microseconds to a histogram. */
+static inline void
+RpCounters_Time(struct rp_counters *counters, enum rp_histogram_id id,
+                int64_t duration_us)
+{
+    RpHistogram_Add(&counters->histograms.item[id], duration_us);
+}
+
 /* Adds one. */
 static inline void
 RpCounters_Add(struct rp_counters *counters, enum rp_counter counter)
--- a/lib/common/rp_log.c
+++ b/lib/common/rp_log.c
@@ -1,10 +1,13 @@
 #include "rp_log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 
 /* How often one event was written in the current window. */
 struct event_rate {
     int64_t window_end; /* monotonic microseconds */
+    uint64_t budget;
     uint64_t written;
     uint64_t suppressed;
 };
@@ -14,6 +17,7 @@
     enum rp_log_level level;
     GString *prefix;
     GHashTable *rates; /* event name -> struct event_rate */
+    uint64_t lost;
 };
 
 static const char *const level_names[RP_LOG_LEVEL_COUNT] = {
@@ -51,24 +55,41 @@
     g_free(log);
 }
 
+static struct event_rate *
+rate_of(struct rp_log *log, const char *event)
+{
+    struct event_rate *rate = g_hash_table_lookup(log->rates, event);
+
+    if (!rate) {
+        rate = g_new0(struct event_rate, 1);
+        rate->budget = RP_LOG_BURST;
+        g_hash_table_insert(log->rates, g_strdup(event), rate);
+    }
+    return rate;
+}
+
+void
+RpLog_SetBudget(struct rp_log *log, const char *event, uint64_t lines)
+{
+    rate_of(log, event)->budget = lines;
+}
+
 /* Whether the event may write a line now; `*suppressed` gets how many lines
  * the window before held back. */
 static bool
 take_turn(struct rp_log *log, const char *event, uint64_t *suppressed)
 {
     int64_t now = g_get_monotonic_time();
-    struct event_rate *rate = g_hash_table_lookup(log->rates, event);
+    struct event_rate *rate = rate_of(log, event);
 
     *suppressed = 0;
-    if (!rate) {
-        rate = g_new0(struct event_rate, 1);
-        g_hash_table_insert(log->rates, g_strdup(event), rate);
-    }
     if (now >= rate->window_end) {
         *suppressed = rate->suppressed;
-        *rate = (struct event_rate){.window_end = now + RP_LOG_WINDOW_US};
+        rate->suppressed = 0;
+        rate->written = 0;
+        rate->window_end = now + RP_LOG_WINDOW_US;
     }
-    if (rate->written >= RP_LOG_BURST) {
+    if (rate->written >= rate->budget) {
         rate->suppressed++;
         return false;
     }
@@ -76,6 +97,52 @@
     return true;
 }
 
+/* Whether a line can be written without waiting. Files always can, and a
+ * stream without a descriptor is memory. */
+static bool
+is_writable(struct rp_log *log)
+{
+    struct pollfd descriptor = {.fd = fileno(log->out), .events = POLLOUT};
+
+    return descriptor.fd < 0 || poll(&descriptor, 1, 0) == 1;
+}
+
+static void
+write_line(struct rp_log *log, const GString *line)
+{
+    if (line->len > PIPE_BUF || !is_writable(log)) {
+        log->lost++;
+        return;
+    }
+    fwrite(line->str, 1, line->len, log->out);
+    fflush(log->out);
+}
+
+uint64_t
+RpLog_Lost(const struct rp_log *log)
+{
+    return log->lost;
+}
+
+void
+RpLog_Report(struct rp_log *log)
+{
+    int64_t now = g_get_monotonic_time();
+    GList *events = g_hash_table_get_keys(log->rates);
+
+    for (GList *link = events; link; link = link->next) {
+        struct event_rate *rate = rate_of(log, link->data);
+        uint64_t count = rate->suppressed;
+        if (count > 0 && now >= rate->window_end) {
+            rate->suppressed = 0;
+            RpLog_Event(log, RP_LOG_WARN, "lines_left_out",
+                        "of=%s count=%" G_GUINT64_FORMAT,
+                        (const char *)link->data, count);
+        }
+    }
+    g_list_free(events);
+}
+
 void
 RpLog_Event(struct rp_log *log, enum rp_log_level level, const char *event,
             const char *format, ...)
@@ -103,8 +170,7 @@
         va_end(args);
     }
     g_string_append_c(line, '\n');
-    fwrite(line->str, 1, line->len, log->out);
-    fflush(log->out);
+    write_line(log, line);
     g_string_free(line, TRUE);
     g_free(stamp);
     g_date_time_unref(now);
--- a/lib/common/rp_log.h
+++ b/lib/common/rp_log.h
@@ -4,9 +4,12 @@
  *
  *     time=… level=info role=agent name=lens-1 event=flow_refused reason=…
  *
- * Each event name may write RP_LOG_BURST lines within one RP_LOG_WINDOW_US;
- * what is over that is counted and reported by the next line of that event
- * as suppressed=N.
+ * Each event name may write RP_LOG_BURST lines (or a budget of its own)
+ * within one RP_LOG_WINDOW_US; what is over that is counted and reported by
+ * the next line of that event as suppressed=N, or by RpLog_Report.
+ *
+ * A log never waits: while nobody reads what it writes, lines are lost and
+ * counted.
  */
 #ifndef RP_LOG_H
 #define RP_LOG_H
@@ -44,6 +47,16 @@
                  const char *event, const char *format, ...)
     G_GNUC_PRINTF(4, 5);
 
+/* Gives an event a budget of its own, in lines a window. */
+void RpLog_SetBudget(struct rp_log *log, const char *event, uint64_t lines);
+
+/* Writes a line for each event of which lines were left out in a window that
+ * is over: event=lines_left_out of=EVENT count=N. */
+void RpLog_Report(struct rp_log *log);
+
+/* Lines lost because nobody read them. */
+uint64_t RpLog_Lost(const struct rp_log *log);
+
 /* Appends `value` to `out`, in double quotes with escapes if it needs them. */
 void RpLog_Quote(GString *out, struct rp_str value);
 
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -100,6 +100,8 @@
 RpAgent_Begin(struct rp_agent *agent, struct rp_actions *actions)
 {
     actions->count = 0;
+    actions->begins_request = false;
+    actions->begins_answer = false;
     g_free(agent->taken);
     agent->taken = NULL;
 }
@@ -191,7 +193,7 @@
     const uint8_t *data = packet->data;
     size_t len = packet->len;
 
-    RpAgent_TrackCaller(agent, flow, packet, now);
+    actions->begins_request = RpAgent_TrackCaller(agent, flow, packet, now);
     if (!(packet->flags & (RP_TCP_RST | RP_TCP_SYN)) &&
         RpAgent_GateHolds(agent, now, flow, packet)) {
         return;
@@ -308,6 +310,9 @@
 to_caller(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
           const struct rp_packet *packet, struct rp_actions *actions)
 {
+    actions->begins_answer = packet->payload_len > 0 &&
+                             (flow->flags & RP_FLOW_AWAITED);
+    actions->answer_us = now - flow->request_since;
     RpAgent_TrackHost(agent, flow, packet, now);
     RpAgent_Send(agent, actions, RP_ACTION_TO_CALLER, RP_COUNT_PACKETS_OUT,
                  packet->data, packet->len);
@@ -335,6 +340,8 @@
     case RP_FLOW_DO_TO_CALLER:
         if (flow->state == RP_FLOW_OPENING) {
             RpHealth_Answered(&agent->health, now);
+            RpCounters_Time(agent->counters, RP_HISTOGRAM_SYN_ANSWER,
+                            now - flow->host_seen);
         }
         change_state(agent, flow, step.next, now);
         to_caller(agent, now, flow, packet, actions);
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -46,6 +46,9 @@
 
 struct rp_actions {
     size_t count;
+    bool begins_request; /* the packet is the first of a request */
+    bool begins_answer;  /* the packet is the first of an answer */
+    int64_t answer_us;   /* how long that took */
     struct rp_action item[RP_MAX_ACTIONS];
     uint8_t scratch[RP_MAX_ACTIONS][RP_SCRATCH_SIZE];
 };
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -139,7 +139,7 @@
     }
 }
 
-void
+bool
 RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
                     const struct rp_packet *packet, int64_t now)
 {
@@ -151,11 +151,19 @@
     if (packet->flags & RP_TCP_ACK) {
         advance(&flow->caller_acked, packet->ack);
     }
-    if (is_new && delivered_payload(packet) > 0 &&
-        (flow->flags & RP_FLOW_OWNED)) {
-        RpAgent_SetBusy(agent, flow, true);
-        flow->flags &= (uint16_t)~RP_FLOW_RESERVED;
+    if (!is_new || delivered_payload(packet) == 0 ||
+        !(flow->flags & RP_FLOW_OWNED)) {
+        return false;
+    }
+    bool begins = !(flow->flags & RP_FLOW_BUSY) ||
+                  (flow->flags & RP_FLOW_RESERVED);
+    if (begins) {
+        flow->request_since = now;
+        flow->flags |= RP_FLOW_AWAITED;
     }
+    RpAgent_SetBusy(agent, flow, true);
+    flow->flags &= (uint16_t)~RP_FLOW_RESERVED;
+    return begins;
 }
 
 void
@@ -163,6 +171,11 @@
                   const struct rp_packet *packet, int64_t now)
 {
     flow->host_seen = now;
+    if (packet->payload_len > 0 && (flow->flags & RP_FLOW_AWAITED)) {
+        flow->flags &= (uint16_t)~RP_FLOW_AWAITED;
+        RpCounters_Time(agent->counters, RP_HISTOGRAM_FIRST_BYTE,
+                        now - flow->request_since);
+    }
     if (packet->flags & RP_TCP_SYN) {
         flow->host_isn = packet->seq;
         flow->host_next = packet->seq + 1;
--- a/lib/flow/rp_agent_gate.c
+++ b/lib/flow/rp_agent_gate.c
@@ -170,6 +170,8 @@
     }
     struct rp_flow *flow = RpFlowTable_Find(agent->flows, caller);
     assert(flow && (flow->flags & RP_FLOW_GATED));
+    RpCounters_Time(agent->counters, RP_HISTOGRAM_REQUEST_KEPT,
+                    now - flow->request_since);
     mark_inside(flow, is_long, now);
     release(agent, flow);
     return true;
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -135,8 +135,9 @@
                       struct rp_endpoint address, const struct rp_chain *chain,
                       struct rp_load *load);
 
-/* Updates what is known of both directions from one packet. */
-void RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
+/* Updates what is known of both directions from one packet. The first tells
+ * whether a request begins with it. */
+bool RpAgent_TrackCaller(struct rp_agent *agent, struct rp_flow *flow,
                          const struct rp_packet *packet, int64_t now);
 void RpAgent_TrackHost(struct rp_agent *agent, struct rp_flow *flow,
                        const struct rp_packet *packet, int64_t now);
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -1,15 +1,27 @@
 #include "rp_balancer.h"
 
+/* Adds the best members of these states. Where the preferred zone has taken
+ * all places but the last, that one goes to the best member of another zone:
+ * a zone that is full must not keep its work to itself while others are
+ * idle. */
 static void
 append_ranked(struct rp_chain *chain, const struct rp_service *service,
               uint64_t hash, unsigned states)
 {
-    const struct rp_member *ranked[RP_CHAIN_LENGTH];
-    size_t room = RP_CHAIN_LENGTH - chain->count;
-    size_t count = RpService_Rank(service, hash, states, ranked, room);
+    const struct rp_member *ranked[RP_MAX_CHAIN];
+    size_t count = RpService_Rank(service, hash, states, ranked, RP_MAX_CHAIN);
+    bool all_near = true;
 
-    for (size_t i = 0; i < count; i++) {
-        RpChain_Append(chain, ranked[i]->agent);
+    for (size_t i = 0; i < count && chain->count < RP_CHAIN_LENGTH; i++) {
+        bool is_last = chain->count == RP_CHAIN_LENGTH - 1;
+        size_t place = i;
+        while (is_last && all_near && place < count &&
+               ranked[place]->is_near) {
+            place++;
+        }
+        place = place < count ? place : i;
+        all_near = all_near && ranked[place]->is_near;
+        RpChain_Append(chain, ranked[place]->agent);
     }
 }
 
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -30,6 +30,7 @@
 #define RP_FLOW_INSIDE 0x200  /* its request is counted by the gate */
 #define RP_FLOW_INSIDE_LONG 0x400 /* and counted as long */
 #define RP_FLOW_LONG 0x800        /* its last answer took long */
+#define RP_FLOW_AWAITED 0x1000    /* no byte of the answer has come yet */
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -104,6 +104,7 @@
     uint64_t weight = member->slots;
     if (RpName_Equal(&table->zone, &from->zone)) {
         weight *= table->zone_weight;
+        member->is_near = true;
     }
     member->inverse_slots = (uint32_t)MIN(INVERSE_SCALE / weight, UINT32_MAX);
     member->state = (enum rp_upstream_state)from->state;
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -38,6 +38,7 @@
     uint32_t inverse_slots; /* 2^32 / weighted slots, for the score */
     uint64_t seed;
     enum rp_upstream_state state;
+    bool is_near; /* in the zone that is preferred */
 };
 
 /* A virtual address of the edition in force: a service takes flows there in
--- a/lib/wire/rp_codec.h
+++ b/lib/wire/rp_codec.h
@@ -30,6 +30,9 @@
     /* Whether the host gave this packet of a caller back; if so it is made
      * good for another host. NULL where hosts answer with a reset. */
     bool (*take_back)(uint8_t *data, size_t len);
+    /* The id that a caller gave the request whose first bytes these are, for
+     * the log; empty if there is none. NULL where formats have none. */
+    struct rp_str (*request_id)(const struct rp_packet *packet);
     /* Makes the reset that answers a caller's packet; returns its size. */
     size_t (*make_reset)(const struct rp_packet *packet,
                          uint8_t out[RP_CODEC_SCRATCH]);
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -14,6 +14,9 @@
 #include "rp_clock.h"
 
 #define ANNOUNCES_PER_LEASE 3
+/* Log lines a second for each decision on flows: a host of today gets about
+ * 60 flows a second at the crest. */
+#define FLOW_LINES 100
 /* How often a stopping agent looks whether it may end. */
 #define STOP_CHECK_US (20 * RP_US_PER_MS)
 #define MAX_SLOTS 1000000
@@ -55,6 +58,7 @@
     struct rp_actions actions;
     const struct rp_service *service; /* in the uplink's table, or NULL */
     const uint8_t *received;          /* the packet being handled */
+    struct rp_flow_key received_flow; /* its flow, as the caller names it */
     uint64_t incarnation;
     uint64_t sequence;
     int64_t announce_deadline;
@@ -160,23 +164,123 @@
                 RpEndpoint_Format(from, text));
 }
 
-/* Refusals and resets are worth a line; ordinary forwarding is not. */
-static void
-log_action(struct agent *agent, const struct rp_action *action)
-{
-    switch (action->reason) {
+/* The event under which an action is logged, each with a budget of its own;
+ * NULL: ordinary forwarding. */
+static const char *
+event_of(enum rp_counter reason)
+{
+    switch (reason) {
+    case RP_COUNT_FLOW_ADMITTED:
+    case RP_COUNT_FLOW_ADMITTED_LAST:
+        return "flow_admitted";
+    case RP_COUNT_PASS_BUSY:
+    case RP_COUNT_PASS_BACK:
+    case RP_COUNT_PASS_DRAINING:
+    case RP_COUNT_PASS_FLOW_LIMIT:
+    case RP_COUNT_PASS_UNHEALTHY:
+    case RP_COUNT_PASS_HOST_UNKNOWN:
+        return "flow_passed_on";
+    case RP_COUNT_REFUSED_BUSY:
     case RP_COUNT_REFUSED_ALL:
+        return "flow_refused";
     case RP_COUNT_RESET_OWNER_GONE:
+    case RP_COUNT_RESET_HOST_LOST:
     case RP_COUNT_RESET_SILENT_HOST:
     case RP_COUNT_RESET_SILENT_CALLER:
+        return "flow_reset";
     case RP_COUNT_RETRY_HOST_REFUSED:
     case RP_COUNT_RETRY_HOST_SILENT:
-        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "flow_decision",
-                    "reason=%s", RpCounter_Name(action->reason));
-        break;
+        return "flow_retried";
+    case RP_COUNT_FLOW_ASKED:
+        return "flow_asked";
+    case RP_COUNT_DROP_NO_OWNER:
+    case RP_COUNT_SYN_LATE_ANSWER:
+        return "flow_dropped";
     default:
-        break;
+        return NULL;
+    }
+}
+
+/* The flow as its caller names it: "caller>address". */
+static void
+format_flow(GString *out, struct rp_flow_key flow)
+{
+    char text[RP_ENDPOINT_TEXT_MAX];
+
+    g_string_append(out, RpEndpoint_Format(RpFlowKey_Source(flow), text));
+    g_string_append_c(out, '>');
+    g_string_append(out, RpEndpoint_Format(RpFlowKey_Target(flow), text));
+}
+
+/* The flow that an action is about. */
+static struct rp_flow_key
+flow_of(const struct agent *agent, const struct rp_action *action)
+{
+    struct rp_packet packet;
+    enum rp_counter reason;
+
+    if (!action->data || !agent->codec->ops->parse(action->data, action->len,
+                                                   &packet, &reason)) {
+        return agent->received_flow;
     }
+    return action->kind == RP_ACTION_TO_CALLER ? RpFlowKey_Reverse(packet.key)
+                                               : packet.key;
+}
+
+/* One line for each decision on a flow, with what decided it. */
+static void
+log_action(struct agent *agent, const struct rp_action *action)
+{
+    const char *event = event_of(action->reason);
+
+    if (!event) {
+        return;
+    }
+    struct rp_agent_load load = RpAgent_Load(agent->flows, RpClock_Now());
+    char text[RP_ENDPOINT_TEXT_MAX];
+    GString *flow = g_string_new(NULL);
+    format_flow(flow, flow_of(agent, action));
+    if (action->kind == RP_ACTION_PASS) {
+        g_string_append_printf(flow, " next=%s tried=%u/%u",
+                               RpEndpoint_Format(action->next, text),
+                               action->chain.visited, action->chain.count);
+    }
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, event,
+                "flow=%s reason=%s busy=%u slots=%u flows=%u host=%s "
+                "revision=%" G_GUINT64_FORMAT,
+                flow->str, RpCounter_Name(action->reason), load.busy,
+                load.slots, load.flows, agent->host.last.id.data,
+                RpTable_Revision(RpUplink_Table(agent->uplink)));
+    g_string_free(flow, TRUE);
+}
+
+/* The first packet of a request, with the id that its caller gave it. */
+static void
+log_request(struct agent *agent, const struct rp_packet *packet)
+{
+    const struct rp_codec_ops *ops = agent->codec->ops;
+    struct rp_str id = ops->request_id ? ops->request_id(packet)
+                                       : (struct rp_str){0};
+    GString *line = g_string_new("flow=");
+
+    format_flow(line, packet->key);
+    g_string_append(line, " id=");
+    RpLog_Quote(line, id);
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "request_received", "%s",
+                line->str);
+    g_string_free(line, TRUE);
+}
+
+static void
+log_answer(struct agent *agent, const struct rp_packet *packet)
+{
+    GString *flow = g_string_new(NULL);
+
+    format_flow(flow, RpFlowKey_Reverse(packet->key));
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "answer_began",
+                "flow=%s after_ms=%.1f", flow->str,
+                (double)agent->actions.answer_us / (double)RP_US_PER_MS);
+    g_string_free(flow, TRUE);
 }
 
 /* Sends an action's bytes. What was just received stays valid until the
@@ -248,6 +352,7 @@
     if (RpGeneve_Parse(data, len, ops->protocol, geneve, &reason) &&
         ops->parse(geneve->inner, geneve->inner_len, packet, &reason)) {
         agent->received = packet->data;
+        agent->received_flow = packet->key;
         return true;
     }
     RpCounters_Add(&agent->daemon.counters, reason);
@@ -268,6 +373,8 @@
     if (ops->parse(data, len, packet, &reason)) {
         packet->returned = returned;
         agent->received = data;
+        agent->received_flow = returned ? packet->key
+                                        : RpFlowKey_Reverse(packet->key);
         return true;
     }
     RpCounters_Add(&agent->daemon.counters, reason);
@@ -280,7 +387,7 @@
 {
     for (size_t i = 0; i < agent->actions.count; i++) {
         const struct rp_action *action = &agent->actions.item[i];
-        if (action->kind == RP_ACTION_DROP) {
+        if (action->kind == RP_ACTION_DROP && !event_of(action->reason)) {
             drop(agent, action->reason, from);
         }
     }
@@ -307,6 +414,9 @@
         int64_t now = RpClock_Now();
         RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
                            &agent->actions);
+        if (agent->actions.begins_request) {
+            log_request(agent, &packet);
+        }
         log_drops(agent, from);
         carry_out_all(agent);
         /* What the gate lets go must not be overtaken by the next packet. */
@@ -328,6 +438,9 @@
     if (good) {
         int64_t now = RpClock_Now();
         RpAgent_FromHost(agent->flows, now, &packet, &agent->actions);
+        if (agent->actions.begins_answer) {
+            log_answer(agent, &packet);
+        }
         log_drops(agent, from);
         carry_out_all(agent);
         /* An answer may have freed a slot that a request waits for. */
@@ -801,6 +914,11 @@
                         on_stop, &agent)) {
         return agent.daemon.exit_code;
     }
+    RpLog_SetBudget(agent.daemon.log, "flow_admitted", FLOW_LINES);
+    RpLog_SetBudget(agent.daemon.log, "request_received", FLOW_LINES);
+    RpLog_SetBudget(agent.daemon.log, "answer_began", FLOW_LINES);
+    RpLog_SetBudget(agent.daemon.log, "flow_refused", FLOW_LINES);
+    RpLog_SetBudget(agent.daemon.log, "flow_passed_on", FLOW_LINES);
     if (!start(&agent)) {
         return RP_EXIT_FAILED;
     }
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -7,6 +7,9 @@
 
 #define STOP_LINGER_MAX 300 /* seconds */
 #define ZONE_WEIGHT_MAX 100
+/* Log lines a second for decisions on new flows: at the crest a balancer of
+ * today gets about 80. */
+#define FLOW_LINES 100
 
 struct balancer_settings {
     struct rp_common_settings common;
@@ -112,6 +115,29 @@
            ops->parse(geneve.inner, geneve.inner_len, packet, reason);
 }
 
+/* One line for each new flow: where it was sent, and by which table. */
+static void
+log_route(struct balancer *balancer, const struct rp_packet *packet,
+          const struct rp_route *route)
+{
+    const struct rp_table *table = RpUplink_Table(balancer->uplink);
+    char caller[RP_ENDPOINT_TEXT_MAX];
+    char address[RP_ENDPOINT_TEXT_MAX];
+    char next[RP_ENDPOINT_TEXT_MAX];
+
+    RpEndpoint_Format(RpFlowKey_Source(packet->key), caller);
+    RpEndpoint_Format(RpFlowKey_Target(packet->key), address);
+    RpEndpoint_Format(route->chain.hop[0], next);
+    RpLog_Event(balancer->daemon.log, RP_LOG_INFO,
+                route->kind == RP_ROUTE_SEND ? "flow_routed" : "flow_unrouted",
+                "flow=%s>%s reason=%s copy=%u service=%u next=%s "
+                "candidates=%u revision=%" G_GUINT64_FORMAT " gathering=%d",
+                caller, address, RpCounter_Name(route->reason), packet->copy,
+                route->tag.service_id, route->chain.count ? next : "none",
+                route->chain.count, RpTable_Revision(table),
+                RpTable_IsGathering(table));
+}
+
 static void
 on_datagram(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
 {
@@ -126,8 +152,11 @@
         return;
     }
     RpBalancer_Route(RpUplink_Table(balancer->uplink), &packet, &route);
+    if (RpPacket_Opens(&packet)) {
+        log_route(balancer, &packet, &route);
+    }
     if (route.kind == RP_ROUTE_DROP) {
-        drop(balancer, route.reason, from);
+        RpCounters_Add(&balancer->daemon.counters, route.reason);
         return;
     }
     RpCounters_Add(&balancer->daemon.counters, route.reason);
@@ -289,6 +318,8 @@
                         on_stop, &balancer)) {
         return daemon->exit_code;
     }
+    RpLog_SetBudget(daemon->log, "flow_routed", FLOW_LINES);
+    RpLog_SetBudget(daemon->log, "flow_unrouted", FLOW_LINES);
     balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
                                       &all_services, &uplink_ops, &balancer);
     RpUplink_PreferZone(balancer.uplink, &balancer.settings.common.zone,
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -13,6 +13,8 @@
 /* How often the settings file is looked at, in case it changes without a
  * signal. Seconds. */
 #define WATCH_SECONDS 5
+/* How often the log tells what it left out. Seconds. */
+#define REPORT_SECONDS 2
 
 void
 RpDaemon_PrintFindings(const struct rp_error *error)
@@ -78,6 +80,16 @@
     return code == RP_OK;
 }
 
+static gboolean
+on_report(gpointer data)
+{
+    struct rp_daemon *daemon = data;
+
+    RpLog_Report(daemon->log);
+    daemon->counters.value[RP_COUNT_LOG_LINES_LOST] = RpLog_Lost(daemon->log);
+    return G_SOURCE_CONTINUE;
+}
+
 bool
 RpDaemon_Start(struct rp_daemon *daemon, enum rp_role role,
                const struct rp_common_settings *settings, RpDaemon_Stop stop,
@@ -101,6 +113,7 @@
         .counters = &daemon->counters,
         .log = daemon->log};
     daemon->loop = g_main_loop_new(NULL, FALSE);
+    g_timeout_add_seconds(REPORT_SECONDS, on_report, daemon);
 
     daemon->stop = stop;
     daemon->stop_user = user;
--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -41,6 +41,7 @@
             name, RpCounter_Help((enum rp_counter)i), name, name, admin->role,
             admin->counters->value[i]);
     }
+    RpHistograms_Format(&admin->counters->histograms, admin->role, out);
     GString *gauges = g_string_new(NULL);
     admin->ops->gauges(admin->user, gauges);
     gchar **lines = g_strsplit(gauges->str, "\n", -1);
--- a/tests/golden/print_counters.c
+++ b/tests/golden/print_counters.c
@@ -13,5 +13,12 @@
         printf("| `%s` | %s |\n", RpCounter_Name((enum rp_counter)i),
                RpCounter_Help((enum rp_counter)i));
     }
+    printf("\n# Histograms\n\nOn the admin page each is `radishport_NAME`, in "
+           "seconds, with buckets from\n1 ms to 10 s. Made from "
+           "`lib/common/rp_histogram.h`.\n\n| name | time |\n|---|---|\n");
+    for (int i = 0; i < RP_HISTOGRAM_COUNT; i++) {
+        printf("| `%s` | %s |\n", RpHistogram_Name((enum rp_histogram_id)i),
+               RpHistogram_Help((enum rp_histogram_id)i));
+    }
     return 0;
 }
