radishport explain: one request's story from log lines; operators' page

Reads the log lines of all processes, finds the flow of an id, prints its lines in order, what is missing, and what the processes that took part came to believe around it.

--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -91,5 +91,6 @@
 int RpCli_UpstreamDrain(int argc, char **argv);
 int RpCli_UpstreamResume(int argc, char **argv);
 int RpCli_Status(int argc, char **argv);
+int RpCli_Explain(int argc, char **argv);
 
 #endif
--- a/programs/cli/main.c
+++ b/programs/cli/main.c
@@ -23,6 +23,8 @@
      "let an upstream finish its flows and take no new ones"},
     {"upstream", "resume", RpCli_UpstreamResume, "let it take new ones again"},
     {NULL, "status", RpCli_Status, "one look at the whole system"},
+    {NULL, "explain", RpCli_Explain,
+     "tell from log lines what happened to one request"},
 };
 
 static void
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -59,6 +59,31 @@
     fail "golden settings"
 fi
 
+# Three failed requests, from an id to the cause, by log lines of real runs.
+# The operators' page names the same events.
+while read -r story query; do
+    "$BUILD/programs/radishport" explain "$query" \
+        "tests/golden/explain/$story.log"
+    echo "exit $?"
+done < tests/golden/explain/queries > "$BUILD/explain.out"
+golden=tests/golden/explain/expected
+[ "${UPDATE:-}" = 1 ] && cp "$BUILD/explain.out" "$golden"
+if diff -u "$golden" "$BUILD/explain.out"; then
+    pass "golden explain"
+else
+    fail "golden explain"
+fi
+missing=""
+for event in $(grep -o 'event=[a-z_]*' docs/OPERATIONS.md | sort -u); do
+    grep -rqF "\"${event#event=}\"" lib programs platform ||
+        missing="$missing $event"
+done
+if [ -z "$missing" ]; then
+    pass "events that the operators' page names"
+else
+    fail "events that the operators' page names:$missing"
+fi
+
 "$BUILD/tests/print-counters" > "$BUILD/COUNTERS.out"
 [ "${UPDATE:-}" = 1 ] && cp "$BUILD/COUNTERS.out" docs/COUNTERS.md
 if diff -u docs/COUNTERS.md "$BUILD/COUNTERS.out"; then
