Open flows stay where they are when shares between services change

Cause (found by reading, no run): a balancer draws the service behind a virtual address from the weights in force. When they change, a share of the open flows is drawn to the other service, whose agents dropped their packets. Change: an agent whose service has no owner for a packet passes it on to a sibling behind the same address, once; agents see the services that share an address with theirs.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -53,6 +53,7 @@
     /* Open flows at an agent. */                                             \
     X(FLOW_PASSED, "flow_packet_passed", "packets of others' flows")          \
     X(REQUEST_HELD, "request_held", "requests that waited at the gate")       \
+    X(PASS_SIBLING, "pass_sibling", "packets passed to a sibling service")    \
     X(FLOW_CLOSED, "flow_closed", "flows closed by their ends")               \
     X(FLOW_ASKED, "flow_asked", "unknown flows asked of the host")            \
     X(FLOW_RELEARNED, "flow_relearned", "flows found to be the host's")       \
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -18,6 +18,7 @@
 /* What changed since the last flush. */
 struct pending {
     GHashTable *touched;  /* names of services, as struct rp_name */
+    GHashTable *shared;   /* names: agents of siblings may lack them */
     GArray *removed;      /* of struct removed_service */
     GArray *vips;         /* of struct rp_msg_vip: new or changed */
     GArray *removed_vips; /* of struct rp_msg_removed_vip */
@@ -30,6 +31,7 @@
 struct removed_service {
     struct rp_name name;
     uint32_t id;
+    bool maybe_shared; /* agents of other services may have seen it */
 };
 
 struct rp_distribution {
@@ -80,6 +82,8 @@
                                                 NULL, g_free);
     distribution->pending.touched = g_hash_table_new_full(
         RpName_Hash, RpName_EqualKeys, g_free, NULL);
+    distribution->pending.shared = g_hash_table_new_full(
+        RpName_Hash, RpName_EqualKeys, g_free, NULL);
     distribution->pending.removed = g_array_new(
         FALSE, TRUE, sizeof(struct removed_service));
     distribution->pending.vips = RpSchema_NewList(&rp_msg_vip_schema);
@@ -99,6 +103,7 @@
     if (distribution) {
         g_hash_table_destroy(distribution->nodes);
         g_hash_table_destroy(distribution->pending.touched);
+        g_hash_table_destroy(distribution->pending.shared);
         g_array_free(distribution->pending.removed, TRUE);
         clear_vips(distribution->pending.vips);
         g_array_free(distribution->pending.vips, TRUE);
@@ -169,11 +174,46 @@
     g_array_append_val(services, service);
 }
 
-/* Whether a node with this subscription sees the service. */
 static bool
-sees(const struct node *node, const struct rp_name *service)
+leads_to(const struct rp_edition_vip *vip, const struct rp_name *service)
+{
+    for (guint i = 0; i < vip->targets->len; i++) {
+        const struct rp_edition_target *target = &g_array_index(
+            vip->targets, struct rp_edition_target, i);
+        if (RpName_Equal(&target->service, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether two services share a virtual address: then flows of the one may
+ * have been placed when their shares were different. */
+static bool
+are_siblings(const struct rp_distribution *distribution,
+             const struct rp_name *a, const struct rp_name *b)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(
+        distribution->catalog);
+
+    for (guint i = 0; edition && i < edition->vips->len; i++) {
+        const struct rp_edition_vip *vip = &g_array_index(
+            edition->vips, struct rp_edition_vip, i);
+        if (vip->targets->len > 1 && leads_to(vip, a) && leads_to(vip, b)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a node with this subscription sees the service: an agent sees its
+ * own and those that share a virtual address with it. */
+static bool
+sees(const struct rp_distribution *distribution, const struct node *node,
+     const struct rp_name *service)
 {
-    return node->service.len == 0 || RpName_Equal(&node->service, service);
+    return node->service.len == 0 || RpName_Equal(&node->service, service) ||
+           are_siblings(distribution, &node->service, service);
 }
 
 static void
@@ -312,12 +352,16 @@
 }
 
 static void
-add_all_services(const struct rp_distribution *distribution, GArray *services)
+add_seen_services(const struct rp_distribution *distribution,
+                  const struct node *node, GArray *services)
 {
     GPtrArray *entries = RpCatalog_List(distribution->catalog);
 
     for (guint i = 0; i < entries->len; i++) {
-        add_service(distribution, g_ptr_array_index(entries, i), services);
+        const struct rp_entry *entry = g_ptr_array_index(entries, i);
+        if (sees(distribution, node, &entry->name)) {
+            add_service(distribution, entry, services);
+        }
     }
     g_ptr_array_unref(entries);
 }
@@ -328,44 +372,47 @@
     struct rp_msg msg;
 
     start_table(distribution, &msg, true);
-    if (node->service.len == 0) {
-        add_all_services(distribution, msg.table.services);
-    }
-    else {
-        const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
-                                                      &node->service);
-        if (entry) {
-            add_service(distribution, entry, msg.table.services);
-        }
-    }
+    add_seen_services(distribution, node, msg.table.services);
     add_all_vips(distribution, node, msg.table.vips);
     node->served = true;
     distribution->send(distribution->user, node->connection, &msg);
     RpMsg_Clear(&msg);
 }
 
+/* Adds the services of a set of names that the node sees. */
 static void
-send_change(struct rp_distribution *distribution, const struct node *node)
+add_named(const struct rp_distribution *distribution, const struct node *node,
+          GHashTable *names, GArray *services)
 {
-    const struct pending *pending = &distribution->pending;
     GHashTableIter iter;
     gpointer key;
-    struct rp_msg msg;
 
-    start_table(distribution, &msg, false);
-    g_hash_table_iter_init(&iter, pending->touched);
+    g_hash_table_iter_init(&iter, names);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
                                                       key);
-        if (entry && sees(node, &entry->name)) {
-            add_service(distribution, entry, msg.table.services);
+        if (entry && sees(distribution, node, &entry->name)) {
+            add_service(distribution, entry, services);
         }
     }
+}
+
+static void
+send_change(struct rp_distribution *distribution, const struct node *node)
+{
+    const struct pending *pending = &distribution->pending;
+    struct rp_msg msg;
+
+    start_table(distribution, &msg, false);
+    add_named(distribution, node, pending->touched, msg.table.services);
+    if (node->service.len > 0) {
+        add_named(distribution, node, pending->shared, msg.table.services);
+    }
     for (guint i = 0; i < pending->removed->len; i++) {
         const struct removed_service *gone = &g_array_index(
             pending->removed, struct removed_service, i);
         const struct rp_msg_removed row = {.id = gone->id};
-        if (sees(node, &gone->name)) {
+        if (gone->maybe_shared || sees(distribution, node, &gone->name)) {
             g_array_append_val(msg.table.removed, row);
         }
     }
@@ -482,6 +529,25 @@
     set_deadline(distribution, now);
 }
 
+/* Whether the service shares a virtual address: agents of others may see it
+ * only since this edition. */
+static bool
+is_shared(const struct rp_distribution *distribution,
+          const struct rp_name *service)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(
+        distribution->catalog);
+
+    for (guint i = 0; edition && i < edition->vips->len; i++) {
+        const struct rp_edition_vip *vip = &g_array_index(
+            edition->vips, struct rp_edition_vip, i);
+        if (vip->targets->len > 1 && leads_to(vip, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 RpDistribution_TouchEdition(struct rp_distribution *distribution, int64_t now)
 {
@@ -504,12 +570,20 @@
         if (entry->revision == RpCatalog_Revision(distribution->catalog)) {
             RpDistribution_Touch(distribution, now, &entry->name);
         }
+        if (is_shared(distribution, &entry->name)) {
+            g_hash_table_add(distribution->pending.shared,
+                             g_memdup2(&entry->name, sizeof entry->name));
+        }
     }
     g_hash_table_iter_init(&iter, known);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         if (g_hash_table_lookup(distribution->plain, key) != value) {
             RpDistribution_Remove(distribution, now, key,
                                   GPOINTER_TO_UINT(value));
+            g_array_index(distribution->pending.removed,
+                          struct removed_service,
+                          distribution->pending.removed->len - 1)
+                .maybe_shared = true;
         }
     }
     g_hash_table_destroy(known);
@@ -624,6 +698,7 @@
     serve_nodes(distribution);
     review_nodes(distribution, now);
     g_hash_table_remove_all(pending->touched);
+    g_hash_table_remove_all(pending->shared);
     g_array_set_size(pending->removed, 0);
     clear_vips(pending->vips);
     g_array_set_size(pending->removed_vips, 0);
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -42,6 +42,7 @@
     size_t len;
     struct rp_endpoint next;
     struct rp_chain chain;
+    struct rp_service_tag tag; /* of a packet that is passed on */
 };
 
 struct rp_actions {
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -32,6 +32,7 @@
     action->len = len;
     action->chain = *chain;
     action->next = next;
+    action->tag = agent->service->tag;
 }
 
 static void
@@ -335,6 +336,41 @@
                         0);
 }
 
+/* Another service behind the same virtual address may have the flow: shares
+ * of new flows change, and open flows stay where they are. Moves the packet
+ * on to it, once; the chain's mark says that this was done. */
+static bool
+pass_to_sibling(struct rp_agent *agent, const struct rp_packet *packet,
+                const struct rp_chain *chain, struct rp_actions *actions)
+{
+    const struct rp_vip *vip = RpTable_FindVip(agent->table,
+                                               RpFlowKey_Target(packet->key));
+    uint64_t hash = RpTable_HashFlow(agent->table, packet->key);
+
+    for (size_t i = 0; vip && !chain->forced && i < vip->count; i++) {
+        const struct rp_service *service = RpTable_FindId(
+            agent->table, vip->targets[i].service_id);
+        const struct rp_member *ranked[RP_MAX_CHAIN];
+        struct rp_chain fresh = {
+            .best_share = RP_CHAIN_NO_SHARE, .forced = true, .visited = 1};
+        if (!service || service == agent->service) {
+            continue;
+        }
+        size_t count = RpService_Rank(service, hash, RP_MEMBERS_SERVING,
+                                      ranked, RP_CHAIN_LENGTH);
+        for (size_t j = 0; j < count; j++) {
+            RpChain_Append(&fresh, ranked[j]->agent);
+        }
+        if (count > 0) {
+            pass_action(agent, actions, RP_COUNT_PASS_SIBLING, packet->data,
+                        packet->len, &fresh, fresh.hop[0]);
+            actions->item[actions->count - 1].tag = service->tag;
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Nobody is left to pass a packet to. */
 static void
 give_up(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
@@ -373,7 +409,9 @@
         return;
     }
     if (!found) {
-        give_up(agent, now, flow, packet, actions);
+        if (!pass_to_sibling(agent, packet, chain, actions)) {
+            give_up(agent, now, flow, packet, actions);
+        }
         return;
     }
     if (flow && flow->state == RP_FLOW_REDIRECT) {
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -326,6 +326,12 @@
     return g_hash_table_lookup(table->vips, &key);
 }
 
+const struct rp_service *
+RpTable_FindId(const struct rp_table *table, uint32_t id)
+{
+    return g_hash_table_lookup(table->by_id, GUINT_TO_POINTER(id));
+}
+
 const struct rp_service *
 RpTable_FindName(const struct rp_table *table, const struct rp_name *name)
 {
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -112,6 +112,10 @@
                                          struct rp_endpoint address,
                                          uint64_t flow_hash);
 
+/* The service with this id, or NULL. */
+const struct rp_service *RpTable_FindId(const struct rp_table *table,
+                                        uint32_t id);
+
 /* The service of a name, or NULL. */
 const struct rp_service *RpTable_FindName(const struct rp_table *table,
                                           const struct rp_name *name);
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -324,7 +324,7 @@
         send_action(agent, agent->balancer_side, fabric, header, len, action);
         break;
     case RP_ACTION_PASS:
-        len = RpGeneve_Write(header, ops->protocol, &agent->service->tag,
+        len = RpGeneve_Write(header, ops->protocol, &action->tag,
                              &action->chain);
         send_action(agent, agent->balancer_side, action->next, header, len,
                     action);
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -8,6 +8,8 @@
  *   agent NAME SLOTS [FROM UNTIL] starts the agent of that member; its host
  *                                 starts cold from and until these MS
  *   start-bare NAME SLOTS         the same without a table
+ *   sibling ID ADDR:PORT NAME     both services are behind this address; the
+ *                                 other has member NAME
  *   at MS                         sets the time
  *   caller FLAGS PORT SEQ ACK LEN CHAIN [tag ID INCARNATION]
  *                                       [best INDEX SHARE [forced]]
@@ -41,6 +43,8 @@
 struct session {
     struct rp_msg table;
     struct rp_msg_service service;
+    struct rp_msg_service sibling; /* id 0: there is none */
+    struct rp_msg_vip vip;
     struct rp_table *routes;
     struct rp_chart chart;
     struct rp_counters counters;
@@ -139,6 +143,9 @@
     }
     if (action->kind == RP_ACTION_PASS) {
         printf(" next=%c", name_of(action->next));
+        if (action->tag.service_id != session->service.id) {
+            printf(" service=%u", action->tag.service_id);
+        }
         print_chain(&action->chain);
     }
     printf("\n");
@@ -161,13 +168,19 @@
         .services = RpSchema_NewList(&rp_msg_service_schema)};
 
     g_array_append_val(table.services, session->service);
+    if (session->sibling.id) {
+        table.vips = RpSchema_NewList(&rp_msg_vip_schema);
+        g_array_append_val(table.services, session->sibling);
+        g_array_append_val(table.vips, session->vip);
+    }
     RpTable_Apply(session->routes, &table);
     g_array_free(table.services, TRUE);
+    if (table.vips) {
+        g_array_free(table.vips, TRUE);
+    }
     if (session->agent) {
-        struct rp_endpoint address = {.ip = session->service.address,
-                                      .port = session->service.port};
         RpAgent_SetTable(session->agent, session->routes,
-                         RpTable_Find(session->routes, address));
+                         RpTable_FindId(session->routes, session->service.id));
     }
 }
 
@@ -216,6 +229,33 @@
     set_table(session);
 }
 
+static void
+do_sibling(struct session *session, const char **words)
+{
+    struct rp_msg_member member = {.agent_ip = endpoint_of(words[3]).ip,
+                                   .agent_port = 1,
+                                   .slots = 2,
+                                   .state = RP_UPSTREAM_READY};
+    struct rp_msg_target target = {.service_id = session->service.id,
+                                   .weight = 1};
+    struct rp_endpoint address;
+
+    RpEndpoint_Parse(RpStr_FromC(words[2]), &address);
+    RpName_Set(&member.upstream, RpStr_FromC(words[3]));
+    session->sibling.id = number(words[1]);
+    session->sibling.incarnation = 1;
+    session->sibling.members = RpSchema_NewList(&rp_msg_member_schema);
+    g_array_append_val(session->sibling.members, member);
+    session->vip = (struct rp_msg_vip){
+        .address = address.ip,
+        .port = address.port,
+        .targets = RpSchema_NewList(&rp_msg_target_schema)};
+    g_array_append_val(session->vip.targets, target);
+    target.service_id = session->sibling.id;
+    g_array_append_val(session->vip.targets, target);
+    set_table(session);
+}
+
 static void
 do_agent(struct session *session, const char **words, bool with_table)
 {
@@ -292,10 +332,17 @@
 static struct rp_flow_key
 caller_key(const struct session *session, const char *port)
 {
+    struct rp_endpoint address = {.ip = session->service.address,
+                                  .port = session->service.port};
+
+    if (session->sibling.id) {
+        address = (struct rp_endpoint){.ip = session->vip.address,
+                                       .port = session->vip.port};
+    }
     return (struct rp_flow_key){.src_ip = CALLER_IP,
                                 .src_port = (uint16_t)number(port),
-                                .dst_ip = session->service.address,
-                                .dst_port = session->service.port};
+                                .dst_ip = address.ip,
+                                .dst_port = address.port};
 }
 
 static void
@@ -431,6 +478,9 @@
     else if (!strcmp(words[0], "format")) {
         session->codec = &rp_codec_platform;
     }
+    else if (!strcmp(words[0], "sibling")) {
+        do_sibling(session, words);
+    }
     else if (!strcmp(words[0], "returned")) {
         do_returned(session, words);
     }
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -307,6 +307,8 @@
     assert_int_equal(sent[1].services, 0);
     assert_int_equal(sent[2].vips, 1);
     assert_true(leads_to(sent[1].table, 0x0a010001, 443, "lens"));
+    /* The agent of one service sees the other behind its address. */
+    assert_int_equal(RpTable_Count(sent[2].table), 2);
 
     expect(catalog,
            "{\"version\":13,\"routes\":[" ROUTE(
