Property of first groups: 4 and 6 replicas, two disks lost, reads checked

A second property run starts 4 or 6 replicas together as a first group; of 6 two lose their disks at the same moment.

--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -7,8 +7,13 @@
  * - nothing acknowledged is lost, changed or applied twice;
  * - a replica that says it is fresh has applied all that was acknowledged
  *   before the lease began;
+ * - a read that a majority has confirmed shows all that was acknowledged
+ *   before it began;
  * - once the faults end, the system takes changes again.
  *
+ * A second property starts 4 or 6 replicas together as a first group; 6 of
+ * them lose two disks at once.
+ *
  * RP_SEED=N runs that seed alone; RP_SEEDS=N runs 1 to N. */
 #include <glib.h>
 #include <stdlib.h>
@@ -18,11 +23,12 @@
 #include "rp_replica.h"
 #include "seeds.h"
 
-#define MAX_SLOTS 5 /* instances */
+#define MAX_SLOTS 6 /* instances */
 #define STEP_US (20 * RP_US_PER_MS)
 #define FAULT_STEPS 1500
 #define CALM_STEPS 1500
 #define DEFAULT_SEEDS 250
+#define GROUP_SEEDS 100
 
 /* Seeds beyond those that found a fault once. */
 static const uint32_t extra_seeds[] = {852,  1318, 1572, 2418, 5066, 5446,
@@ -48,6 +54,9 @@
     GString *state; /* applied commands, "1,2,3," */
     uint64_t applied;
     uint64_t since_compact;
+    uint64_t read_term; /* of a read under way */
+    uint64_t read_round;
+    guint read_from; /* commands acknowledged before it; 0: no read */
 };
 
 struct flight {
@@ -69,8 +78,10 @@
     GPtrArray *history;       /* command by index, as GString; NULL: none */
     GHashTable *proposed;     /* index -> command number, by the last leader */
     GHashTable *acknowledged; /* command number -> 1 */
+    GArray *in_order;         /* the same, as guint */
     unsigned next_command;
     bool faulty;
+    bool group; /* all were started together */
 };
 
 #define CHECK(world, condition, text)                                         \
@@ -272,7 +283,9 @@
     if (RpReplica_Role(instance->replica) == RP_REPLICA_LEADER && number &&
         GPOINTER_TO_UINT(number) ==
             (guint)strtoul(entry->data->str, NULL, 10)) {
+        guint acknowledged = GPOINTER_TO_UINT(number);
         g_hash_table_add(world->acknowledged, number);
+        g_array_append_val(world->in_order, acknowledged);
     }
 }
 
@@ -384,6 +397,49 @@
     g_string_free(command, TRUE);
 }
 
+/* How often a command stands in a state. */
+static unsigned
+count_command(const GString *state, guint number)
+{
+    gchar *wanted = g_strdup_printf("%u", number);
+    gchar **commands = g_strsplit(state->str, ",", -1);
+    unsigned count = 0;
+
+    for (gchar **command = commands; *command; command++) {
+        count += !strcmp(*command, wanted);
+    }
+    g_strfreev(commands);
+    g_free(wanted);
+    return count;
+}
+
+/* Begins a read, or checks the one that is under way. */
+static void
+read_state(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+
+    if (instance->read_from == 0) {
+        instance->read_term = RpReplica_Term(instance->replica);
+        instance->read_round = RpReplica_StartRead(instance->replica,
+                                                   clock_of(world, instance));
+        instance->read_from = instance->read_round ? world->in_order->len : 0;
+        carry_out(world, slot);
+        return;
+    }
+    if (RpReplica_ReadIsSafe(instance->replica, instance->read_term,
+                             instance->read_round)) {
+        guint newest = g_array_index(world->in_order, guint,
+                                     instance->read_from - 1);
+        CHECK(world, count_command(instance->state, newest) == 1,
+              "a confirmed read misses what was acknowledged before it");
+        instance->read_from = 0;
+    }
+    else if (RpReplica_Term(instance->replica) != instance->read_term) {
+        instance->read_from = 0;
+    }
+}
+
 /* Replicas that are not members ask the others to let them in. */
 static void
 ask_to_join(struct world *world, unsigned slot)
@@ -429,6 +485,18 @@
     return full + 1 == world->slots;
 }
 
+/* A second disk is lost at the same moment. */
+static void
+lose_disk(struct world *world, unsigned slot)
+{
+    struct instance *instance = &world->instances[slot];
+
+    stop_instance(world, slot);
+    wipe_disk(&instance->disk);
+    instance->id = ++world->next_id;
+    instance->down = 1 + roll(world, 50);
+}
+
 static void
 break_something(struct world *world)
 {
@@ -469,6 +537,9 @@
             wipe_disk(&instance->disk);
             instance->id = ++world->next_id;
             instance->down = 1 + roll(world, 50);
+            if (world->slots == MAX_SLOTS && other != slot) {
+                lose_disk(world, other);
+            }
         }
     }
 }
@@ -497,16 +568,38 @@
         if (is_running(world, i) && roll(world, 5) == 0) {
             propose(world, i);
         }
+        if (world->group && is_running(world, i)) {
+            read_state(world, i);
+        }
     }
     deliver(world);
 }
 
+/* All make the same first entry. */
+static void
+start_group(struct world *world)
+{
+    GArray *members = RpSchema_NewList(&rp_replica_member_schema);
+
+    for (unsigned i = 0; i < world->slots; i++) {
+        struct rp_replica_member member = member_of(world, i);
+        member.voter = 1;
+        g_array_append_val(members, member);
+    }
+    for (unsigned i = 0; i < world->slots; i++) {
+        RpReplica_BootstrapGroup(world->instances[i].replica, members);
+        carry_out(world, i);
+    }
+    g_array_free(members, TRUE);
+}
+
 static void
 start_world(struct world *world, uint32_t seed)
 {
     world->seed = seed;
     world->dice = g_rand_new_with_seed(seed);
-    world->slots = seed % 2 ? 3 : 5;
+    world->slots = world->group ? (seed % 2 ? 4 : 6) : (seed % 2 ? 3 : 5);
+    world->in_order = g_array_new(FALSE, FALSE, sizeof(guint));
     world->now = 1000 * RP_US_PER_SECOND;
     world->flights = g_ptr_array_new();
     world->leaders = g_hash_table_new(NULL, NULL);
@@ -521,6 +614,10 @@
         wipe_disk(&instance->disk);
         start_instance(world, i);
     }
+    if (world->group) {
+        start_group(world);
+        return;
+    }
     struct rp_replica_member first = member_of(world, 0);
     RpReplica_Bootstrap(world->instances[0].replica, &first);
     carry_out(world, 0);
@@ -552,25 +649,10 @@
     g_hash_table_destroy(world->leaders);
     g_hash_table_destroy(world->proposed);
     g_hash_table_destroy(world->acknowledged);
+    g_array_free(world->in_order, TRUE);
     g_rand_free(world->dice);
 }
 
-/* How often a command stands in a state. */
-static unsigned
-count_command(const GString *state, guint number)
-{
-    gchar *wanted = g_strdup_printf("%u", number);
-    gchar **commands = g_strsplit(state->str, ",", -1);
-    unsigned count = 0;
-
-    for (gchar **command = commands; *command; command++) {
-        count += !strcmp(*command, wanted);
-    }
-    g_strfreev(commands);
-    g_free(wanted);
-    return count;
-}
-
 static void
 check_end(struct world *world)
 {
@@ -598,11 +680,12 @@
 }
 
 static unsigned
-run_seed(uint32_t seed)
+run_world(uint32_t seed, bool group)
 {
     static struct world world;
 
     memset(&world, 0, sizeof world);
+    world.group = group;
     start_world(&world, seed);
     for (int i = 0; i < 300; i++) {
         step(&world); /* the others join */
@@ -642,6 +725,30 @@
     return acknowledged;
 }
 
+static unsigned
+run_seed(uint32_t seed)
+{
+    return run_world(seed, false);
+}
+
+static unsigned
+run_group_seed(uint32_t seed)
+{
+    return run_world(seed, true);
+}
+
+static void
+test_group_property(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    unsigned acknowledged = run_seeds(run_group_seed, GROUP_SEEDS, NULL, 0,
+                                      &ran);
+    print_message("%u seeds of groups, %u commands acknowledged\n", ran,
+                  acknowledged);
+}
+
 static void
 test_agreement_property(void **state)
 {
@@ -659,6 +766,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_agreement_property),
+        cmocka_unit_test(test_group_property),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
