A replica that wants in is heard by followers, too

Cause: a replica whose disk was lost asks those that its settings name to let it in, and followers dropped the wish. Change: a follower passes the wish on to the leader once.

--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -368,6 +368,10 @@
 RpReplica_Receive(struct rp_replica *replica, int64_t now,
                   const struct rp_msg *msg)
 {
+    if (msg->type == RP_MSG_JOIN) {
+        RpReplica_Join(replica, now, &msg->join.member, true);
+        return;
+    }
     if (addressee(msg) != replica->id) {
         return;
     }
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -130,10 +130,11 @@
 const struct rp_replica_member *
 RpReplica_Leader(const struct rp_replica *replica);
 
-/* Leader: a replica wants to be a member. Done in steps; it asks again
- * until it is. */
+/* A replica wants to be a member. The leader lets it in, in steps; it asks
+ * again until it is one. Any other passes the wish on to the leader, which
+ * the new one may not know, unless it was `passed_on` already. */
 void RpReplica_Join(struct rp_replica *replica, int64_t now,
-                    const struct rp_replica_member *member);
+                    const struct rp_replica_member *member, bool passed_on);
 
 /* Replaces the log up to the last applied entry by `data`, the state that
  * they lead to. Store RpReplica_Snapshot and the entries left. */
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -57,10 +57,27 @@
     return -1;
 }
 
+static void
+pass_on_join(struct rp_replica *replica,
+             const struct rp_replica_member *member)
+{
+    struct rp_msg msg = {.type = RP_MSG_JOIN, .join = {.member = *member}};
+
+    if (replica->leader != 0 && replica->leader != replica->id) {
+        RpReplica_SendTo(replica, replica->leader, &msg);
+    }
+}
+
 void
 RpReplica_Join(struct rp_replica *replica, int64_t now,
-               const struct rp_replica_member *member)
+               const struct rp_replica_member *member, bool passed_on)
 {
+    if (replica->role != RP_REPLICA_LEADER) {
+        if (!passed_on) {
+            pass_on_join(replica, member);
+        }
+        return;
+    }
     const struct rp_replica_member *known = RpReplica_FindMember(replica,
                                                                  member->id);
     int same_seat = find_same_seat(replica, member);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -199,7 +199,7 @@
                                .join = {.member = self_as_member(control)}};
     RpControlLinks_SendAll(links, &msg);
     /* A leader whose own address changed lets itself know. */
-    RpControlReplica_Join(control->replica, now, &msg.join.member);
+    RpControlReplica_Join(control->replica, now, &msg.join.member, true);
 }
 
 void
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -479,7 +479,9 @@
         on_confirm(control, client, msg->confirm.revision);
         break;
     case RP_MSG_JOIN:
-        RpControlReplica_Join(control->replica, now, &msg->join.member);
+        RpControlReplica_Join(
+            control->replica, now, &msg->join.member,
+            !RpName_Equal(&client->hello.name, &msg->join.member.name));
         break;
     default:
         RpControlLinks_Heard(control->links, RpReplica_Sender(msg),
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -509,10 +509,10 @@
 
 void
 RpControlReplica_Join(struct rp_control_replica *self, int64_t now,
-                      const struct rp_replica_member *member)
+                      const struct rp_replica_member *member, bool passed_on)
 {
     if (!self->failed) {
-        RpReplica_Join(self->replica, now, member);
+        RpReplica_Join(self->replica, now, member, passed_on);
         carry_out(self);
     }
 }
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -64,7 +64,8 @@
 void RpControlReplica_Receive(struct rp_control_replica *self, int64_t now,
                               const struct rp_msg *msg);
 void RpControlReplica_Join(struct rp_control_replica *self, int64_t now,
-                           const struct rp_replica_member *member);
+                           const struct rp_replica_member *member,
+                           bool passed_on);
 
 /* Leader: adds a command; it is carried out by RpControlReplica_CarryOut,
  * so that the caller can note `*index` and `*term` first. */
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -451,9 +451,15 @@
         return;
     }
     for (unsigned i = 0; i < world->slots; i++) {
-        if (i != slot && is_running(world, i) && !world->cut[slot][i]) {
+        /* Of a group each knows two others from its settings, and the leader
+         * may be none of them. */
+        bool is_known = !world->group || i == (slot + 1) % world->slots ||
+                        i == (slot + 2) % world->slots;
+        if (i != slot && is_known && is_running(world, i) &&
+            !world->cut[slot][i]) {
             RpReplica_Join(world->instances[i].replica,
-                           clock_of(world, &world->instances[i]), &self);
+                           clock_of(world, &world->instances[i]), &self,
+                           false);
             carry_out(world, i);
         }
     }
