Admission by the latency that callers hope for and the work as measured

Change: the agent learns the mean time of requests that found a free slot; a new flow is refused when even the least busy candidate's queue would take half of the target (70 % for priority 0 and 1).

--- a/lib/flow/rp_admission.c
+++ b/lib/flow/rp_admission.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#define ALL_PERCENT 100
+
 uint8_t
 RpLoad_Share(const struct rp_load *load)
 {
@@ -80,15 +82,29 @@
     return verdict;
 }
 
+uint32_t
+RpLoad_FullShare(const struct rp_load *load)
+{
+    bool important = load->priority <= RP_IMPORTANT_PRIORITY;
+
+    if (load->target_us == 0 || load->work_us == 0) {
+        return important ? RP_FULL_SHARE_IMPORTANT : RP_FULL_SHARE_OTHERS;
+    }
+    /* A request behind `n` slots' worth of others waits n - 1 times the mean
+     * work. */
+    uint64_t percent = important ? RP_WAIT_PERCENT_IMPORTANT
+                                 : RP_WAIT_PERCENT_OTHERS;
+    uint64_t wait_us = load->target_us * percent / ALL_PERCENT;
+    uint64_t share = RP_SHARE_UNIT + wait_us * RP_SHARE_UNIT / load->work_us;
+    return (uint32_t)CLAMP(share, RP_FULL_SHARE_LEAST, RP_SHARE_MAX - 1);
+}
+
 static enum rp_verdict
 bounded_decide(struct rp_admission *policy, const struct rp_load *load,
                enum rp_counter *reason)
 {
-    uint32_t full = load->priority <= RP_IMPORTANT_PRIORITY
-                        ? RP_FULL_SHARE_IMPORTANT
-                        : RP_FULL_SHARE_OTHERS;
-
-    if (load->last && MIN(load->best_share, RpLoad_Share(load)) >= full) {
+    if (load->last &&
+        MIN(load->best_share, RpLoad_Share(load)) >= RpLoad_FullShare(load)) {
         *reason = RP_COUNT_REFUSED_BUSY;
         return RP_VERDICT_REFUSE;
     }
--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -13,15 +13,19 @@
 
 #include "rp_counters.h"
 
-#define RP_SHARE_UNIT 64 /* a share of 64 means: all slots are busy */
+#define RP_SHARE_UNIT 16 /* a share of 16 means: all slots are busy */
 #define RP_SHARE_MAX 255 /* also: no candidate before this one */
 
-/* Work that a host may have, in slots, before requests are refused. A
- * request behind `n` slots' worth of others waits about n - 1 times the mean
- * work; the users' latency targets are 5 to 6 times it, which leaves the
- * rest for the work's own tail and for the network. */
-#define RP_FULL_SHARE_IMPORTANT (RP_SHARE_MAX - 1)
+/* How much of the latency that callers hope for a request may spend waiting
+ * for a slot, in percent: the rest is for its own work, whose tail is several
+ * times its mean, and for the network. Important requests may use more. */
+#define RP_WAIT_PERCENT_IMPORTANT 70
+#define RP_WAIT_PERCENT_OTHERS 50
+/* The share at which requests are refused while the work or the wanted
+ * latency is not known, and the least one that the two may lead to. */
+#define RP_FULL_SHARE_IMPORTANT (4 * RP_SHARE_UNIT)
 #define RP_FULL_SHARE_OTHERS (3 * RP_SHARE_UNIT)
+#define RP_FULL_SHARE_LEAST (2 * RP_SHARE_UNIT)
 /* Priorities up to this one count as important. */
 #define RP_IMPORTANT_PRIORITY 1
 
@@ -35,6 +39,8 @@
     uint8_t best_share;  /* lowest share of those, or RP_SHARE_MAX */
     bool last;           /* no candidate comes after this one */
     uint32_t priority;   /* of the requests behind the address; 0 highest */
+    uint32_t target_us;  /* latency that their callers hope for; 0: unknown */
+    uint32_t work_us;    /* mean time of a request in a slot; 0: unknown */
 };
 
 enum rp_verdict {
@@ -68,9 +74,10 @@
 /* Takes a flow while a slot is free; the last candidate takes it anyway. */
 struct rp_admission *RpAdmission_CreateBound(void);
 
-/* As RpAdmission_CreateLeast, but refuses when the least busy candidate has
- * more work than it can get through in time: more important requests may
- * wait in longer queues than others. */
+/* As RpAdmission_CreateLeast, but refuses when even the least busy candidate
+ * has so much work that a request would spend too much of the latency that
+ * its callers hope for in the queue. More important requests may wait longer
+ * than others. */
 struct rp_admission *RpAdmission_CreateBounded(void);
 
 void RpAdmission_Free(struct rp_admission *policy);
@@ -80,6 +87,9 @@
                                    const struct rp_load *load,
                                    enum rp_counter *reason);
 
+/* The share of the least busy candidate at which a request is refused. */
+uint32_t RpLoad_FullShare(const struct rp_load *load);
+
 /* The load as a share: busy / slots in units of 1 / RP_SHARE_UNIT, at most
  * RP_SHARE_MAX - 1. */
 uint8_t RpLoad_Share(const struct rp_load *load);
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -424,15 +424,20 @@
 
     const struct rp_vip *vip = RpTable_FindVip(agent->table, address);
 
-    *load = (struct rp_load){.slots = mine.slots,
-                             .busy = mine.busy,
-                             .flows = mine.flows,
-                             .flow_limit = agent->service->flows_per_upstream,
-                             .position = chain->visited ? chain->visited - 1u
-                                                        : 0,
-                             .best_share = chain->best_share,
-                             .last = chain->visited >= chain->count,
-                             .priority = vip ? vip->priority : 0};
+    *load = (struct rp_load){
+        .slots = mine.slots,
+        .busy = mine.busy,
+        .flows = mine.flows,
+        .flow_limit = agent->service->flows_per_upstream,
+        .position = chain->visited ? chain->visited - 1u : 0,
+        .best_share = chain->best_share,
+        .last = chain->visited >= chain->count,
+        .work_us = (uint32_t)MIN(agent->work_us, UINT32_MAX)};
+    if (vip) {
+        load->priority = vip->priority;
+        load->target_us = (uint32_t)MIN(vip->target_ms * RP_US_PER_MS,
+                                        UINT32_MAX);
+    }
 }
 
 struct rp_agent_load
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -160,12 +160,31 @@
     if (begins) {
         flow->request_since = now;
         flow->flags |= RP_FLOW_AWAITED;
+        flow->flags &= (uint16_t)~RP_FLOW_UNQUEUED;
     }
     RpAgent_SetBusy(agent, flow, true);
+    if (begins && agent->busy <= agent->config.slots) {
+        flow->flags |= RP_FLOW_UNQUEUED;
+    }
     flow->flags &= (uint16_t)~RP_FLOW_RESERVED;
     return begins;
 }
 
+/* How long requests take that did not wait for a slot. */
+static void
+learn_work(struct rp_agent *agent, const struct rp_flow *flow, int64_t now)
+{
+    int64_t sample = now - flow->request_since;
+
+    if (!(flow->flags & RP_FLOW_UNQUEUED)) {
+        return;
+    }
+    if (agent->work_us == 0) {
+        agent->work_us = sample;
+    }
+    agent->work_us += (sample - agent->work_us) / RP_WORK_SHARE;
+}
+
 void
 RpAgent_TrackHost(struct rp_agent *agent, struct rp_flow *flow,
                   const struct rp_packet *packet, int64_t now)
@@ -173,6 +192,7 @@
     flow->host_seen = now;
     if (packet->payload_len > 0 && (flow->flags & RP_FLOW_AWAITED)) {
         flow->flags &= (uint16_t)~RP_FLOW_AWAITED;
+        learn_work(agent, flow, now);
         RpCounters_Time(agent->counters, RP_HISTOGRAM_FIRST_BYTE,
                         now - flow->request_since);
     }
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -31,6 +31,7 @@
 #define RP_FLOW_INSIDE_LONG 0x400 /* and counted as long */
 #define RP_FLOW_LONG 0x800        /* its last answer took long */
 #define RP_FLOW_AWAITED 0x1000    /* no byte of the answer has come yet */
+#define RP_FLOW_UNQUEUED 0x2000   /* a slot was free when its request came */
 
 /* One flow. Times are in microseconds on the monotonic clock. */
 struct rp_flow {
