--- a/programs/cli/explain.c
+++ b/programs/cli/explain.c
@@ -295,10 +295,13 @@
                             argc, argv, &settings, &exit_code)) {
         return exit_code;
     }
-    FILE *in = settings.file ? fopen(settings.file->str, "r") : stdin;
-    if (!in) {
-        fprintf(stderr, "%s: cannot be read\n", settings.file->str);
-        return RP_CLI_USAGE;
+    FILE *in = stdin;
+    if (settings.file) {
+        in = fopen(settings.file->str, "r");
+        if (!in) {
+            fprintf(stderr, "%s: cannot be read\n", settings.file->str);
+            return RP_CLI_USAGE;
+        }
     }
     GArray *lines = read_lines(in);
     exit_code = tell(lines, (struct rp_str){.data = settings.query->str,
