A reset that a host gives back ends there

Change: a reset that is given back is dropped; a reset of a redirected flow is not shown to a host that gives packets back.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -223,7 +223,11 @@
         to_host(agent, now, flow, packet, actions);
         break;
     case RP_FLOW_DO_TO_HOST_AND_PASS:
-        to_host(agent, now, flow, packet, actions);
+        /* A host that gives back what it does not hold needs no look at a
+         * reset of a flow that is known to be elsewhere. */
+        if (RpAgent_CanForge(agent) || flow->state != RP_FLOW_REDIRECT) {
+            to_host(agent, now, flow, packet, actions);
+        }
         RpAgent_Pass(agent, now, flow, packet, chain, actions);
         break;
     case RP_FLOW_DO_PASS:
@@ -397,6 +401,12 @@
     if (packet->returned) {
         RpCounters_Add(agent->counters, RP_COUNT_HOST_GAVE_BACK);
     }
+    if (packet->returned && (packet->flags & RP_TCP_RST)) {
+        /* It went on to the other agents when it was shown to the host; sent
+         * on again, it would go round for ever. */
+        RpAgent_Act(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_HOST_STRAY);
+        return;
+    }
     if (!agent->service) {
         forward_without_table(agent, packet, actions);
         return;
