--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 #   make test       run every test
 #   make lint       formatter, linters and a build with warnings as errors
 #   make prove      scripted runs on real processes (minutes)
+#   make soak       random faults on real processes (SEEDS=N, a minute each 4)
 #   make measure    print the figures (not part of the tests)
 #   make install    install under PREFIX (and DESTDIR)
 
@@ -12,8 +13,9 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 JOBS ?= 8
+SEEDS ?= 4
 
-.PHONY: all setup configure demo test prove lint format measure install clean
+.PHONY: all setup configure demo test prove soak lint format measure install clean
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -37,6 +39,9 @@
 	@for run in tests/runs/*.sh; do \
 	    BUILD=$(BUILD) bash $$run || exit 1; done
 
+soak: all
+	@BUILD=$(BUILD) bash tests/soak/soak.sh 1 $(SEEDS)
+
 lint: all
 	@BUILD=$(BUILD) JOBS=$(JOBS) sh tools/lint.sh
 
--- a/tests/measure/cost.c
+++ b/tests/measure/cost.c
@@ -505,6 +505,102 @@
 }
 
 /* A frame through both ends of a session. */
+/* An edition of `count` virtual addresses, four to a service; the first one
+ * has the given timeout. */
+static void
+build_edition(struct rp_edition *edition, unsigned count, uint64_t version,
+              uint32_t timeout_ms)
+{
+    RpEdition_Init(edition);
+    edition->version = version;
+    for (unsigned i = 0; i < count; i++) {
+        struct rp_edition_service service = {.flows_per_upstream = 2000};
+        struct rp_edition_target target = {.weight = 1};
+        struct rp_edition_vip vip = {
+            .name = g_string_new("r-a3hwrr6"),
+            .address = 0xc6120000 + i,
+            .port = 443,
+            .kind = RP_REQUEST_IDEMPOTENT,
+            .priority = 2,
+            .timeout_ms = i == 0 ? timeout_ms : 1500,
+            .target_ms = 250,
+            .targets = RpSchema_NewList(&rp_edition_target_schema)};
+        name_it(&target.service, "service", i / 4);
+        g_array_append_val(vip.targets, target);
+        g_array_append_val(edition->vips, vip);
+        if (i % 4 == 0) {
+            service.name = target.service;
+            g_array_append_val(edition->services, service);
+        }
+        /* As much text as the users' configurations have for a route. */
+        g_string_append_printf(edition->content, "%0240u", i);
+    }
+}
+
+/* Applies an edition; returns its size in the log. */
+static size_t
+apply_edition(struct rp_catalog *catalog, unsigned count, uint64_t version,
+              uint32_t timeout_ms)
+{
+    struct rp_edition edition;
+
+    build_edition(&edition, count, version, timeout_ms);
+    GString *command = RpCatalog_EncodeEdition(&edition);
+    size_t len = command->len;
+    RpCatalog_Apply(catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    NULL);
+    g_string_free(command, TRUE);
+    RpEdition_Clear(&edition);
+    return len;
+}
+
+/* One control instance and one balancer: processor time and bytes of an
+ * edition that differs in one virtual address, and of a balancer that
+ * joins. */
+static void
+measure_editions(void)
+{
+    static const unsigned sizes[] = {115, 460, 1150, 4600};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        struct rp_catalog *catalog = RpCatalog_Create();
+        struct rp_registry *registry = RpRegistry_Create();
+        struct rp_distribution *distribution = RpDistribution_Create(
+            catalog, registry, count_sent, NULL);
+        const struct rp_msg_subscribe all = {.revision = 0};
+        struct rp_msg_hello hello = {.role = RP_ROLE_BALANCER};
+        int64_t now = RP_US_PER_SECOND;
+        apply_edition(catalog, sizes[i], 1, 1500);
+        RpDistribution_SetFresh(distribution, now, true);
+        name_it(&hello.name, "balancer", 1);
+        RpDistribution_Subscribe(distribution, now, 1, &hello, &all);
+        sent_bytes = 0;
+        int64_t start = now_ns();
+        RpDistribution_Flush(distribution, now);
+        double join_ms = (double)(now_ns() - start) / 1e6;
+        uint64_t join_bytes = sent_bytes;
+
+        sent_bytes = 0;
+        start = now_ns();
+        size_t entry = apply_edition(catalog, sizes[i], 2, 1600);
+        double apply_ms = (double)(now_ns() - start) / 1e6;
+        now += RP_US_PER_SECOND;
+        start = now_ns();
+        RpDistribution_TouchEdition(distribution, now);
+        RpDistribution_Flush(distribution, now + RP_TABLE_BATCH_US);
+        printf("cost edition addresses=%u apply_ms=%.2f entry_kb=%zu "
+               "join_ms=%.2f join_kb=%" G_GUINT64_FORMAT
+               " spread_ms=%.2f change_bytes=%" G_GUINT64_FORMAT "\n",
+               sizes[i], apply_ms, entry / 1024, join_ms, join_bytes / 1024,
+               (double)(now_ns() - start) / 1e6, sent_bytes);
+        fflush(stdout);
+        RpDistribution_Free(distribution);
+        RpRegistry_Free(registry);
+        RpCatalog_Free(catalog);
+    }
+}
+
 static void
 measure_session(void)
 {
@@ -558,6 +654,7 @@
     measure_tables();
     measure_registry();
     measure_distribution();
+    measure_editions();
     measure_session();
     return 0;
 }
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,168 @@
+#!/usr/bin/env bash
+# Soak: the real programs as separate processes on loopback, with faults from
+# outside drawn from a seed: signals in series and overlapping, replaced and
+# killed processes, lost disks, changes by an operator.
+#
+#   soak.sh FIRST [LAST]     plays the seeds from FIRST to LAST
+#
+# Callers keep their connections in use all the while. What must hold, as
+# callers, hosts and the operator see it: no request broken or answered by
+# another service, no reading at two hosts, no acknowledged change lost or
+# older than the one before. STEPS sets how many faults a seed has.
+#
+# Seeds that failed once, each with its cause, stand in tests/soak/failed.
+set -u
+cd "$(dirname "$0")/../.."
+BIN=${BUILD:-build}
+BASE=${BASE:-25000}
+CONTROLS=3
+LOSS=2
+REORDER=10
+DUPLICATE=5
+STEPS=${STEPS:-12}
+AGENTS=4
+. tests/system.sh
+trap stop_system EXIT
+
+# roll N: a number below N. Sets ROLL, for a subshell would draw the same
+# numbers again.
+roll() { ROLL=$((RANDOM % $1)); }
+
+agent() { start_agent lens-desk "$1" --drain-seconds 20; }
+
+# change: one change by the operator; remembers the last acknowledged.
+change() {
+    changes=$((changes + 1))
+    local file="$RUN/change.conf"
+    printf '[service]\nname = lens-desk\naddress = 10.80.0.1:7000\n# %s\n' \
+        "$changes" > "$file"
+    if cli service apply "$file" --timeout-seconds 8 > "$RUN/apply.txt" 2>&1
+    then
+        acknowledged=$changes
+    fi
+}
+
+# A pause of one process, while others go on.
+freeze() {
+    kill -STOP "${PIDS[$1]}"
+    (sleep "$2"; kill -CONT "${PIDS[$1]}") &
+    THAWS="$THAWS $!"
+}
+
+fault() {
+    local kind which
+    roll 10; kind=$ROLL
+    roll 3; which=$ROLL
+    say "seed $SEED step $1: fault $kind on $which"
+    case $kind in
+    0) stop "balancer-$which"; start_balancer "$which" ;;
+    1) stop "balancer-$which" KILL; start_balancer "$which" ;;
+    2) stop "agent-$which" USR2; agent "$which" ;;
+    3) stop "agent-$which" KILL; agent "$which" ;;
+    4) stop "control-$which" KILL; start_control "$which" ;;
+    5) freeze "control-$which" 2 ;;
+    6)
+        kill -HUP "${PIDS[control-$which]}" "${PIDS[balancer-$which]}" \
+            "${PIDS[agent-$which]}"
+        ;;
+    7)
+        # One disk at a time, and only while the others are up to date.
+        if wait_until 10 all_fresh; then
+            stop "control-$which" KILL
+            rm -rf "$RUN/control-$which"
+            start_control "$which"
+            wait_until 15 all_fresh || failures="$failures no-rejoin"
+        fi
+        ;;
+    8) cli upstream drain "upstream-$which" > /dev/null 2>&1
+        sleep 0.5
+        cli upstream resume "upstream-$which" > /dev/null 2>&1 ;;
+    9) change & CHANGER=$!; stop "balancer-$which"; start_balancer "$which"
+        wait "$CHANGER" ;;
+    esac
+}
+
+metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
+is_fresh() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
+# Each has a vote, too: a disk may be lost only then.
+all_fresh() {
+    is_fresh 0 && is_fresh 1 && is_fresh 2 &&
+        [ "$(cli status 2> /dev/null | grep -cE '^replica .*: (leader|follower),')" = 3 ]
+}
+
+start_all() {
+    local i
+    prepare_run
+    create_system > "$RUN/create.log" 2>&1 || return 1
+    for i in 0 1 2; do start_control $i; done
+    for i in 0 1 2; do start_balancer $i; done
+    for ((i = 0; i < AGENTS; i++)); do
+        start_host lens-desk 10.80.0.1:7000 $i
+        agent $i
+    done
+    start_edge "127.0.0.1:$(service_port 0)" 10.80.0.1:7000
+    wait_until 20 all_fresh || return 1
+    change
+    wait_until 10 has_ready lens-desk $AGENTS
+}
+
+# in_force: the change that control hands out now.
+in_force() {
+    cli service get lens-desk 2> /dev/null | sed -n 's/^# \([0-9]*\)$/\1/p'
+}
+
+play() {
+    SEED=$1
+    RUN="demo-run/soak-$SEED"
+    RANDOM=$SEED
+    changes=0
+    acknowledged=0
+    failures=""
+    THAWS=""
+    start_all || { say "seed $SEED: the system did not start"; return 1; }
+    start client "$BIN/tests/standin-client" --requests 3000 \
+        --targets "127.0.0.1:$(service_port 0)" --services lens-desk \
+        --connections 60 --per-connection 1000000 --pause-ms 250
+    local step
+    for ((step = 1; step <= STEPS; step++)); do
+        fault "$step"
+        roll 2
+        [ "$ROLL" = 0 ] && change
+        [ $((RANDOM % 3)) = 0 ] || sleep 0.6
+    done
+    local thaw
+    for thaw in $THAWS; do wait "$thaw"; done
+    wait "${PIDS[client]}"
+    unset "PIDS[client]"
+    wait_until 15 all_fresh || failures="$failures not-fresh"
+    change
+    local shown
+    shown=$(in_force)
+    [ -n "$shown" ] && [ "$shown" -ge "$acknowledged" ] ||
+        failures="$failures lost-change:${shown:-none}<$acknowledged"
+    local result doubled
+    result=$(grep -o 'answered=.*' "$RUN/client.log")
+    doubled=$(cat "$RUN"/server-*.log | grep -o 'reading=[^ ]*' | sort |
+        uniq -d | wc -l)
+    [ "$result" = "answered=3000 broken=0 misdirected=0" ] ||
+        failures="$failures $result"
+    [ "$doubled" = 0 ] || failures="$failures doubled=$doubled"
+    stop_system
+    say "seed $SEED: $result doubled=$doubled changes=$changes" \
+        "acknowledged=$acknowledged${failures:+ FAILED:$failures}"
+    [ -z "$failures" ]
+}
+
+first=${1:-1}
+last=${2:-$first}
+passed=0
+failed=0
+for ((seed = first; seed <= last; seed++)); do
+    if play "$seed"; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+    fi
+done
+echo "soak: $passed seeds passed, $failed failed"
+[ "$failed" -eq 0 ]
