A replica is fresh only by contacts of a leader whose lease holds

Cause: the property run did not check what its head says of freshness. Ruled out: message delay (the check allows the longest one), clocks that jump (a lease needs clocks that run alike; left out for groups). Change: a contact says whether the leader's lease holds; only such contacts begin a follower's lease.

--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -464,13 +464,17 @@
 bool
 RpReplica_IsFresh(const struct rp_replica *replica, int64_t now)
 {
+    uint64_t term = 0;
+
     if (replica->role == RP_REPLICA_LEADER) {
-        uint64_t term = 0;
         RpLog_TermAt(replica, replica->committed, &term);
         return term == replica->term &&
                RpReplica_QuorumContact(replica) > now - RP_LEASE_US;
     }
-    return replica->leader != 0 && now - replica->leader_seen < RP_LEASE_US &&
+    /* Contacts of a leader whose lease is over, or that has committed nothing
+     * in its own term yet, do not count: others may have committed more. */
+    return replica->leader != 0 && replica->fresh_seen != 0 &&
+           now - replica->fresh_seen < RP_LEASE_US &&
            replica->applied >= replica->leader_committed;
 }
 
--- a/lib/state/rp_replica_follow.c
+++ b/lib/state/rp_replica_follow.c
@@ -77,7 +77,10 @@
         reply_append(replica, append, false, RpLog_LastIndex(replica));
         return;
     }
-    replica->leader_committed = append->committed;
+    if (append->fresh) {
+        replica->fresh_seen = now;
+        replica->leader_committed = append->committed;
+    }
     /* What the snapshot covers is committed and agrees in any case. */
     uint64_t covered = replica->snapshot ? replica->snapshot->index : 0;
     bool agrees = append->previous_index < covered ||
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -37,6 +37,8 @@
     GArray *members;           /* of struct rp_replica_member */
     GArray *peers;             /* of struct rp_peer */
     int64_t leader_seen;       /* last contact with a leader */
+    int64_t fresh_seen;        /* the last one while its lease held */
+    bool lease_holds;          /* leader: as of the last event */
     int64_t election_deadline;
     int64_t heartbeat_deadline;
     uint64_t round;
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -93,6 +93,7 @@
                    .previous_index = peer->next - 1,
                    .committed = replica->committed,
                    .round = replica->round,
+                   .fresh = replica->lease_holds,
                    .entries = RpSchema_NewList(&rp_log_entry_schema)}};
     struct rp_msg_append *append = &msg.append;
 
@@ -121,6 +122,7 @@
 RpReplica_Broadcast(struct rp_replica *replica, int64_t now, bool heartbeat)
 {
     start_round(replica, now);
+    replica->lease_holds = RpReplica_IsFresh(replica, now);
     for (guint i = 0; i < replica->peers->len; i++) {
         struct rp_peer *peer = &g_array_index(replica->peers, struct rp_peer,
                                               i);
@@ -229,6 +231,7 @@
         peer->contact = MAX(peer->contact,
                             time_of_round(replica, reply->round));
     }
+    replica->lease_holds = RpReplica_IsFresh(replica, now);
     if (!reply->accepted) {
         peer->next = MIN(peer->next - 1, reply->match + 1);
         peer->next = MAX(peer->next, peer->match + 1);
@@ -239,6 +242,7 @@
     peer->match = MAX(peer->match, reply->match);
     peer->next = MAX(peer->next, peer->match + 1);
     RpReplica_AdvanceCommit(replica);
+    replica->lease_holds = RpReplica_IsFresh(replica, now);
     if (peer->next <= RpLog_LastIndex(replica)) {
         send_append(replica, peer);
     }
@@ -259,6 +263,7 @@
         reply->index != replica->snapshot->index) {
         return;
     }
+    replica->lease_holds = RpReplica_IsFresh(replica, now);
     peer->snapshot_offset = reply->offset;
     if (reply->offset < replica->snapshot_bytes->len) {
         send_snapshot_part(replica, peer);
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -326,6 +326,7 @@
     UINT(rp_msg_append, committed),
     UINT(rp_msg_append, round),
     LIST(rp_msg_append, entries, rp_log_entry_schema),
+    UINT(rp_msg_append, fresh),
 };
 static const struct rp_schema rp_msg_append_schema = RP_SCHEMA(rp_msg_append,
                                                                append_fields);
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -376,6 +376,7 @@
     uint64_t committed;
     uint64_t round;  /* numbers the leader's contacts, echoed in the reply */
     GArray *entries; /* of struct rp_log_entry */
+    uint8_t fresh;   /* 1: the leader's lease holds, and `committed` is all */
 };
 
 struct rp_msg_append_reply {
