Split the agent role and the distribution; one way to log findings

Four copies of formatting findings into a log line are RpDaemon_LogFindings. A counter that nothing counted and a field that nothing read are gone.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -65,7 +65,6 @@
     X(RESET_HOST_LOST, "reset_host_lost", "flows reset: the host lost them")  \
     X(HOST_GAVE_BACK, "host_gave_back", "packets that the host gave back")    \
     X(PASS_HOST_UNKNOWN, "pass_host_unknown", "passed on: host not heard")    \
-    X(RESET_NO_ROUTE, "reset_no_route", "new flows refused: no route there")  \
     X(DROP_WRONG_SIDE, "drop_wrong_side", "packet that this side never gets") \
     X(PROBE_SENT, "probe_sent", "probes of silent flows")                     \
     X(RESET_SILENT_HOST, "reset_silent_host", "flows reset: host silent")     \
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -2,70 +2,7 @@
 
 #include <string.h>
 
-/* A node, known by its name; `connection` is 0 while it is away. */
-struct node {
-    struct rp_name name;
-    struct rp_name zone;
-    struct rp_name service; /* empty: subscribed to all */
-    uint8_t role;
-    uint64_t connection;
-    bool served; /* has got a whole table on this connection */
-    uint64_t confirmed;
-    int64_t behind_since; /* 0 while it is not behind */
-    int64_t away_since;
-};
-
-/* What changed since the last flush. */
-struct pending {
-    GHashTable *touched;  /* names of services, as struct rp_name */
-    GHashTable *shared;   /* names: agents of siblings may lack them */
-    GArray *removed;      /* of struct removed_service */
-    GArray *vips;         /* of struct rp_msg_vip: new or changed */
-    GArray *removed_vips; /* of struct rp_msg_removed_vip */
-    bool edition;
-    bool everything;
-    bool revision;
-    int64_t deadline;
-};
-
-struct removed_service {
-    struct rp_name name;
-    uint32_t id;
-    bool maybe_shared; /* agents of other services may have seen it */
-};
-
-struct rp_distribution {
-    const struct rp_catalog *catalog;
-    const struct rp_registry *registry;
-    RpDistribution_Send send;
-    void *user;
-    GHashTable *nodes; /* name -> struct node */
-    GHashTable *vips;  /* address key -> encoded struct rp_msg_vip, as sent */
-    GHashTable *plain; /* names of the edition's services -> their ids */
-    bool vips_known;   /* `vips` has been filled */
-    struct pending pending;
-    uint64_t generation;
-    uint64_t sent_revision;
-    uint64_t withheld;
-    int64_t gather_until; /* 0: all upstreams are known */
-    bool fresh;
-};
-
-static void
-free_string(gpointer data)
-{
-    g_string_free(data, TRUE);
-}
-
-static void
-clear_vips(GArray *vips)
-{
-    for (guint i = 0; i < vips->len; i++) {
-        RpSchema_Clear(&rp_msg_vip_schema,
-                       &g_array_index(vips, struct rp_msg_vip, i));
-    }
-    g_array_set_size(vips, 0);
-}
+#include "rp_distribution_internal.h"
 
 struct rp_distribution *
 RpDistribution_Create(const struct rp_catalog *catalog,
@@ -89,8 +26,8 @@
     distribution->pending.vips = RpSchema_NewList(&rp_msg_vip_schema);
     distribution->pending.removed_vips = RpSchema_NewList(
         &rp_msg_removed_vip_schema);
-    distribution->vips = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                               g_free, free_string);
+    distribution->vips = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, g_free, RpDistribution_FreeText);
     distribution->plain = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
                                                 g_free, NULL);
     distribution->pending.deadline = RP_NEVER;
@@ -105,7 +42,7 @@
         g_hash_table_destroy(distribution->pending.touched);
         g_hash_table_destroy(distribution->pending.shared);
         g_array_free(distribution->pending.removed, TRUE);
-        clear_vips(distribution->pending.vips);
+        RpDistribution_ClearVips(distribution->pending.vips);
         g_array_free(distribution->pending.vips, TRUE);
         g_array_free(distribution->pending.removed_vips, TRUE);
         g_hash_table_destroy(distribution->vips);
@@ -174,38 +111,6 @@
     g_array_append_val(services, service);
 }
 
-static bool
-leads_to(const struct rp_edition_vip *vip, const struct rp_name *service)
-{
-    for (guint i = 0; i < vip->targets->len; i++) {
-        const struct rp_edition_target *target = &g_array_index(
-            vip->targets, struct rp_edition_target, i);
-        if (RpName_Equal(&target->service, service)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Whether two services share a virtual address: then flows of the one may
- * have been placed when their shares were different. */
-static bool
-are_siblings(const struct rp_distribution *distribution,
-             const struct rp_name *a, const struct rp_name *b)
-{
-    const struct rp_edition *edition = RpCatalog_Edition(
-        distribution->catalog);
-
-    for (guint i = 0; edition && i < edition->vips->len; i++) {
-        const struct rp_edition_vip *vip = &g_array_index(
-            edition->vips, struct rp_edition_vip, i);
-        if (vip->targets->len > 1 && leads_to(vip, a) && leads_to(vip, b)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Whether a node with this subscription sees the service: an agent sees its
  * own and those that share a virtual address with it. */
 static bool
@@ -213,7 +118,7 @@
      const struct rp_name *service)
 {
     return node->service.len == 0 || RpName_Equal(&node->service, service) ||
-           are_siblings(distribution, &node->service, service);
+           RpDistribution_AreSiblings(distribution, &node->service, service);
 }
 
 static void
@@ -233,124 +138,6 @@
     msg->table.removed_vips = RpSchema_NewList(&rp_msg_removed_vip_schema);
 }
 
-/* A virtual address as nodes see it. */
-static struct rp_msg_vip
-make_vip(const struct rp_distribution *distribution,
-         const struct rp_edition_vip *from)
-{
-    struct rp_msg_vip vip = {
-        .address = from->address,
-        .port = from->port,
-        .kind = from->kind,
-        .priority = from->priority,
-        .timeout_ms = from->timeout_ms,
-        .target_ms = from->target_ms,
-        .targets = RpSchema_NewList(&rp_msg_target_schema)};
-
-    for (guint i = 0; i < from->targets->len; i++) {
-        const struct rp_edition_target *target = &g_array_index(
-            from->targets, struct rp_edition_target, i);
-        const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
-                                                      &target->service);
-        const struct rp_msg_target row = {.service_id = entry ? entry->id : 0,
-                                          .weight = target->weight};
-        g_array_append_val(vip.targets, row);
-    }
-    return vip;
-}
-
-static struct rp_msg_vip
-copy_vip(const struct rp_msg_vip *vip)
-{
-    struct rp_msg_vip copy = *vip;
-
-    copy.targets = RpSchema_NewList(&rp_msg_target_schema);
-    g_array_append_vals(copy.targets, vip->targets->data, vip->targets->len);
-    return copy;
-}
-
-/* Whether a node with this subscription sees the virtual address. */
-static bool
-sees_vip(const struct rp_distribution *distribution, const struct node *node,
-         const struct rp_msg_vip *vip)
-{
-    if (node->service.len == 0) {
-        return true;
-    }
-    const struct rp_entry *entry = RpCatalog_Find(distribution->catalog,
-                                                  &node->service);
-    for (guint i = 0; entry && i < vip->targets->len; i++) {
-        if (g_array_index(vip->targets, struct rp_msg_target, i).service_id ==
-            entry->id) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-add_all_vips(const struct rp_distribution *distribution,
-             const struct node *node, GArray *vips)
-{
-    const struct rp_edition *edition = RpCatalog_Edition(
-        distribution->catalog);
-
-    for (guint i = 0; edition && i < edition->vips->len; i++) {
-        struct rp_msg_vip vip = make_vip(
-            distribution,
-            &g_array_index(edition->vips, struct rp_edition_vip, i));
-        if (sees_vip(distribution, node, &vip)) {
-            g_array_append_val(vips, vip);
-        }
-        else {
-            RpSchema_Clear(&rp_msg_vip_schema, &vip);
-        }
-    }
-}
-
-/* Compares the edition's virtual addresses with those sent so far; what
- * differs is pending. */
-static void
-review_vips(struct rp_distribution *distribution)
-{
-    struct pending *pending = &distribution->pending;
-    const struct rp_edition *edition = RpCatalog_Edition(
-        distribution->catalog);
-    GHashTable *now = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                            g_free, free_string);
-    GHashTableIter iter;
-    gpointer key;
-
-    for (guint i = 0; edition && i < edition->vips->len; i++) {
-        struct rp_msg_vip vip = make_vip(
-            distribution,
-            &g_array_index(edition->vips, struct rp_edition_vip, i));
-        guint64 address = RpEndpoint_Key(
-            (struct rp_endpoint){.ip = vip.address, .port = vip.port});
-        GString *bytes = RpSchema_Encode(&rp_msg_vip_schema, &vip);
-        const GString *old = g_hash_table_lookup(distribution->vips, &address);
-        if (old && g_string_equal(old, bytes)) {
-            RpSchema_Clear(&rp_msg_vip_schema, &vip);
-        }
-        else {
-            g_array_append_val(pending->vips, vip);
-        }
-        g_hash_table_replace(now, g_memdup2(&address, sizeof address), bytes);
-    }
-    g_hash_table_iter_init(&iter, distribution->vips);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        guint64 address = *(const guint64 *)key;
-        const struct rp_msg_removed_vip row = {
-            .address = (uint32_t)(address >> 16), .port = (uint16_t)address};
-        if (!g_hash_table_contains(now, key)) {
-            g_array_append_val(pending->removed_vips, row);
-        }
-    }
-    g_hash_table_destroy(distribution->vips);
-    distribution->vips = now;
-    distribution->vips_known = true;
-}
-
 static void
 add_seen_services(const struct rp_distribution *distribution,
                   const struct node *node, GArray *services)
@@ -373,7 +160,7 @@
 
     start_table(distribution, &msg, true);
     add_seen_services(distribution, node, msg.table.services);
-    add_all_vips(distribution, node, msg.table.vips);
+    RpDistribution_AddVips(distribution, node, msg.table.vips);
     node->served = true;
     distribution->send(distribution->user, node->connection, &msg);
     RpMsg_Clear(&msg);
@@ -419,8 +206,8 @@
     for (guint i = 0; i < pending->vips->len; i++) {
         const struct rp_msg_vip *vip = &g_array_index(pending->vips,
                                                       struct rp_msg_vip, i);
-        if (sees_vip(distribution, node, vip)) {
-            struct rp_msg_vip copy = copy_vip(vip);
+        if (RpDistribution_SeesVip(distribution, node, vip)) {
+            struct rp_msg_vip copy = RpDistribution_CopyVip(vip);
             g_array_append_val(msg.table.vips, copy);
         }
     }
@@ -529,25 +316,6 @@
     set_deadline(distribution, now);
 }
 
-/* Whether the service shares a virtual address: agents of others may see it
- * only since this edition. */
-static bool
-is_shared(const struct rp_distribution *distribution,
-          const struct rp_name *service)
-{
-    const struct rp_edition *edition = RpCatalog_Edition(
-        distribution->catalog);
-
-    for (guint i = 0; edition && i < edition->vips->len; i++) {
-        const struct rp_edition_vip *vip = &g_array_index(
-            edition->vips, struct rp_edition_vip, i);
-        if (vip->targets->len > 1 && leads_to(vip, service)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 RpDistribution_TouchEdition(struct rp_distribution *distribution, int64_t now)
 {
@@ -570,7 +338,7 @@
         if (entry->revision == RpCatalog_Revision(distribution->catalog)) {
             RpDistribution_Touch(distribution, now, &entry->name);
         }
-        if (is_shared(distribution, &entry->name)) {
+        if (RpDistribution_IsShared(distribution, &entry->name)) {
             g_hash_table_add(distribution->pending.shared,
                              g_memdup2(&entry->name, sizeof entry->name));
         }
@@ -693,14 +461,14 @@
     }
     distribution->generation++;
     if (pending->edition || pending->everything || !distribution->vips_known) {
-        review_vips(distribution);
+        RpDistribution_ReviewVips(distribution);
     }
     serve_nodes(distribution);
     review_nodes(distribution, now);
     g_hash_table_remove_all(pending->touched);
     g_hash_table_remove_all(pending->shared);
     g_array_set_size(pending->removed, 0);
-    clear_vips(pending->vips);
+    RpDistribution_ClearVips(pending->vips);
     g_array_set_size(pending->removed_vips, 0);
     pending->edition = false;
     pending->everything = false;
--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -50,7 +50,6 @@
     host->known = true;
     host->last = *report;
     host->heard = now;
-    host->cold_until = now + report->cold_left_ms * RP_US_PER_MS;
 }
 
 enum rp_host_news
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -48,7 +48,6 @@
     bool left;  /* it said goodbye since */
     struct rp_host_report last;
     int64_t heard;
-    int64_t cold_until;
 };
 
 /* A host of this service that has not been heard of. It reports about every
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -4,14 +4,9 @@
 #include <signal.h>
 #include <sodium.h>
 
-#include "rp_agent.h"
-#include "rp_daemon.h"
-#include "rp_flow_chart.h"
-#include "rp_platform.h"
-#include "rp_udp.h"
-#include "rp_uplink.h"
-#include "rp_wake.h"
+#include "agent.h"
 #include "rp_clock.h"
+#include "rp_flow_chart.h"
 
 #define ANNOUNCES_PER_LEASE 3
 /* Log lines a second for each decision on flows: a host of today gets about
@@ -22,51 +17,6 @@
 #define MAX_SLOTS 1000000
 #define MAX_SECONDS 86400
 
-struct agent_settings {
-    struct rp_common_settings common;
-    struct rp_name service;
-    struct rp_endpoint listen;
-    struct rp_endpoint host_listen;
-    struct rp_endpoint host;
-    struct rp_endpoint fabric;
-    struct rp_endpoints controls;
-    uint32_t slots;
-    uint32_t lease_ms;
-    uint32_t ramp_seconds;
-    uint32_t drain_seconds;
-    uint32_t control_port;
-    uint32_t patience_ms;
-    uint32_t report_ms;
-    GString *packets;
-    struct rp_endpoint host_reports; /* port 0: the host does not report */
-};
-
-struct agent {
-    struct agent_settings settings;
-    struct rp_daemon daemon;
-    struct rp_uplink *uplink;
-    struct rp_udp *balancer_side;
-    struct rp_udp *host_side;
-    struct rp_chart chart;
-    const struct rp_codec *codec;
-    struct rp_platform *platform;
-    struct rp_wake *wake;
-    struct rp_host host; /* as it reports itself */
-    enum rp_host_state host_state;
-    int64_t started_ms; /* by the time of day, in Unix milliseconds */
-    struct rp_agent *flows;
-    struct rp_actions actions;
-    const struct rp_service *service; /* in the uplink's table, or NULL */
-    const uint8_t *received;          /* the packet being handled */
-    struct rp_flow_key received_flow; /* its flow, as the caller names it */
-    uint64_t incarnation;
-    uint64_t sequence;
-    int64_t announce_deadline;
-    int64_t drain_deadline; /* RP_NEVER while the agent is not stopping */
-    bool draining;
-    bool leaving; /* has said goodbye */
-};
-
 static const struct rp_setting settings_table[] = {
     RP_COMMON_SETTINGS(agent_settings, common),
     {.flag = "service",
@@ -164,125 +114,6 @@
                 RpEndpoint_Format(from, text));
 }
 
-/* The event under which an action is logged, each with a budget of its own;
- * NULL: ordinary forwarding. */
-static const char *
-event_of(enum rp_counter reason)
-{
-    switch (reason) {
-    case RP_COUNT_FLOW_ADMITTED:
-    case RP_COUNT_FLOW_ADMITTED_LAST:
-        return "flow_admitted";
-    case RP_COUNT_PASS_BUSY:
-    case RP_COUNT_PASS_BACK:
-    case RP_COUNT_PASS_DRAINING:
-    case RP_COUNT_PASS_FLOW_LIMIT:
-    case RP_COUNT_PASS_UNHEALTHY:
-    case RP_COUNT_PASS_HOST_UNKNOWN:
-        return "flow_passed_on";
-    case RP_COUNT_REFUSED_BUSY:
-    case RP_COUNT_REFUSED_ALL:
-        return "flow_refused";
-    case RP_COUNT_RESET_OWNER_GONE:
-    case RP_COUNT_RESET_HOST_LOST:
-    case RP_COUNT_RESET_SILENT_HOST:
-    case RP_COUNT_RESET_SILENT_CALLER:
-        return "flow_reset";
-    case RP_COUNT_RETRY_HOST_REFUSED:
-    case RP_COUNT_RETRY_HOST_SILENT:
-        return "flow_retried";
-    case RP_COUNT_FLOW_ASKED:
-        return "flow_asked";
-    case RP_COUNT_DROP_NO_OWNER:
-    case RP_COUNT_SYN_LATE_ANSWER:
-        return "flow_dropped";
-    default:
-        return NULL;
-    }
-}
-
-/* The flow as its caller names it: "caller>address". */
-static void
-format_flow(GString *out, struct rp_flow_key flow)
-{
-    char text[RP_ENDPOINT_TEXT_MAX];
-
-    g_string_append(out, RpEndpoint_Format(RpFlowKey_Source(flow), text));
-    g_string_append_c(out, '>');
-    g_string_append(out, RpEndpoint_Format(RpFlowKey_Target(flow), text));
-}
-
-/* The flow that an action is about. */
-static struct rp_flow_key
-flow_of(const struct agent *agent, const struct rp_action *action)
-{
-    struct rp_packet packet;
-    enum rp_counter reason;
-
-    if (!action->data || !agent->codec->ops->parse(action->data, action->len,
-                                                   &packet, &reason)) {
-        return agent->received_flow;
-    }
-    return action->kind == RP_ACTION_TO_CALLER ? RpFlowKey_Reverse(packet.key)
-                                               : packet.key;
-}
-
-/* One line for each decision on a flow, with what decided it. */
-static void
-log_action(struct agent *agent, const struct rp_action *action)
-{
-    const char *event = event_of(action->reason);
-
-    if (!event) {
-        return;
-    }
-    struct rp_agent_load load = RpAgent_Load(agent->flows, RpClock_Now());
-    char text[RP_ENDPOINT_TEXT_MAX];
-    GString *flow = g_string_new(NULL);
-    format_flow(flow, flow_of(agent, action));
-    if (action->kind == RP_ACTION_PASS) {
-        g_string_append_printf(flow, " next=%s tried=%u/%u",
-                               RpEndpoint_Format(action->next, text),
-                               action->chain.visited, action->chain.count);
-    }
-    RpLog_Event(agent->daemon.log, RP_LOG_INFO, event,
-                "flow=%s reason=%s busy=%u slots=%u flows=%u host=%s "
-                "revision=%" G_GUINT64_FORMAT,
-                flow->str, RpCounter_Name(action->reason), load.busy,
-                load.slots, load.flows, agent->host.last.id.data,
-                RpTable_Revision(RpUplink_Table(agent->uplink)));
-    g_string_free(flow, TRUE);
-}
-
-/* The first packet of a request, with the id that its caller gave it. */
-static void
-log_request(struct agent *agent, const struct rp_packet *packet)
-{
-    const struct rp_codec_ops *ops = agent->codec->ops;
-    struct rp_str id = ops->request_id ? ops->request_id(packet)
-                                       : (struct rp_str){0};
-    GString *line = g_string_new("flow=");
-
-    format_flow(line, packet->key);
-    g_string_append(line, " id=");
-    RpLog_Quote(line, id);
-    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "request_received", "%s",
-                line->str);
-    g_string_free(line, TRUE);
-}
-
-static void
-log_answer(struct agent *agent, const struct rp_packet *packet)
-{
-    GString *flow = g_string_new(NULL);
-
-    format_flow(flow, RpFlowKey_Reverse(packet->key));
-    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "answer_began",
-                "flow=%s after_ms=%.1f", flow->str,
-                (double)agent->actions.answer_us / (double)RP_US_PER_MS);
-    g_string_free(flow, TRUE);
-}
-
 /* Sends an action's bytes. What was just received stays valid until the
  * batch ends; what the agent made or kept does not, and goes at once. */
 static void
@@ -309,7 +140,7 @@
     if (ops->framed) {
         len = RpGeneve_Write(header, ops->protocol, NULL, NULL);
     }
-    log_action(agent, action);
+    RpAgentLog_Action(agent, action);
     switch (action->kind) {
     case RP_ACTION_DROP:
         break;
@@ -387,14 +218,15 @@
 {
     for (size_t i = 0; i < agent->actions.count; i++) {
         const struct rp_action *action = &agent->actions.item[i];
-        if (action->kind == RP_ACTION_DROP && !event_of(action->reason)) {
+        if (action->kind == RP_ACTION_DROP &&
+            !RpAgentLog_Event(action->reason)) {
             drop(agent, action->reason, from);
         }
     }
 }
 
-static void
-run_timers(struct agent *agent, int64_t now)
+void
+RpAgentRole_RunTimers(struct agent *agent, int64_t now)
 {
     while (RpAgent_OnTimer(agent->flows, now, &agent->actions)) {
         carry_out_all(agent);
@@ -415,12 +247,12 @@
         RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
                            &agent->actions);
         if (agent->actions.begins_request) {
-            log_request(agent, &packet);
+            RpAgentLog_Request(agent, &packet);
         }
         log_drops(agent, from);
         carry_out_all(agent);
         /* What the gate lets go must not be overtaken by the next packet. */
-        run_timers(agent, now);
+        RpAgentRole_RunTimers(agent, now);
     }
 }
 
@@ -439,12 +271,12 @@
         int64_t now = RpClock_Now();
         RpAgent_FromHost(agent->flows, now, &packet, &agent->actions);
         if (agent->actions.begins_answer) {
-            log_answer(agent, &packet);
+            RpAgentLog_Answer(agent, &packet);
         }
         log_drops(agent, from);
         carry_out_all(agent);
         /* An answer may have freed a slot that a request waits for. */
-        run_timers(agent, now);
+        RpAgentRole_RunTimers(agent, now);
     }
 }
 
@@ -459,8 +291,8 @@
                : RP_UPSTREAM_READY;
 }
 
-static void
-announce(struct agent *agent)
+void
+RpAgentRole_Announce(struct agent *agent)
 {
     int64_t now = RpClock_Now();
     const struct agent_settings *settings = &agent->settings;
@@ -488,7 +320,7 @@
 static void
 on_connected(void *user)
 {
-    announce(user);
+    RpAgentRole_Announce(user);
 }
 
 static void
@@ -512,7 +344,7 @@
     RpLog_Event(agent->daemon.log, RP_LOG_INFO,
                 draining ? "drain_started" : "drain_ended", "flows=%u",
                 RpAgent_Load(agent->flows, RpClock_Now()).flows);
-    announce(agent);
+    RpAgentRole_Announce(agent);
 }
 
 /* An order does not take back a stop that has begun. */
@@ -538,7 +370,7 @@
         agent->incarnation = newer->incarnation + 1;
         RpLog_Event(agent->daemon.log, RP_LOG_WARN, "incarnation_raised",
                     "incarnation=%" G_GUINT64_FORMAT, agent->incarnation);
-        announce(agent);
+        RpAgentRole_Announce(agent);
     }
 }
 
@@ -548,127 +380,6 @@
     .ordered = on_order,
     .overtaken = on_overtaken};
 
-static void
-set_host_state(struct agent *agent, enum rp_host_state state)
-{
-    static const char *const names[] = {[RP_HOST_READY] = "ready",
-                                        [RP_HOST_UNKNOWN] = "unheard",
-                                        [RP_HOST_DRAINING] = "draining",
-                                        [RP_HOST_GONE] = "gone"};
-
-    if (agent->host_state == state) {
-        return;
-    }
-    agent->host_state = state;
-    RpAgent_SetHostState(agent->flows, state);
-    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_state",
-                "state=%s host=%s flows=%u", names[state],
-                agent->host.last.id.data,
-                RpAgent_Load(agent->flows, RpClock_Now()).flows);
-    announce(agent);
-}
-
-/* What follows from all that the host has said so far. */
-static void
-review_host(struct agent *agent, int64_t now)
-{
-    const struct rp_host *host = &agent->host;
-
-    if (agent->settings.host_reports.port == 0) {
-        return;
-    }
-    if (host->left) {
-        set_host_state(agent, RP_HOST_GONE);
-    }
-    else if (!RpHost_IsHeard(host, now)) {
-        set_host_state(agent, RP_HOST_UNKNOWN);
-    }
-    else {
-        set_host_state(agent,
-                       host->last.draining ? RP_HOST_DRAINING : RP_HOST_READY);
-    }
-}
-
-/* A life of the host begins: the flows of the one before are lost. An agent
- * that was there before it knows all its flows. */
-static void
-on_host_started(struct agent *agent, int64_t now, bool known_before)
-{
-    const struct rp_host_report *report = &agent->host.last;
-
-    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_started",
-                "host=%s born=%" G_GUINT64_FORMAT
-                " sequence=%" G_GUINT64_FORMAT " slots=%u",
-                report->id.data, report->born_ms, report->sequence,
-                report->slots);
-    if (known_before) {
-        RpAgent_HostRestarted(agent->flows, now);
-    }
-    else if (report->sequence <= RP_HOST_FIRST_SEQUENCE ||
-             (int64_t)report->born_ms > agent->started_ms) {
-        RpAgent_SetKnowsAll(agent->flows);
-    }
-}
-
-static enum rp_code
-on_host_report(void *user, const struct rp_host_report *report)
-{
-    struct agent *agent = user;
-    int64_t now = RpClock_Now();
-    bool known_before = agent->host.known;
-    enum rp_host_news news = RpHost_Report(&agent->host, now, report);
-
-    if (news == RP_HOST_NEWS_FOREIGN) {
-        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_foreign",
-                    "host=%s service=%s", report->id.data,
-                    report->service.data);
-        return RP_ERR_NOT_FOUND;
-    }
-    if (news == RP_HOST_NEWS_STALE) {
-        RpLog_Event(
-            agent->daemon.log, RP_LOG_WARN, "host_report_late",
-            "host=%s sequence=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
-            report->id.data, report->sequence, agent->host.last.sequence);
-        return RP_OK;
-    }
-    if (news == RP_HOST_NEWS_STARTED) {
-        on_host_started(agent, now, known_before);
-    }
-    RpAgent_SetHostSlots(agent->flows, report->slots);
-    review_host(agent, now);
-    run_timers(agent, now);
-    return RP_OK;
-}
-
-static enum rp_code
-on_host_leaves(void *user, const struct rp_name *id)
-{
-    struct agent *agent = user;
-    int64_t now = RpClock_Now();
-
-    if (!RpHost_Leave(&agent->host, now, id)) {
-        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_goodbye_foreign",
-                    "host=%s", id->data);
-    }
-    review_host(agent, now);
-    return RP_OK;
-}
-
-static void
-on_unreadable(void *user, const char *what, const struct rp_error *error)
-{
-    struct agent *agent = user;
-    GString *text = g_string_new(NULL);
-    GString *quoted = g_string_new(NULL);
-
-    RpError_Format(error, text);
-    RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
-    RpLog_Event(agent->daemon.log, RP_LOG_WARN, "message_unreadable",
-                "what=%s findings=%s", what, quoted->str);
-    g_string_free(text, TRUE);
-    g_string_free(quoted, TRUE);
-}
-
 /* A stop request drains the upstream first. A host that reports itself
  * drains by itself: while it is there this process alone is replaced, and
  * its successor learns the flows from the host. */
@@ -716,7 +427,7 @@
         RpLog_Event(agent->daemon.log, flows ? RP_LOG_WARN : RP_LOG_INFO,
                     "drain_finished", "flows_left=%u", flows);
         agent->leaving = true;
-        announce(agent);
+        RpAgentRole_Announce(agent);
         return;
     }
     if (agent->leaving && RpUplink_Queued(agent->uplink) == 0) {
@@ -731,10 +442,10 @@
     struct agent *agent = user;
     int64_t now = RpClock_Now();
 
-    run_timers(agent, now);
-    review_host(agent, now);
+    RpAgentRole_RunTimers(agent, now);
+    RpAgentHost_Review(agent, now);
     if (now >= agent->announce_deadline) {
-        announce(agent);
+        RpAgentRole_Announce(agent);
     }
     go_on_stopping(agent, now);
     RpWake_At(agent->wake, agent->announce_deadline);
@@ -832,30 +543,6 @@
     RpUplink_SetControls(agent->uplink, &fresh.controls);
 }
 
-/* Serves the host's reports. Until the first one the host is unknown. */
-static bool
-open_platform(struct agent *agent)
-{
-    static const struct rp_platform_ops ops = {.host_report = on_host_report,
-                                               .host_leaves = on_host_leaves,
-                                               .unreadable = on_unreadable};
-    struct rp_error error;
-
-    if (agent->settings.host_reports.port == 0) {
-        return true;
-    }
-    agent->host_state = RP_HOST_UNKNOWN;
-    RpAgent_SetHostState(agent->flows, RP_HOST_UNKNOWN);
-    RpHost_Init(&agent->host, &agent->settings.service,
-                agent->settings.report_ms * RP_US_PER_MS);
-    RpError_Init(&error);
-    agent->platform = RpPlatform_Open(agent->settings.host_reports, &ops,
-                                      agent, &error);
-    RpDaemon_PrintFindings(&error);
-    RpError_Clear(&error);
-    return agent->platform != NULL;
-}
-
 static bool
 start(struct agent *agent)
 {
@@ -873,7 +560,7 @@
     agent->started_ms = g_get_real_time() / RP_US_PER_MS;
     agent->wake = RpWake_Create(on_wake, agent);
     create_flows(agent);
-    if (!open_platform(agent)) {
+    if (!RpAgentHost_Open(agent)) {
         return false;
     }
     agent->uplink = RpUplink_Create(&agent->daemon, &agent->settings.controls,
--- /dev/null
+++ b/programs/daemon/agent_host.c
@@ -0,0 +1,143 @@
+/* The host beside an agent, by its own reports. */
+#include "agent.h"
+#include "rp_clock.h"
+
+static void
+set_host_state(struct agent *agent, enum rp_host_state state)
+{
+    static const char *const names[] = {[RP_HOST_READY] = "ready",
+                                        [RP_HOST_UNKNOWN] = "unheard",
+                                        [RP_HOST_DRAINING] = "draining",
+                                        [RP_HOST_GONE] = "gone"};
+
+    if (agent->host_state == state) {
+        return;
+    }
+    agent->host_state = state;
+    RpAgent_SetHostState(agent->flows, state);
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_state",
+                "state=%s host=%s flows=%u", names[state],
+                agent->host.last.id.data,
+                RpAgent_Load(agent->flows, RpClock_Now()).flows);
+    RpAgentRole_Announce(agent);
+}
+
+/* What follows from all that the host has said so far. */
+void
+RpAgentHost_Review(struct agent *agent, int64_t now)
+{
+    const struct rp_host *host = &agent->host;
+
+    if (agent->settings.host_reports.port == 0) {
+        return;
+    }
+    if (host->left) {
+        set_host_state(agent, RP_HOST_GONE);
+    }
+    else if (!RpHost_IsHeard(host, now)) {
+        set_host_state(agent, RP_HOST_UNKNOWN);
+    }
+    else {
+        set_host_state(agent,
+                       host->last.draining ? RP_HOST_DRAINING : RP_HOST_READY);
+    }
+}
+
+/* A life of the host begins: the flows of the one before are lost. An agent
+ * that was there before it knows all its flows. */
+static void
+on_host_started(struct agent *agent, int64_t now, bool known_before)
+{
+    const struct rp_host_report *report = &agent->host.last;
+
+    RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_started",
+                "host=%s born=%" G_GUINT64_FORMAT
+                " sequence=%" G_GUINT64_FORMAT " slots=%u",
+                report->id.data, report->born_ms, report->sequence,
+                report->slots);
+    if (known_before) {
+        RpAgent_HostRestarted(agent->flows, now);
+    }
+    else if (report->sequence <= RP_HOST_FIRST_SEQUENCE ||
+             (int64_t)report->born_ms > agent->started_ms) {
+        RpAgent_SetKnowsAll(agent->flows);
+    }
+}
+
+static enum rp_code
+on_host_report(void *user, const struct rp_host_report *report)
+{
+    struct agent *agent = user;
+    int64_t now = RpClock_Now();
+    bool known_before = agent->host.known;
+    enum rp_host_news news = RpHost_Report(&agent->host, now, report);
+
+    if (news == RP_HOST_NEWS_FOREIGN) {
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_foreign",
+                    "host=%s service=%s", report->id.data,
+                    report->service.data);
+        return RP_ERR_NOT_FOUND;
+    }
+    if (news == RP_HOST_NEWS_STALE) {
+        RpLog_Event(
+            agent->daemon.log, RP_LOG_WARN, "host_report_late",
+            "host=%s sequence=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+            report->id.data, report->sequence, agent->host.last.sequence);
+        return RP_OK;
+    }
+    if (news == RP_HOST_NEWS_STARTED) {
+        on_host_started(agent, now, known_before);
+    }
+    RpAgent_SetHostSlots(agent->flows, report->slots);
+    RpAgentHost_Review(agent, now);
+    RpAgentRole_RunTimers(agent, now);
+    return RP_OK;
+}
+
+static enum rp_code
+on_host_leaves(void *user, const struct rp_name *id)
+{
+    struct agent *agent = user;
+    int64_t now = RpClock_Now();
+
+    if (!RpHost_Leave(&agent->host, now, id)) {
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_goodbye_foreign",
+                    "host=%s", id->data);
+    }
+    RpAgentHost_Review(agent, now);
+    return RP_OK;
+}
+
+static void
+on_unreadable(void *user, const char *what, const struct rp_error *error)
+{
+    struct agent *agent = user;
+    gchar *pairs = g_strdup_printf("what=%s ", what);
+
+    RpDaemon_LogFindings(&agent->daemon, RP_LOG_WARN, "message_unreadable",
+                         pairs, error);
+    g_free(pairs);
+}
+
+bool
+RpAgentHost_Open(struct agent *agent)
+{
+    static const struct rp_platform_ops ops = {.host_report = on_host_report,
+                                               .host_leaves = on_host_leaves,
+                                               .unreadable = on_unreadable};
+    struct rp_error error;
+
+    if (agent->settings.host_reports.port == 0) {
+        return true;
+    }
+    agent->host_state = RP_HOST_UNKNOWN;
+    RpAgent_SetHostState(agent->flows, RP_HOST_UNKNOWN);
+    RpHost_Init(&agent->host, &agent->settings.service,
+                agent->settings.report_ms * RP_US_PER_MS);
+    RpError_Init(&error);
+    agent->platform = RpPlatform_Open(agent->settings.host_reports, &ops,
+                                      agent, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return agent->platform != NULL;
+}
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -106,18 +106,12 @@
 on_failed(void *user, const struct rp_error *error)
 {
     const struct control *control = user;
-    GString *text = g_string_new(NULL);
-    GString *quoted = g_string_new(NULL);
 
     if (!control->daemon.log) {
         RpDaemon_PrintFindings(error);
     }
-    RpError_Format(error, text);
-    RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
-    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "storage_failed",
-                "findings=%s", quoted->str);
-    g_string_free(text, TRUE);
-    g_string_free(quoted, TRUE);
+    RpDaemon_LogFindings(&control->daemon, RP_LOG_ERROR, "storage_failed", "",
+                         error);
 }
 
 static const struct rp_control_replica_ops replica_ops = {
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -125,16 +125,11 @@
 {
     struct control_editions *editions = user;
     struct rp_daemon *daemon = &editions->control->daemon;
-    GString *text = g_string_new(NULL);
-    GString *quoted = g_string_new(NULL);
+    gchar *pairs = g_strdup_printf("what=%s ", what);
 
-    RpError_Format(error, text);
-    RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
     RpCounters_Add(&daemon->counters, RP_COUNT_CHANGE_BAD_DOCUMENT);
-    RpLog_Event(daemon->log, RP_LOG_WARN, "edition_refused",
-                "what=%s findings=%s", what, quoted->str);
-    g_string_free(text, TRUE);
-    g_string_free(quoted, TRUE);
+    RpDaemon_LogFindings(daemon, RP_LOG_WARN, "edition_refused", pairs, error);
+    g_free(pairs);
 }
 
 static void
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -44,11 +44,12 @@
 on_unreadable(void *user, const char *what, const struct rp_error *error)
 {
     struct relay *relay = user;
+    gchar *pairs = g_strdup_printf("what=%s ", what);
 
-    (void)error;
     RpCounters_Add(&relay->daemon.counters, RP_COUNT_CHANGE_BAD_DOCUMENT);
-    RpLog_Event(relay->daemon.log, RP_LOG_WARN, "edition_refused", "what=%s",
-                what);
+    RpDaemon_LogFindings(&relay->daemon, RP_LOG_WARN, "edition_refused", pairs,
+                         error);
+    g_free(pairs);
 }
 
 static void
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -26,6 +26,22 @@
     g_string_free(text, TRUE);
 }
 
+void
+RpDaemon_LogFindings(const struct rp_daemon *daemon, enum rp_log_level level,
+                     const char *event, const char *pairs,
+                     const struct rp_error *error)
+{
+    GString *text = g_string_new(NULL);
+    GString *quoted = g_string_new(NULL);
+
+    RpError_Format(error, text);
+    RpLog_Quote(quoted, (struct rp_str){.data = text->str, .len = text->len});
+    RpLog_Event(daemon->log, level, event, "%sfindings=%s", pairs,
+                quoted->str);
+    g_string_free(text, TRUE);
+    g_string_free(quoted, TRUE);
+}
+
 bool
 RpDaemon_ReadSettings(const struct rp_setting *settings, size_t count,
                       const char *program, const char *usage, int argc,
@@ -155,14 +171,8 @@
         RpLog_Event(daemon->log, RP_LOG_INFO, "settings_reloaded", "%s", "");
     }
     else {
-        GString *text = g_string_new(NULL);
-        GString *quoted = g_string_new(NULL);
-        RpError_Format(&error, text);
-        RpLog_Quote(quoted, (struct rp_str){text->str, text->len});
-        RpLog_Event(daemon->log, RP_LOG_ERROR, "settings_refused",
-                    "findings=%s", quoted->str);
-        g_string_free(text, TRUE);
-        g_string_free(quoted, TRUE);
+        RpDaemon_LogFindings(daemon, RP_LOG_ERROR, "settings_refused", "",
+                             &error);
     }
     RpError_Clear(&error);
     g_free(settings);
--- a/programs/daemon/rp_daemon.h
+++ b/programs/daemon/rp_daemon.h
@@ -146,6 +146,12 @@
                         const struct rp_common_settings *settings,
                         const struct rp_admin_ops *ops, void *user);
 
+/* Writes one line with all findings, after `pairs` (which may be empty and
+ * end in a blank otherwise). */
+void RpDaemon_LogFindings(const struct rp_daemon *daemon,
+                          enum rp_log_level level, const char *event,
+                          const char *pairs, const struct rp_error *error);
+
 /* Prints findings to standard error. */
 void RpDaemon_PrintFindings(const struct rp_error *error);
 
