A control instance without a log sends nodes on at once

Cause: a replica that is not fresh keeps its nodes for a second, the time of an election, also when it has lost its disk or has not joined yet and cannot become fresh by an election of its own.

Ruled out: the nodes' own choice (they try instances in turn; the empty one accepted and kept them).

Change: what a replica may do for nodes is a module of its own (lib/control/rp_standing): no log, cut off, fresh. Without a log it keeps no node: a subscriber is closed at once (node_sent_on, counted and logged), and those that it has when it loses its log too. A node's pause between attempts grows until it has a table, not a connection, so that nodes do not go round fast where all instances are empty.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -79,6 +79,7 @@
     X(PEER_TIMEOUT, "peer_timeout", "peers that did not say hello")           \
     X(PEER_TOO_SLOW, "peer_too_slow", "peers whose queue overflowed")         \
     X(PEER_LIMIT, "peer_limit", "connections over the limit")                 \
+    X(NODE_SENT_ON, "node_sent_on", "nodes sent on: no log here yet")         \
     X(PEERS_ACCEPTED, "peers_accepted", "peers that authenticated")           \
     /* Control. */                                                            \
     X(CHANGE_APPLIED, "change_applied", "changes accepted")                   \
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -10,10 +10,6 @@
 
 #define TICK_MS 20
 #define REPORT_US (1 * RP_US_PER_SECOND)
-/* How long a replica that is cut off waits before it sends its nodes to
- * others, the first time and at most. */
-#define SEND_AWAY_MIN_US (1 * RP_US_PER_SECOND)
-#define SEND_AWAY_MAX_US (300 * RP_US_PER_SECOND)
 
 static const struct rp_setting settings_table[] = {
     RP_COMMON_SETTINGS(control_settings, common),
@@ -174,27 +170,22 @@
     }
 }
 
-/* A replica that is cut off sends its nodes away, at growing intervals: one
- * of the others may be better connected. */
+/* Tells whoever depends on it that this replica is cut off or no longer, and
+ * sends its nodes to another one where that may serve them better. */
 static void
-review_freshness(struct control *control, int64_t now)
+review_standing(struct control *control, int64_t now)
 {
+    bool has_log = RpReplica_Members(replica_of(control))->len > 0;
     bool fresh = RpReplica_IsFresh(replica_of(control), now);
 
-    if (fresh != control->was_fresh) {
-        control->was_fresh = fresh;
+    if (RpStanding_Update(&control->standing, now, has_log, fresh)) {
         RpDistribution_SetFresh(control->distribution, now, fresh);
         RpRegistry_SetCutOff(control->registry, now, !fresh);
         RpLog_Event(control->daemon.log, fresh ? RP_LOG_INFO : RP_LOG_WARN,
                     fresh ? "replica_fresh" : "replica_cut_off", "role=%s",
                     RpReplica_RoleName(replica_of(control)));
-        control->cut_off_since = now;
-        control->next_send_away = now + SEND_AWAY_MIN_US;
     }
-    if (!fresh && now >= control->next_send_away) {
-        int64_t wait = CLAMP(now - control->cut_off_since, SEND_AWAY_MIN_US,
-                             SEND_AWAY_MAX_US);
-        control->next_send_away = now + wait;
+    if (RpStanding_SendsAway(&control->standing, now)) {
         RpControl_SendNodesAway(control);
     }
 }
@@ -251,7 +242,7 @@
     RpControlReplica_Tick(control->replica, now);
     log_role(control);
     RpControlLinks_Tick(control->links, now);
-    review_freshness(control, now);
+    review_standing(control, now);
     expire_leases(control, now);
     report(control, now);
     RpDistribution_Flush(control->distribution, now);
@@ -269,7 +260,7 @@
 {
     const struct control *control = user;
 
-    if (!control->was_fresh) {
+    if (!control->standing.fresh) {
         g_string_append(why, "cut off from the leader");
         return false;
     }
@@ -292,7 +283,7 @@
         RpDistribution_LowestConfirmed(control->distribution),
         g_hash_table_size(control->clients), RpReplica_Term(replica),
         RpReplica_Committed(replica),
-        RpReplica_Role(replica) == RP_REPLICA_LEADER, control->was_fresh);
+        RpReplica_Role(replica) == RP_REPLICA_LEADER, control->standing.fresh);
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
@@ -468,8 +459,7 @@
     control->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                              g_free, g_free);
     control->links = RpControlLinks_Create(control);
-    control->cut_off_since = RpClock_Now();
-    control->next_send_away = control->cut_off_since + SEND_AWAY_MIN_US;
+    RpStanding_Init(&control->standing, RpClock_Now());
     g_timeout_add(TICK_MS, on_tick, control);
     RpDistribution_TouchAll(control->distribution, RpClock_Now());
     RpDistribution_GatherUntil(control->distribution,
@@ -478,6 +468,7 @@
     if (is_first_replica(control)) {
         create_group(control);
     }
+    review_standing(control, RpClock_Now());
     return RpControl_Listen(control) && open_editions(control) &&
            RpDaemon_OpenAdmin(&control->daemon, &control->settings.common,
                               &admin_ops, control);
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -7,6 +7,7 @@
 #include "rp_distribution.h"
 #include "rp_platform.h"
 #include "rp_registry.h"
+#include "rp_standing.h"
 
 struct control_settings {
     struct rp_common_settings common;
@@ -36,13 +37,11 @@
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
     int64_t changed_at;  /* when the newest change was decided; 0: none */
-    bool was_fresh;
+    struct rp_standing standing;
     enum rp_replica_role was_role;
     uint64_t was_leader; /* id; 0: none known */
     uint64_t was_term;
-    int64_t cut_off_since;
-    int64_t next_send_away; /* when nodes are next told to look elsewhere */
-    int64_t next_report;    /* of what this replica's nodes run */
+    int64_t next_report; /* of what this replica's nodes run */
 };
 
 /* control_nodes.c: nodes, operators and other replicas that connect here. */
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -310,14 +310,19 @@
 {
     struct rp_msg msg;
 
+    if (!RpStanding_KeepsNodes(&control->standing)) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_NODE_SENT_ON);
+        RpLog_Event(control->daemon.log, RP_LOG_INFO, "node_sent_on",
+                    "node=%s reason=no_log", client->hello.name.data);
+        RpConn_Close(client->conn);
+        return;
+    }
     RpDistribution_Subscribe(control->distribution, RpClock_Now(),
                              RpConn_Number(client->conn), &client->hello,
                              subscribe);
-    if (RpReplica_Members(replica_of(control))->len > 0) {
-        fill_controls(control, &msg);
-        RpConn_Send(client->conn, &msg);
-        RpMsg_Clear(&msg);
-    }
+    fill_controls(control, &msg);
+    RpConn_Send(client->conn, &msg);
+    RpMsg_Clear(&msg);
 }
 
 static GArray *
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -54,7 +54,6 @@
                       .revision = RpTable_Revision(uplink->table)}};
 
     uplink->ready = true;
-    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
     RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_connected",
                 "control=%s", hello->name.data);
     RpConn_Send(conn, &msg);
@@ -77,6 +76,8 @@
         return;
     }
     RpCounters_Add(counters, RP_COUNT_TABLE_APPLIED);
+    /* Not before: where all instances are empty, each only sends us on. */
+    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
     uplink->ops->table_changed(uplink->user);
     const struct rp_msg confirm = {
         .type = RP_MSG_CONFIRM,
