Serving HTTP is one package

Change: lib/http (RpHttp_Serve, RpHttp_Answer), used by both. No behaviour changes but one: the server listens before its handlers are added, which no caller can see since it serves only once the main loop runs.

--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -1,6 +1,6 @@
 #include "rp_admin.h"
 
-#include <libsoup/soup.h>
+#include "rp_http.h"
 
 struct rp_admin {
     SoupServer *server;
@@ -10,17 +10,6 @@
     void *user;
 };
 
-static void
-answer(SoupServerMessage *message, guint status, const char *type,
-       GString *body)
-{
-    gsize len = body->len;
-
-    soup_server_message_set_status(message, status, NULL);
-    soup_server_message_set_response(message, type, SOUP_MEMORY_TAKE,
-                                     g_string_free(body, FALSE), len);
-}
-
 static void
 on_metrics(SoupServer *server, SoupServerMessage *message, const char *path,
            GHashTable *query, gpointer data)
@@ -57,7 +46,7 @@
     }
     g_strfreev(lines);
     g_string_free(gauges, TRUE);
-    answer(message, SOUP_STATUS_OK, "text/plain; version=0.0.4", out);
+    RpHttp_Answer(message, SOUP_STATUS_OK, "text/plain; version=0.0.4", out);
 }
 
 static void
@@ -72,8 +61,9 @@
     (void)query;
     bool healthy = admin->ops->healthy(admin->user, why);
     g_string_append_c(why, '\n');
-    answer(message, healthy ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
-           "text/plain", why);
+    RpHttp_Answer(message,
+                  healthy ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+                  "text/plain", why);
 }
 
 struct rp_admin *
@@ -82,28 +72,20 @@
              const struct rp_admin_ops *ops, void *user,
              struct rp_error *error)
 {
-    struct rp_admin *admin = g_new0(struct rp_admin, 1);
-    char text[RP_ENDPOINT_TEXT_MAX];
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        RpIp_Format(listen.ip, text), listen.port);
-    GError *failure = NULL;
+    SoupServer *server = RpHttp_Serve(listen, error);
 
-    *admin = (struct rp_admin){
-        .role = role, .counters = counters, .ops = ops, .user = user};
-    admin->server = soup_server_new("server-header", "radishport", NULL);
+    if (!server) {
+        return NULL;
+    }
+    struct rp_admin *admin = g_new0(struct rp_admin, 1);
+    *admin = (struct rp_admin){.server = server,
+                               .role = role,
+                               .counters = counters,
+                               .ops = ops,
+                               .user = user};
     soup_server_add_handler(admin->server, "/metrics", on_metrics, admin,
                             NULL);
     soup_server_add_handler(admin->server, "/healthz", on_health, admin, NULL);
-    gboolean good = soup_server_listen(admin->server, address,
-                                       (SoupServerListenOptions)0, &failure);
-    g_object_unref(address);
-    if (!good) {
-        RpError_Add(error, RP_ERR_IO, RpEndpoint_Format(listen, text),
-                    "cannot serve HTTP: %s", failure->message);
-        g_error_free(failure);
-        RpAdmin_Close(admin);
-        return NULL;
-    }
     return admin;
 }
 
