Tests: the world that replicas run in is a file of its own

Change: replica_world.{c,h} hold the instances, disks and network and what is checked all along; test_replica.c keeps the faults and the two properties. The dice are rolled in the same order.

--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -1,33 +1,17 @@
-/* Property runs of agreement: replicas under a network that drops, delays,
- * repeats and cuts one way, with freezes, kills in the middle of storing,
- * lost disks and clocks that differ.
- *
- * What must hold on every seed:
- * - one leader a term, one order everywhere;
- * - nothing acknowledged is lost, changed or applied twice;
- * - a replica that says it is fresh has applied all that was acknowledged
- *   before the lease began;
- * - a read that a majority has confirmed shows all that was acknowledged
- *   before it began;
- * - once the faults end, the system takes changes again.
+/* Property runs of agreement in the worlds of replica_world.h. Besides what
+ * is checked there, on every seed nothing acknowledged is lost, and once the
+ * faults end, the system takes changes again.
  *
  * A second property starts 4 or 6 replicas together as a first group; 6 of
  * them lose two disks at once.
  *
  * RP_SEED=N runs that seed alone; RP_SEEDS=N runs 1 to N. */
-#include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "check.h"
-#include "rp_replica.h"
+#include "replica_world.h"
 #include "seeds.h"
 
-#define MAX_SLOTS 6 /* instances */
-#define STEP_US (20 * RP_US_PER_MS)
 #define FAULT_STEPS 1500
-#define MAX_DELAY 8 /* steps that a message may take */
-#define MAX_DELAY_US ((MAX_DELAY + 1) * STEP_US)
 #define CALM_STEPS 1500
 #define DEFAULT_SEEDS 250
 #define GROUP_SEEDS 100
@@ -35,462 +19,6 @@
 /* Seeds beyond those that found a fault once. */
 static const uint32_t extra_seeds[] = {852,  1318, 1572, 2418, 5066, 5446,
                                        6424, 7566, 7622, 8090, 9716};
-#define MAX_FLIGHTS 2000
-#define COMPACT_EVERY 40 /* applied entries */
-
-/* What one instance has on its disk. */
-struct disk {
-    uint64_t term;
-    uint64_t voted_for;
-    struct rp_snapshot *snapshot;
-    GPtrArray *entries; /* of encoded struct rp_log_entry, as GString */
-};
-
-struct instance {
-    struct rp_replica *replica; /* NULL while it is down */
-    uint64_t id;
-    struct disk disk;
-    int64_t skew;   /* its clock against the world's */
-    int frozen;     /* steps left */
-    int down;       /* steps left */
-    GString *state; /* applied commands, "1,2,3," */
-    uint64_t applied;
-    uint64_t since_compact;
-    uint64_t read_term; /* of a read under way */
-    uint64_t read_round;
-    guint read_from; /* commands acknowledged before it; 0: no read */
-};
-
-struct flight {
-    unsigned to;
-    int delay; /* steps left */
-    struct rp_msg msg;
-};
-
-struct world {
-    uint32_t seed;
-    GRand *dice;
-    int64_t now;
-    unsigned slots;
-    uint64_t next_id;
-    struct instance instances[MAX_SLOTS];
-    bool cut[MAX_SLOTS][MAX_SLOTS]; /* one way */
-    GPtrArray *flights;
-    GHashTable *leaders;      /* term -> id */
-    GPtrArray *history;       /* command by index, as GString; NULL: none */
-    GHashTable *proposed;     /* index -> command number, by the last leader */
-    GHashTable *acknowledged; /* command number -> 1 */
-    GArray *in_order;         /* the same, as guint */
-    GArray *times;            /* when each was, as int64_t */
-    unsigned next_command;
-    bool faulty;
-    bool group; /* all were started together */
-};
-
-#define CHECK(world, condition, text)                                         \
-    do {                                                                      \
-        if (!(condition)) {                                                   \
-            print_error("%s\nrepeat with: RP_SEED=%u "                        \
-                        "build/tests/test_replica\n",                         \
-                        text, (world)->seed);                                 \
-            fail();                                                           \
-        }                                                                     \
-    } while (0)
-
-static int
-roll(struct world *world, int sides)
-{
-    return g_rand_int_range(world->dice, 0, sides);
-}
-
-static int64_t
-clock_of(const struct world *world, const struct instance *instance)
-{
-    return world->now + instance->skew;
-}
-
-static struct rp_replica_member
-member_of(const struct world *world, unsigned slot)
-{
-    struct rp_replica_member member = {
-        .id = world->instances[slot].id, .ip = slot + 1, .port = 1};
-    gchar *name = g_strdup_printf("control-%u", slot);
-
-    RpName_Set(&member.name, RpStr_FromC(name));
-    g_free(name);
-    return member;
-}
-
-static int
-slot_of(const struct world *world, uint64_t id)
-{
-    for (unsigned i = 0; i < world->slots; i++) {
-        if (world->instances[i].id == id) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
-static void
-free_string(gpointer data)
-{
-    g_string_free(data, TRUE);
-}
-
-static void
-wipe_disk(struct disk *disk)
-{
-    if (disk->snapshot) {
-        RpSchema_Clear(&rp_snapshot_schema, disk->snapshot);
-        g_free(disk->snapshot);
-    }
-    if (disk->entries) {
-        g_ptr_array_unref(disk->entries);
-    }
-    *disk = (struct disk){
-        .entries = g_ptr_array_new_with_free_func(free_string)};
-}
-
-static void
-store_entry(struct disk *disk, const struct rp_log_entry *entry)
-{
-    g_ptr_array_add(disk->entries,
-                    RpSchema_Encode(&rp_log_entry_schema, entry));
-}
-
-static void
-store_snapshot(struct instance *instance, const struct rp_snapshot *snapshot)
-{
-    struct disk *disk = &instance->disk;
-    GString *bytes = RpSchema_Encode(&rp_snapshot_schema, snapshot);
-    struct rp_snapshot *copy = g_new0(struct rp_snapshot, 1);
-
-    RpSchema_Decode(&rp_snapshot_schema,
-                    (struct rp_str){.data = bytes->str, .len = bytes->len},
-                    copy);
-    g_string_free(bytes, TRUE);
-    uint64_t term = disk->term;
-    uint64_t voted_for = disk->voted_for;
-    wipe_disk(disk);
-    disk->term = term;
-    disk->voted_for = voted_for;
-    disk->snapshot = copy;
-    for (size_t i = 0; i < RpReplica_EntryCount(instance->replica); i++) {
-        store_entry(disk, RpReplica_Entry(instance->replica, i));
-    }
-}
-
-static void
-truncate_disk(struct disk *disk, uint64_t index)
-{
-    uint64_t first = disk->snapshot ? disk->snapshot->index + 1 : 1;
-
-    g_ptr_array_set_size(disk->entries, (gint)(index - first));
-}
-
-static void
-start_instance(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-    struct disk *disk = &instance->disk;
-    struct rp_replica *replica = RpReplica_Create(
-        instance->id, world->seed * 100 + slot, clock_of(world, instance));
-
-    RpReplica_LoadVote(replica, disk->term, disk->voted_for);
-    g_string_truncate(instance->state, 0);
-    instance->applied = 0;
-    if (disk->snapshot) {
-        RpReplica_LoadSnapshot(replica, disk->snapshot);
-        g_string_append_len(instance->state, disk->snapshot->data->str,
-                            (gssize)disk->snapshot->data->len);
-        instance->applied = disk->snapshot->index;
-    }
-    for (guint i = 0; i < disk->entries->len; i++) {
-        const GString *bytes = g_ptr_array_index(disk->entries, i);
-        struct rp_log_entry entry;
-        assert_true(RpSchema_Decode(
-            &rp_log_entry_schema,
-            (struct rp_str){.data = bytes->str, .len = bytes->len}, &entry));
-        CHECK(world, RpReplica_LoadEntry(replica, &entry) == RP_OK,
-              "a stored entry is missing");
-        RpSchema_Clear(&rp_log_entry_schema, &entry);
-    }
-    instance->replica = replica;
-}
-
-static void
-stop_instance(struct world *world, unsigned slot)
-{
-    RpReplica_Free(world->instances[slot].replica);
-    world->instances[slot].replica = NULL;
-}
-
-static void
-put_on_wire(struct world *world, unsigned from,
-            const struct rp_replica_action *act)
-{
-    int to = slot_of(world, act->to);
-    int copies = 1;
-
-    if (to < 0 || world->cut[from][to]) {
-        return;
-    }
-    if (world->faulty) {
-        int luck = roll(world, 20);
-        copies = luck == 0 ? 0 : luck == 1 ? 2 : 1;
-    }
-    while (copies-- > 0 && world->flights->len < MAX_FLIGHTS) {
-        GString *bytes = g_string_new(NULL);
-        struct flight *flight = g_new0(struct flight, 1);
-        RpMsg_Encode(&act->msg, bytes);
-        RpMsg_Decode((struct rp_str){.data = bytes->str, .len = bytes->len},
-                     &flight->msg);
-        flight->to = (unsigned)to;
-        flight->delay = world->faulty ? roll(world, MAX_DELAY) : 0;
-        g_ptr_array_add(world->flights, flight);
-        g_string_free(bytes, TRUE);
-    }
-}
-
-/* A committed entry is applied: the same one everywhere, once. */
-static void
-apply(struct world *world, struct instance *instance,
-      const struct rp_log_entry *entry)
-{
-    CHECK(world, entry->index == instance->applied + 1,
-          "an entry was applied out of order");
-    instance->applied = entry->index;
-    instance->since_compact++;
-    if (world->history->len <= entry->index) {
-        g_ptr_array_set_size(world->history, (gint)entry->index + 1);
-    }
-    gpointer *seen = &g_ptr_array_index(world->history, entry->index);
-    GString *what = g_string_new(NULL);
-    g_string_printf(what, "%" G_GUINT64_FORMAT "/%u/", entry->term,
-                    entry->kind);
-    g_string_append_len(what, entry->data->str, (gssize)entry->data->len);
-    if (!*seen) {
-        *seen = g_string_new_len(what->str, (gssize)what->len);
-    }
-    CHECK(world, g_string_equal(*seen, what),
-          "two replicas applied different entries");
-    g_string_free(what, TRUE);
-    if (entry->kind != RP_ENTRY_COMMAND) {
-        return;
-    }
-    g_string_append_printf(instance->state, "%s,", entry->data->str);
-    /* The leader that proposed it acknowledges it now. */
-    gpointer number = g_hash_table_lookup(world->proposed,
-                                          GSIZE_TO_POINTER(entry->index));
-    if (RpReplica_Role(instance->replica) == RP_REPLICA_LEADER && number &&
-        GPOINTER_TO_UINT(number) ==
-            (guint)strtoul(entry->data->str, NULL, 10)) {
-        guint acknowledged = GPOINTER_TO_UINT(number);
-        g_hash_table_add(world->acknowledged, number);
-        g_array_append_val(world->in_order, acknowledged);
-        g_array_append_val(world->times, world->now);
-    }
-}
-
-static void
-carry_out(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-    GArray *actions = RpReplica_TakeActions(instance->replica);
-    guint limit = actions->len;
-
-    /* A kill in the middle: what comes later was never done. */
-    bool killed = world->faulty && limit > 0 && roll(world, 3000) == 0;
-    if (killed) {
-        limit = (guint)roll(world, (int)limit);
-    }
-    for (guint i = 0; i < limit; i++) {
-        const struct rp_replica_action *act = &g_array_index(
-            actions, struct rp_replica_action, i);
-        switch (act->kind) {
-        case RP_REPLICA_STORE_VOTE:
-            instance->disk.term = act->term;
-            instance->disk.voted_for = act->voted_for;
-            break;
-        case RP_REPLICA_STORE_ENTRY:
-            store_entry(&instance->disk, act->entry);
-            break;
-        case RP_REPLICA_STORE_TRUNCATE:
-            truncate_disk(&instance->disk, act->index);
-            break;
-        case RP_REPLICA_STORE_SNAPSHOT:
-            store_snapshot(instance, act->snapshot);
-            g_string_truncate(instance->state, 0);
-            g_string_append_len(instance->state, act->snapshot->data->str,
-                                (gssize)act->snapshot->data->len);
-            instance->applied = act->snapshot->index;
-            break;
-        case RP_REPLICA_SEND:
-            put_on_wire(world, slot, act);
-            break;
-        case RP_REPLICA_APPLY:
-            apply(world, instance, act->entry);
-            break;
-        }
-    }
-    RpReplica_FreeActions(actions);
-    if (killed) {
-        stop_instance(world, slot);
-        instance->down = 1 + roll(world, 100);
-        return;
-    }
-    if (RpReplica_Role(instance->replica) == RP_REPLICA_LEADER) {
-        gpointer term = GSIZE_TO_POINTER(RpReplica_Term(instance->replica));
-        gpointer other = g_hash_table_lookup(world->leaders, term);
-        CHECK(world, !other || GPOINTER_TO_SIZE(other) == instance->id,
-              "two leaders in one term");
-        g_hash_table_insert(world->leaders, term,
-                            GSIZE_TO_POINTER(instance->id));
-    }
-    if (instance->since_compact >= COMPACT_EVERY) {
-        instance->since_compact = 0;
-        RpReplica_Compact(instance->replica, instance->state);
-        store_snapshot(instance, RpReplica_Snapshot(instance->replica));
-    }
-}
-
-static bool
-is_running(const struct world *world, unsigned slot)
-{
-    const struct instance *instance = &world->instances[slot];
-
-    return instance->replica && instance->frozen == 0;
-}
-
-static void
-deliver(struct world *world)
-{
-    for (guint i = 0; i < world->flights->len;) {
-        struct flight *flight = g_ptr_array_index(world->flights, i);
-        if (flight->delay-- > 0) {
-            i++;
-            continue;
-        }
-        g_ptr_array_steal_index(world->flights, i);
-        struct instance *instance = &world->instances[flight->to];
-        if (is_running(world, flight->to)) {
-            RpReplica_Receive(instance->replica, clock_of(world, instance),
-                              &flight->msg);
-            carry_out(world, flight->to);
-        }
-        RpMsg_Clear(&flight->msg);
-        g_free(flight);
-    }
-}
-
-static void
-propose(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-    GString *command = g_string_new(NULL);
-    uint64_t index;
-
-    g_string_printf(command, "%u", ++world->next_command);
-    if (RpReplica_Propose(instance->replica, clock_of(world, instance),
-                          command, &index) == RP_OK) {
-        g_hash_table_insert(world->proposed, GSIZE_TO_POINTER(index),
-                            GUINT_TO_POINTER(world->next_command));
-        carry_out(world, slot);
-    }
-    g_string_free(command, TRUE);
-}
-
-/* How often a command stands in a state. */
-static unsigned
-count_command(const GString *state, guint number)
-{
-    gchar *wanted = g_strdup_printf("%u", number);
-    gchar **commands = g_strsplit(state->str, ",", -1);
-    unsigned count = 0;
-
-    for (gchar **command = commands; *command; command++) {
-        count += !strcmp(*command, wanted);
-    }
-    g_strfreev(commands);
-    g_free(wanted);
-    return count;
-}
-
-/* Begins a read, or checks the one that is under way. */
-static void
-read_state(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-
-    if (instance->read_from == 0) {
-        instance->read_term = RpReplica_Term(instance->replica);
-        instance->read_round = RpReplica_StartRead(instance->replica,
-                                                   clock_of(world, instance));
-        instance->read_from = instance->read_round ? world->in_order->len : 0;
-        carry_out(world, slot);
-        return;
-    }
-    if (RpReplica_ReadIsSafe(instance->replica, instance->read_term,
-                             instance->read_round)) {
-        guint newest = g_array_index(world->in_order, guint,
-                                     instance->read_from - 1);
-        CHECK(world, count_command(instance->state, newest) == 1,
-              "a confirmed read misses what was acknowledged before it");
-        instance->read_from = 0;
-    }
-    else if (RpReplica_Term(instance->replica) != instance->read_term) {
-        instance->read_from = 0;
-    }
-}
-
-/* A replica that says that it is fresh has all that was acknowledged before
- * the leader sent the contact by which its lease began. */
-static void
-check_fresh(struct world *world, unsigned slot)
-{
-    const struct instance *instance = &world->instances[slot];
-    guint count = world->in_order->len;
-
-    if (!RpReplica_IsFresh(instance->replica, clock_of(world, instance))) {
-        return;
-    }
-    while (count > 0 && g_array_index(world->times, int64_t, count - 1) >
-                            world->now - RP_LEASE_US - MAX_DELAY_US) {
-        count--;
-    }
-    CHECK(
-        world,
-        count == 0 || count_command(instance->state,
-                                    g_array_index(world->in_order, guint,
-                                                  count - 1)) == 1,
-        "a replica says that it is fresh and misses an acknowledged command");
-}
-
-/* Replicas that are not members ask the others to let them in. */
-static void
-ask_to_join(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-    struct rp_replica_member self = member_of(world, slot);
-
-    if (!RpReplica_WantsToJoin(instance->replica, clock_of(world, instance))) {
-        return;
-    }
-    for (unsigned i = 0; i < world->slots; i++) {
-        /* Of a group each knows two others from its settings, and the leader
-         * may be none of them. */
-        bool is_known = !world->group || i == (slot + 1) % world->slots ||
-                        i == (slot + 2) % world->slots;
-        if (i != slot && is_known && is_running(world, i) &&
-            !world->cut[slot][i]) {
-            RpReplica_Join(world->instances[i].replica,
-                           clock_of(world, &world->instances[i]), &self,
-                           false);
-            carry_out(world, i);
-        }
-    }
-}
 
 /* How many instances may lose their disk without losing the data: one at a
  * time, and only when all others are up and hold the log's end. */
@@ -518,43 +46,31 @@
     return full + 1 == world->slots;
 }
 
-/* A second disk is lost at the same moment. */
-static void
-lose_disk(struct world *world, unsigned slot)
-{
-    struct instance *instance = &world->instances[slot];
-
-    stop_instance(world, slot);
-    wipe_disk(&instance->disk);
-    instance->id = ++world->next_id;
-    instance->down = 1 + roll(world, 50);
-}
-
 static void
 break_something(struct world *world)
 {
-    unsigned slot = (unsigned)roll(world, (int)world->slots);
-    unsigned other = (unsigned)roll(world, (int)world->slots);
+    unsigned slot = (unsigned)world_roll(world, (int)world->slots);
+    unsigned other = (unsigned)world_roll(world, (int)world->slots);
     struct instance *instance = &world->instances[slot];
 
-    if (world->group && roll(world, 10) == 0) {
+    if (world->group && world_roll(world, 10) == 0) {
         /* All lose power at the same moment; their disks are whole. */
         for (unsigned i = 0; i < world->slots; i++) {
-            stop_instance(world, i);
-            world->instances[i].down = 1 + roll(world, 20);
+            world_stop_instance(world, i);
+            world->instances[i].down = 1 + world_roll(world, 20);
         }
         return;
     }
 
-    switch (roll(world, 8)) {
+    switch (world_roll(world, 8)) {
     case 0:
         if (instance->replica) {
-            stop_instance(world, slot);
-            instance->down = 1 + roll(world, 200);
+            world_stop_instance(world, slot);
+            instance->down = 1 + world_roll(world, 200);
         }
         break;
     case 1:
-        instance->frozen = 1 + roll(world, 200);
+        instance->frozen = 1 + world_roll(world, 200);
         break;
     case 2:
         world->cut[slot][other] = true; /* one way */
@@ -573,136 +89,22 @@
         /* The clock jumps forward; it never runs backwards. A lease holds
          * only while clocks run alike. */
         if (!world->group) {
-            instance->skew += roll(world, 3) * RP_US_PER_SECOND;
+            instance->skew += world_roll(world, 3) * RP_US_PER_SECOND;
         }
         break;
     default:
-        if (may_lose_disk(world, slot) && roll(world, 3) == 0) {
-            stop_instance(world, slot);
-            wipe_disk(&instance->disk);
-            instance->id = ++world->next_id;
-            instance->down = 1 + roll(world, 50);
+        if (may_lose_disk(world, slot) && world_roll(world, 3) == 0) {
+            world_lose_disk(world, slot);
+            instance->down = 1 + world_roll(world, 50);
             if (world->slots == MAX_SLOTS && other != slot) {
-                lose_disk(world, other);
+                /* A second disk is lost at the same moment. */
+                world_lose_disk(world, other);
+                world->instances[other].down = 1 + world_roll(world, 50);
             }
         }
     }
 }
 
-static void
-step(struct world *world)
-{
-    world->now += STEP_US;
-    for (unsigned i = 0; i < world->slots; i++) {
-        struct instance *instance = &world->instances[i];
-        if (!instance->replica && --instance->down <= 0) {
-            start_instance(world, i);
-        }
-        if (instance->frozen > 0) {
-            instance->frozen--;
-            continue;
-        }
-        if (!instance->replica) {
-            continue;
-        }
-        RpReplica_Tick(instance->replica, clock_of(world, instance));
-        carry_out(world, i);
-        if (is_running(world, i) && roll(world, 10) == 0) {
-            ask_to_join(world, i);
-        }
-        if (is_running(world, i) && roll(world, 5) == 0) {
-            propose(world, i);
-        }
-        if (world->group && is_running(world, i)) {
-            read_state(world, i);
-        }
-        if (world->group && is_running(world, i)) {
-            check_fresh(world, i);
-        }
-    }
-    deliver(world);
-}
-
-/* All make the same first entry. */
-static void
-start_group(struct world *world)
-{
-    GArray *members = RpSchema_NewList(&rp_replica_member_schema);
-
-    for (unsigned i = 0; i < world->slots; i++) {
-        struct rp_replica_member member = member_of(world, i);
-        member.voter = 1;
-        g_array_append_val(members, member);
-    }
-    for (unsigned i = 0; i < world->slots; i++) {
-        RpReplica_BootstrapGroup(world->instances[i].replica, members);
-        carry_out(world, i);
-    }
-    g_array_free(members, TRUE);
-}
-
-static void
-start_world(struct world *world, uint32_t seed)
-{
-    world->seed = seed;
-    world->dice = g_rand_new_with_seed(seed);
-    world->slots = world->group ? (seed % 2 ? 4 : 6) : (seed % 2 ? 3 : 5);
-    world->in_order = g_array_new(FALSE, FALSE, sizeof(guint));
-    world->times = g_array_new(FALSE, FALSE, sizeof(int64_t));
-    world->now = 1000 * RP_US_PER_SECOND;
-    world->flights = g_ptr_array_new();
-    world->leaders = g_hash_table_new(NULL, NULL);
-    world->history = g_ptr_array_new();
-    world->proposed = g_hash_table_new(NULL, NULL);
-    world->acknowledged = g_hash_table_new(NULL, NULL);
-    for (unsigned i = 0; i < world->slots; i++) {
-        struct instance *instance = &world->instances[i];
-        instance->id = ++world->next_id;
-        instance->skew = roll(world, 100) * RP_US_PER_SECOND;
-        instance->state = g_string_new(NULL);
-        wipe_disk(&instance->disk);
-        start_instance(world, i);
-    }
-    if (world->group) {
-        start_group(world);
-        return;
-    }
-    struct rp_replica_member first = member_of(world, 0);
-    RpReplica_Bootstrap(world->instances[0].replica, &first);
-    carry_out(world, 0);
-}
-
-static void
-end_world(struct world *world)
-{
-    for (unsigned i = 0; i < world->slots; i++) {
-        struct instance *instance = &world->instances[i];
-        RpReplica_Free(instance->replica);
-        wipe_disk(&instance->disk);
-        g_ptr_array_unref(instance->disk.entries);
-        g_string_free(instance->state, TRUE);
-    }
-    for (guint i = 0; i < world->flights->len; i++) {
-        struct flight *flight = g_ptr_array_index(world->flights, i);
-        RpMsg_Clear(&flight->msg);
-        g_free(flight);
-    }
-    g_ptr_array_unref(world->flights);
-    for (guint i = 0; i < world->history->len; i++) {
-        GString *seen = g_ptr_array_index(world->history, i);
-        if (seen) {
-            g_string_free(seen, TRUE);
-        }
-    }
-    g_ptr_array_unref(world->history);
-    g_hash_table_destroy(world->leaders);
-    g_hash_table_destroy(world->proposed);
-    g_hash_table_destroy(world->acknowledged);
-    g_array_free(world->in_order, TRUE);
-    g_array_free(world->times, TRUE);
-    g_rand_free(world->dice);
-}
-
 static void
 check_end(struct world *world)
 {
@@ -719,12 +121,12 @@
               "replicas differ after the faults");
         CHECK(world,
               RpReplica_IsFresh(world->instances[i].replica,
-                                clock_of(world, &world->instances[i])),
+                                world_clock(world, &world->instances[i])),
               "a replica is not fresh after the faults");
     }
     g_hash_table_iter_init(&iter, world->acknowledged);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        CHECK(world, count_command(state, GPOINTER_TO_UINT(key)) == 1,
+        CHECK(world, world_count_command(state, GPOINTER_TO_UINT(key)) == 1,
               "an acknowledged command is lost or there twice");
     }
 }
@@ -735,17 +137,18 @@
     static struct world world;
 
     memset(&world, 0, sizeof world);
+    world.test = "test_replica";
     world.group = group;
-    start_world(&world, seed);
+    world_start(&world, seed);
     for (int i = 0; i < 300; i++) {
-        step(&world); /* the others join */
+        world_step(&world); /* the others join */
     }
     world.faulty = true;
     for (int i = 0; i < FAULT_STEPS; i++) {
-        if (roll(&world, 25) == 0) {
+        if (world_roll(&world, 25) == 0) {
             break_something(&world);
         }
-        step(&world);
+        world_step(&world);
     }
     world.faulty = false;
     memset(world.cut, 0, sizeof world.cut);
@@ -755,7 +158,7 @@
     }
     unsigned before = g_hash_table_size(world.acknowledged);
     for (int i = 0; i < CALM_STEPS; i++) {
-        step(&world);
+        world_step(&world);
     }
     unsigned acknowledged = g_hash_table_size(world.acknowledged);
     CHECK(&world, acknowledged > before, "no change is taken any more");
@@ -765,13 +168,13 @@
         world.now += STEP_US;
         for (unsigned j = 0; j < world.slots; j++) {
             RpReplica_Tick(world.instances[j].replica,
-                           clock_of(&world, &world.instances[j]));
-            carry_out(&world, j);
+                           world_clock(&world, &world.instances[j]));
+            world_carry_out(&world, j);
         }
-        deliver(&world);
+        world_deliver(&world);
     }
     check_end(&world);
-    end_world(&world);
+    world_end(&world);
     return acknowledged;
 }
 
