A group whose processes all started anew elects at once

Cause: after a loss of all power a replica waited 0.4 to 0.6 s before it voted, for the lease of a leader that it might have answered before. Where every process has started anew there is no such leader.

Ruled out: voting at once without asking. A shorter wait: it would be a guess.

Change: replicas that have not known a leader since their start ask all members, learners too, in a trial of its own (rp_replica_start.c). It is won if every member answers that it has not known a leader since its start either, or if its address is taken by a process that asks to join (its disk was lost). Each voter grants it only to a candidate before itself (newest log, then lowest id), so that one wins and the real election is not split. The real vote says so, and a voter that has not known a leader since its own start does not wait. Where it cannot be won, elections come as before.

--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -50,11 +50,13 @@
     /* It may have answered a leader just before it was stopped: that
      * leader's lease must run out before this replica votes again. After
      * that there is nothing to wait for: a leader that lives makes itself
-     * heard by then, and the trial round keeps others from disturbing it. */
+     * heard by then, and the trial round keeps others from disturbing it.
+     * Where all have started anew it is sooner (rp_replica_start.c). */
     replica->leader_seen = now - RP_ELECTION_US + RP_LEASE_US;
     replica->election_deadline = now + RP_LEASE_US +
                                  (int64_t)(g_rand_double(replica->dice) *
                                            (double)RP_LEASE_US / 2);
+    replica->restarted = true;
     return replica;
 }
 
@@ -318,7 +320,9 @@
     }
     if (now >= replica->election_deadline || votes_alone(replica)) {
         RpReplica_StartTrial(replica, now);
+        return;
     }
+    RpReplica_StartTick(replica, now);
 }
 
 /* Whom a message between replicas is for; 0 if it is none of those. */
--- a/lib/state/rp_replica_follow.c
+++ b/lib/state/rp_replica_follow.c
@@ -15,6 +15,7 @@
     assert(term > replica->term || replica->role != RP_REPLICA_LEADER);
     RpReplica_BecomeFollower(replica, now, term, leader);
     replica->leader_seen = now;
+    replica->restarted = false;
     RpReplica_ResetElection(replica, now);
     return true;
 }
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -14,6 +14,8 @@
     bool waiting;    /* an append is under way */
     uint64_t snapshot_offset;
     bool granted;
+    bool restarted; /* answered a trial of ours right after its start, or
+                     * another process has its address */
 };
 
 struct rp_replica {
@@ -40,6 +42,8 @@
     int64_t fresh_seen;        /* the last one while its lease held */
     bool lease_holds;          /* leader: as of the last event */
     int64_t election_deadline;
+    bool restarted; /* has not known a leader since its start */
+    int64_t start_trial_deadline;
     int64_t heartbeat_deadline;
     uint64_t round;
     GArray *round_times;    /* of int64_t, for the last rounds */
@@ -92,12 +96,32 @@
 size_t RpReplica_Quorum(const struct rp_replica *replica);
 
 /* rp_replica_vote.c */
+size_t RpReplica_CountGranted(const struct rp_replica *replica);
+/* Asks the voters, or all members in a trial after a start. */
+void RpReplica_AskForVotes(struct rp_replica *replica, uint64_t term,
+                           enum rp_vote_kind kind);
+void RpReplica_StartElection(struct rp_replica *replica, int64_t now,
+                             enum rp_vote_kind kind);
+void RpReplica_ReplyVote(struct rp_replica *replica,
+                         const struct rp_msg_vote *vote, bool granted);
+bool RpReplica_IsUpToDate(const struct rp_replica *replica,
+                          const struct rp_msg_vote *vote);
 void RpReplica_StartTrial(struct rp_replica *replica, int64_t now);
 void RpReplica_OnVote(struct rp_replica *replica, int64_t now,
                       const struct rp_msg_vote *vote);
 void RpReplica_OnVoteReply(struct rp_replica *replica, int64_t now,
                            const struct rp_msg_vote_reply *reply);
 
+/* rp_replica_start.c: elections right after a start. */
+void RpReplica_StartTick(struct rp_replica *replica, int64_t now);
+void RpReplica_OnStartTrial(struct rp_replica *replica,
+                            const struct rp_msg_vote *vote);
+void RpReplica_OnStartTrialReply(struct rp_replica *replica, int64_t now,
+                                 const struct rp_msg_vote_reply *reply);
+/* Another process listens at this address now. */
+void RpReplica_NoteSuccessor(struct rp_replica *replica, int64_t now,
+                             const struct rp_replica_member *successor);
+
 /* rp_replica_lead.c */
 void RpReplica_StartLeading(struct rp_replica *replica, int64_t now);
 void RpReplica_SyncPeers(struct rp_replica *replica, int64_t now);
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -32,6 +32,7 @@
 RpReplica_StartLeading(struct rp_replica *replica, int64_t now)
 {
     replica->role = RP_REPLICA_LEADER;
+    replica->restarted = false;
     replica->leader = replica->id;
     g_array_set_size(replica->peers, 0);
     RpReplica_SyncPeers(replica, now);
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -74,6 +74,7 @@
 {
     if (replica->role != RP_REPLICA_LEADER) {
         if (!passed_on) {
+            RpReplica_NoteSuccessor(replica, now, member);
             pass_on_join(replica, member);
         }
         return;
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -303,7 +303,7 @@
 
 static const struct rp_field vote_fields[] = {
     UINT(rp_msg_vote, from),       UINT(rp_msg_vote, to),
-    UINT(rp_msg_vote, term),       UINT(rp_msg_vote, trial),
+    UINT(rp_msg_vote, term),       UINT(rp_msg_vote, kind),
     UINT(rp_msg_vote, last_index), UINT(rp_msg_vote, last_term),
 };
 static const struct rp_schema rp_msg_vote_schema = RP_SCHEMA(rp_msg_vote,
@@ -311,7 +311,7 @@
 
 static const struct rp_field vote_reply_fields[] = {
     UINT(rp_msg_vote_reply, from),    UINT(rp_msg_vote_reply, to),
-    UINT(rp_msg_vote_reply, term),    UINT(rp_msg_vote_reply, trial),
+    UINT(rp_msg_vote_reply, term),    UINT(rp_msg_vote_reply, kind),
     UINT(rp_msg_vote_reply, granted),
 };
 static const struct rp_schema rp_msg_vote_reply_schema = RP_SCHEMA(
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -348,13 +348,21 @@
     GArray *list; /* of struct rp_replica_member */
 };
 
+/* What a vote is for. */
+enum rp_vote_kind {
+    RP_VOTE_REAL,
+    RP_VOTE_TRIAL,       /* asks only, changes no term */
+    RP_VOTE_START_TRIAL, /* the same, of a replica that has just started */
+    RP_VOTE_AFTER_START  /* real; no process of before the start is left */
+};
+
 /* Messages between replicas name both ids, so that none meant for an
  * earlier replica of the same name is taken. */
 struct rp_msg_vote {
     uint64_t from;
     uint64_t to;
     uint64_t term;
-    uint8_t trial; /* pre-vote: asks only, changes no term */
+    uint8_t kind; /* enum rp_vote_kind */
     uint64_t last_index;
     uint64_t last_term;
 };
@@ -363,7 +371,7 @@
     uint64_t from;
     uint64_t to;
     uint64_t term;
-    uint8_t trial;
+    uint8_t kind; /* of the vote */
     uint8_t granted;
 };
 
--- a/tests/unit/replica_world.c
+++ b/tests/unit/replica_world.c
@@ -387,6 +387,22 @@
         "a replica says that it is fresh and misses an acknowledged command");
 }
 
+/* A leader whose lease holds may answer by itself: no other may then. */
+static void
+check_leases(struct world *world)
+{
+    unsigned holders = 0;
+
+    for (unsigned i = 0; i < world->slots; i++) {
+        const struct instance *instance = &world->instances[i];
+        holders += is_running(world, i) &&
+                   RpReplica_Role(instance->replica) == RP_REPLICA_LEADER &&
+                   RpReplica_IsFresh(instance->replica,
+                                     world_clock(world, instance));
+    }
+    CHECK(world, holders <= 1, "two leaders hold a lease");
+}
+
 /* Replicas that are not members ask the others to let them in. */
 void
 world_ask_to_join(struct world *world, unsigned slot)
@@ -445,6 +461,9 @@
         }
     }
     world_deliver(world);
+    if (world->group) {
+        check_leases(world);
+    }
 }
 
 /* All make the same first entry. */
--- a/tests/unit/replica_world.h
+++ b/tests/unit/replica_world.h
@@ -6,6 +6,7 @@
  * - nothing acknowledged is changed or applied twice;
  * - a replica that says it is fresh has applied all that was acknowledged
  *   before the lease began;
+ * - of a group, whose clocks run alike, one leader at most holds a lease;
  * - a read that a majority has confirmed shows all that was acknowledged
  *   before it began. */
 #ifndef REPLICA_WORLD_H
