A replica tries its links again as soon as the peer calls

Cause: a replica that starts first tries to connect to machines that have no power yet; their systems repeat the first packet only after a second, so the attempt stands until it is given up after 0.4 s.

Ruled out: the trial after a start itself: it had asked all that it was connected to. A shorter time for every attempt: the farthest regions answer within 300 ms.

Change: when a replica connects to us, links to its address that are not connected are tried again at once; an attempt that is older than 50 ms is given up for that.

Tests: no test without processes notices it; make test 36 passed.

--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -96,6 +96,11 @@
 void RpControlLinks_Heard(struct control_links *links, uint64_t id,
                           const struct rp_name *name);
 
+/* A replica at this address has connected to us: what was tried while its
+ * machine was down is tried again at once. */
+void RpControlLinks_PeerCalled(struct control_links *links, int64_t now,
+                               uint32_t ip);
+
 /* Sends to every replica that is connected. */
 void RpControlLinks_SendAll(struct control_links *links,
                             const struct rp_msg *msg);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -6,6 +6,10 @@
 /* Pause after a failed or ended connection to a replica; an election after a
  * loss of power waits for it. */
 #define RETRY_US (100 * RP_US_PER_MS)
+/* An attempt that is older when its peer calls has met a machine that had no
+ * power yet: the answer to a first packet takes 30 ms between the nearer
+ * regions. */
+#define STUCK_US (50 * RP_US_PER_MS)
 #define JOIN_US (1 * RP_US_PER_SECOND)
 /* A replica that has not reported for so long does not count as reachable. */
 #define REPORT_KEEP_US (5 * RP_US_PER_SECOND)
@@ -17,6 +21,8 @@
     struct rp_name name; /* what the other side says it is */
     struct rp_conn *conn;
     bool ready;
+    bool peer_is_up; /* it has called us while we were trying */
+    int64_t opened;  /* when the attempt began */
     int64_t retry_deadline;
 };
 
@@ -97,7 +103,28 @@
     (void)conn;
     link->conn = NULL;
     link->ready = false;
-    link->retry_deadline = RpClock_Now() + RETRY_US;
+    link->retry_deadline = RpClock_Now();
+    if (!link->peer_is_up) {
+        link->retry_deadline += RETRY_US;
+    }
+    link->peer_is_up = false;
+}
+
+void
+RpControlLinks_PeerCalled(struct control_links *links, int64_t now,
+                          uint32_t ip)
+{
+    for (guint i = 0; i < links->list->len; i++) {
+        struct link *link = g_ptr_array_index(links->list, i);
+        if (link->address.ip != ip || link->ready) {
+            continue;
+        }
+        if (link->conn && now - link->opened > STUCK_US) {
+            link->peer_is_up = true;
+            RpConn_Close(link->conn);
+        }
+        link->retry_deadline = now;
+    }
 }
 
 static void
@@ -109,6 +136,7 @@
     if (!link->conn && now >= link->retry_deadline) {
         link->conn = RpConn_Open(&link->links->control->daemon.context,
                                  link->address, &ops, link);
+        link->opened = now;
     }
 }
 
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -521,11 +521,14 @@
 {
     struct client *client = user;
 
-    (void)conn;
     client->hello = *hello;
     RpLog_Event(client->control->daemon.log, RP_LOG_DEBUG, "peer_connected",
                 "peer=%s role=%s", hello->name.data,
                 RpRole_Name((enum rp_role)hello->role));
+    if (hello->role == RP_ROLE_CONTROL) {
+        RpControlLinks_PeerCalled(client->control->links, RpClock_Now(),
+                                  RpConn_PeerIp(conn));
+    }
 }
 
 static void
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -445,6 +445,20 @@
     return conn->number;
 }
 
+uint32_t
+RpConn_PeerIp(const struct rp_conn *conn)
+{
+    GSocketAddress *address = g_socket_connection_get_remote_address(
+        conn->stream, NULL);
+    struct sockaddr_in native = {0};
+
+    if (address) {
+        g_socket_address_to_native(address, &native, sizeof native, NULL);
+        g_object_unref(address);
+    }
+    return native.sin_family == AF_INET ? ntohl(native.sin_addr.s_addr) : 0;
+}
+
 size_t
 RpConn_Queued(const struct rp_conn *conn)
 {
--- a/programs/shared/rp_conn.h
+++ b/programs/shared/rp_conn.h
@@ -68,6 +68,9 @@
 /* A number that no other connection of this process has. */
 uint64_t RpConn_Number(const struct rp_conn *conn);
 
+/* The IPv4 address of the other side, host order; 0 if it is not known. */
+uint32_t RpConn_PeerIp(const struct rp_conn *conn);
+
 /* Bytes that the peer has not taken yet. */
 size_t RpConn_Queued(const struct rp_conn *conn);
 
