A request's work is learned from a full host's answers, too

Cause: the agent learned how long a request works only from those that found a free slot. While requests queue there are none, so after a start under load all that it knew were the first answers of a cold host, the shortest of its first requests: 40 to 48 ms, by the load at which it refused (busy=25 to 29 of 7 slots), where requests took some 75 ms.

Ruled out: connections and tables (the first flow is admitted 0.15 s after the last control instance started); idle hosts (45 to 55 answers in each 0.1 s).

Change: lib/flow/rp_work: where all slots stay busy between two answers, the time between them is a slot's share of the work. The first samples count for as much as those before.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -442,7 +442,7 @@
         .position = chain->visited ? chain->visited - 1u : 0,
         .best_share = chain->best_share,
         .last = chain->visited >= chain->count,
-        .work_us = (uint32_t)MIN(agent->work_us, UINT32_MAX)};
+        .work_us = (uint32_t)MIN(agent->work.mean_us, UINT32_MAX)};
     if (vip) {
         load->priority = vip->priority;
         load->target_us = (uint32_t)MIN(vip->target_ms * RP_US_PER_MS,
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -170,19 +170,13 @@
     return begins;
 }
 
-/* How long requests take that did not wait for a slot. */
 static void
 learn_work(struct rp_agent *agent, const struct rp_flow *flow, int64_t now)
 {
-    int64_t sample = now - flow->request_since;
-
-    if (!(flow->flags & RP_FLOW_UNQUEUED)) {
-        return;
-    }
-    if (agent->work_us == 0) {
-        agent->work_us = sample;
+    RpWork_Answered(&agent->work, now, agent->busy, agent->config.slots);
+    if (flow->flags & RP_FLOW_UNQUEUED) {
+        RpWork_Took(&agent->work, now - flow->request_since);
     }
-    agent->work_us += (sample - agent->work_us) / RP_WORK_SHARE;
 }
 
 void
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -11,6 +11,7 @@
 #include "rp_health.h"
 #include "rp_hold.h"
 #include "rp_time.h"
+#include "rp_work.h"
 
 /* How long a host may take to answer a SYN before the next one is tried. */
 #define RP_SYN_PATIENCE_US (250 * RP_US_PER_MS)
@@ -33,10 +34,6 @@
 #define RP_REDIRECT_LINGER_US (120 * RP_US_PER_SECOND)
 /* An answer that takes longer than this makes its flow one for long work. */
 #define RP_LONG_AFTER_US (200 * RP_US_PER_MS)
-/* A new time of a request's work counts for 1/32 of the mean: enough to
- * follow a cold start within a second at 30 requests a second, and few enough
- * that one in the tail does not move it. */
-#define RP_WORK_SHARE 32
 /* Entries of any kind; a SYN flood gets no further than this. */
 #define RP_AGENT_MAX_ENTRIES 1000000
 /* Retries that may be saved up, in hundredths of a retry. */
@@ -72,7 +69,7 @@
     GQueue reserves;     /* of struct rp_short_timer, for kept slots */
     uint32_t owned;
     uint32_t busy;
-    int64_t work_us; /* mean time of a request that found a free slot */
+    struct rp_work work; /* what a request takes in a slot */
     int32_t retry_cents;
     int64_t swept_until; /* next time for a part of the long sweep */
 };
