A first packet's age counts for admission

Cause: after an outage many first packets are copies of callers that have waited for 200 or 600 ms already. They filled the queues before fresh ones, though most were late whatever was done, and made those late, too.

Change: the platform's packets count their copies; the adapter turns the count into the time that the caller has waited. Admission takes it off what the request may wait; one that is late already goes in where a slot is free. As before, a copy that is not taken gets no reset (an earlier copy may have been admitted elsewhere), and its caller's next copy is decided anew.

Ruled out: giving it up at once with a reset, for that reason.

--- a/lib/flow/rp_admission.c
+++ b/lib/flow/rp_admission.c
@@ -87,6 +87,9 @@
 {
     bool important = load->priority <= RP_IMPORTANT_PRIORITY;
 
+    if (load->target_us > 0 && load->waited_us >= load->target_us) {
+        return RP_FULL_SHARE_LATE;
+    }
     if (load->target_us == 0 || load->work_us == 0) {
         return important ? RP_FULL_SHARE_IMPORTANT : RP_FULL_SHARE_OTHERS;
     }
@@ -95,6 +98,7 @@
     uint64_t percent = important ? RP_WAIT_PERCENT_IMPORTANT
                                  : RP_WAIT_PERCENT_OTHERS;
     uint64_t wait_us = load->target_us * percent / ALL_PERCENT;
+    wait_us -= MIN(wait_us, load->waited_us);
     uint64_t share = RP_SHARE_UNIT + wait_us * RP_SHARE_UNIT / load->work_us;
     return (uint32_t)CLAMP(share, RP_FULL_SHARE_LEAST, RP_SHARE_MAX - 1);
 }
--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -26,6 +26,10 @@
 #define RP_FULL_SHARE_IMPORTANT (4 * RP_SHARE_UNIT)
 #define RP_FULL_SHARE_OTHERS (3 * RP_SHARE_UNIT)
 #define RP_FULL_SHARE_LEAST (2 * RP_SHARE_UNIT)
+/* The share at which a request is left waiting whose caller has waited longer
+ * than the wanted latency already: it goes in where a slot is free. Behind
+ * others it would only make those late, too. */
+#define RP_FULL_SHARE_LATE (1 * RP_SHARE_UNIT)
 /* Priorities up to this one count as important. */
 #define RP_IMPORTANT_PRIORITY 1
 
@@ -41,6 +45,7 @@
     uint32_t priority;   /* of the requests behind the address; 0 highest */
     uint32_t target_us;  /* latency that their callers hope for; 0: unknown */
     uint32_t work_us;    /* mean time of a request in a slot; 0: unknown */
+    uint32_t waited_us;  /* since the caller asked first; 0: just now */
 };
 
 enum rp_verdict {
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -48,7 +48,7 @@
 }
 
 static enum rp_verdict
-decide(struct rp_agent *agent, int64_t now, struct rp_endpoint address,
+decide(struct rp_agent *agent, int64_t now, const struct rp_packet *packet,
        const struct rp_chain *chain, enum rp_counter *reason)
 {
     struct rp_load load;
@@ -62,7 +62,8 @@
         *reason = RP_COUNT_PASS_HOST_UNKNOWN;
         return RP_VERDICT_PASS;
     }
-    RpAgent_FillLoad(agent, now, address, chain, &load);
+    RpAgent_FillLoad(agent, now, RpFlowKey_Target(packet->key), chain, &load);
+    load.waited_us = packet->waited_us;
     /* When all others passed, an ill host is better than none. */
     if (!load.last && !RpHealth_Allows(&agent->health, now)) {
         *reason = RP_COUNT_PASS_UNHEALTHY;
@@ -211,11 +212,9 @@
                const struct rp_packet *packet, const struct rp_chain *chain,
                struct rp_actions *actions)
 {
-    struct rp_flow_key caller = packet->key;
     enum rp_counter reason;
+    enum rp_verdict verdict = decide(agent, now, packet, chain, &reason);
 
-    enum rp_verdict verdict = decide(agent, now, RpFlowKey_Target(caller),
-                                     chain, &reason);
     if (verdict == RP_VERDICT_REFUSE) {
         refuse_syn(agent, flow, packet, reason, actions);
         return;
@@ -224,7 +223,7 @@
         pass_syn(agent, now, flow, packet, chain, reason, actions);
         return;
     }
-    flow = entry_for(agent, flow, caller);
+    flow = entry_for(agent, flow, packet->key);
     if (!flow) {
         pass_syn(agent, now, NULL, packet, chain, RP_COUNT_PASS_FLOW_LIMIT,
                  actions);
--- a/lib/wire/rp_packet.h
+++ b/lib/wire/rp_packet.h
@@ -46,6 +46,9 @@
     /* How often the caller had sent this SYN before; only some formats say
      * it, 0 elsewhere. */
     uint32_t copy;
+    /* How long ago the caller sent the first of these SYNs, in microseconds;
+     * 0 where the format does not say it. */
+    uint32_t waited_us;
     /* The host gave the packet back: it refuses the SYN, or does not hold
      * the flow. The key is that of the packet's sender. */
     bool returned;
--- a/tests/unit/test_platform_packet.c
+++ b/tests/unit/test_platform_packet.c
@@ -119,9 +119,11 @@
     bytes[23] = 2;
     assert_true(ops()->parse(bytes, HEAD, &packet, &reason));
     assert_int_equal(packet.copy, 2);
+    assert_int_equal(packet.waited_us, 600000);
     bytes[24] = 0x04;
     assert_true(ops()->parse(bytes, HEAD, &packet, &reason));
     assert_int_equal(packet.copy, 0);
+    assert_int_equal(packet.waited_us, 0);
 }
 
 int
