Followers hear at once that their leader's lease holds

Change: the leader that gains its lease sends a heartbeat at once.

Test: test_replica_start, on a quiet world, failed first ("the others hear too late that they are led": 80 ms; bound: half a heartbeat).

--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -232,6 +232,7 @@
         peer->contact = MAX(peer->contact,
                             time_of_round(replica, reply->round));
     }
+    bool held = replica->lease_holds;
     replica->lease_holds = RpReplica_IsFresh(replica, now);
     if (!reply->accepted) {
         peer->next = MIN(peer->next - 1, reply->match + 1);
@@ -244,6 +245,11 @@
     peer->next = MAX(peer->next, peer->match + 1);
     RpReplica_AdvanceCommit(replica);
     replica->lease_holds = RpReplica_IsFresh(replica, now);
+    if (replica->lease_holds && !held) {
+        /* Followers give out no first tables until they know. */
+        RpReplica_Broadcast(replica, now, true);
+        return;
+    }
     if (peer->next <= RpLog_LastIndex(replica)) {
         send_append(replica, peer);
     }
--- a/tests/unit/replica_world.c
+++ b/tests/unit/replica_world.c
@@ -450,10 +450,11 @@
         if (is_running(world, i) && world_roll(world, 10) == 0) {
             world_ask_to_join(world, i);
         }
-        if (is_running(world, i) && world_roll(world, 5) == 0) {
+        if (!world->quiet && is_running(world, i) &&
+            world_roll(world, 5) == 0) {
             propose(world, i);
         }
-        if (world->group && is_running(world, i)) {
+        if (world->group && !world->quiet && is_running(world, i)) {
             read_state(world, i);
         }
         if (world->group && is_running(world, i)) {
--- a/tests/unit/replica_world.h
+++ b/tests/unit/replica_world.h
@@ -68,6 +68,7 @@
     unsigned next_command;
     bool faulty;
     bool group; /* all were started together */
+    bool quiet; /* nothing is proposed or read */
 };
 
 #define CHECK(world, condition, text)                                         \
--- a/tests/unit/test_replica_start.c
+++ b/tests/unit/test_replica_start.c
@@ -25,19 +25,20 @@
     {"six, two without their disks", 6, 2, 3},
 };
 
-/* Every instance that has its disk, and so its vote, is fresh. */
-static bool
-is_led(const struct world *world, unsigned wiped)
+/* How many instances are fresh, of those that have their disk and so their
+ * vote. */
+static unsigned
+count_fresh(const struct world *world, unsigned wiped)
 {
+    unsigned count = 0;
+
     for (unsigned i = wiped; i < world->slots; i++) {
         const struct instance *instance = &world->instances[i];
-        if (!instance->replica ||
-            !RpReplica_IsFresh(instance->replica,
-                               world_clock(world, instance))) {
-            return false;
-        }
+        count += instance->replica &&
+                 RpReplica_IsFresh(instance->replica,
+                                   world_clock(world, instance));
     }
-    return true;
+    return count;
 }
 
 /* One step of a system that does nothing but get up. */
@@ -66,13 +67,21 @@
         world->instances[i].down = 50 + (int)(spread * i / world->slots);
     }
     int64_t up = world->now + (50 + spread) * STEP_US;
+    world->quiet = true;
     while (world->now < up) {
         get_up(world, wiped);
     }
-    while (!is_led(world, wiped)) {
+    int64_t led = 0;
+    while (count_fresh(world, wiped) < world->slots - wiped) {
         get_up(world, wiped);
+        if (led == 0 && count_fresh(world, wiped) > 0) {
+            led = world->now;
+        }
         CHECK(world, world->now < up + 10 * BOUND_US, "nobody leads");
     }
+    /* Nodes that chose another replica are not to wait for a heartbeat. */
+    CHECK(world, led == 0 || world->now - led < RP_HEARTBEAT_US / 2,
+          "the others hear too late that they are led");
     return world->now - up;
 }
 
