Nodes try an instance that does not answer for shorter

Cause: a node gave every control instance 0.4 s to answer, and doubled its pause after each failure.

Ruled out: control's accepting (the nodes that connected at once took 10 ms).

Change: rp_reconnect decides both times. The first attempts are short (0.1, 0.2 s, then 0.4 s as before, which the farthest regions need). Pauses grow only after instances that answered: one that does not is not pressed by being asked.

Test: test_budget (the power is back at any moment of 5 s; pauses) fails with the times of before, passes now.

--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -135,7 +135,8 @@
 
     if (!link->conn && now >= link->retry_deadline) {
         link->conn = RpConn_Open(&link->links->control->daemon.context,
-                                 link->address, &ops, link);
+                                 link->address, RP_CONN_CONNECT_US, &ops,
+                                 link);
         link->opened = now;
     }
 }
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -2,6 +2,8 @@
 
 #include <sodium.h>
 
+#include "rp_reconnect.h"
+
 #define FIRST_TABLE_MS 3000 /* then another control instance is tried */
 
 struct rp_uplink {
@@ -15,7 +17,7 @@
     bool ready;
     bool ending;
     size_t next;
-    uint32_t retry_ms;
+    struct rp_reconnect reconnect;
     guint retry_source;
     guint table_source; /* runs out while the first table is awaited */
     struct rp_table *table;
@@ -77,7 +79,7 @@
     }
     RpCounters_Add(counters, RP_COUNT_TABLE_APPLIED);
     /* Not before: where all instances are empty, each only sends us on. */
-    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
+    RpReconnect_Served(&uplink->reconnect);
     uplink->ops->table_changed(uplink->user);
     const struct rp_msg confirm = {
         .type = RP_MSG_CONFIRM,
@@ -141,17 +143,16 @@
     struct rp_uplink *uplink = user;
 
     (void)conn;
+    bool answered = uplink->ready;
+
     uplink->conn = NULL;
     uplink->ready = false;
     stop_waiting(uplink);
-    if (uplink->ending) {
-        return;
+    if (!uplink->ending) {
+        uplink->retry_source = g_timeout_add(
+            RpReconnect_End(&uplink->reconnect, answered, randombytes_uniform),
+            on_retry, uplink);
     }
-    /* Spread out: many nodes lose a control instance at the same time. */
-    uint32_t jitter = randombytes_uniform(uplink->retry_ms + 1);
-    uplink->retry_source = g_timeout_add(uplink->retry_ms / 2 + jitter,
-                                         on_retry, uplink);
-    uplink->retry_ms = MIN(uplink->retry_ms * 2, RP_UPLINK_RETRY_MAX_MS);
 }
 
 static const struct rp_conn_ops conn_ops = {
@@ -166,8 +167,10 @@
                                 ? told->item[place]
                                 : uplink->controls.item[place - told->count];
 
-    uplink->conn = RpConn_Open(&uplink->daemon->context, to, &conn_ops,
-                               uplink);
+    uplink->conn = RpConn_Open(&uplink->daemon->context, to,
+                               RpReconnect_Begin(&uplink->reconnect) *
+                                   RP_US_PER_MS,
+                               &conn_ops, uplink);
 }
 
 struct rp_uplink *
@@ -182,7 +185,7 @@
     uplink->service = *service;
     uplink->ops = ops;
     uplink->user = user;
-    uplink->retry_ms = RP_UPLINK_RETRY_MIN_MS;
+    RpReconnect_Init(&uplink->reconnect);
     uplink->next = randombytes_uniform((uint32_t)controls->count);
     uplink->table = RpTable_Create();
     connect_next(uplink);
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -11,11 +11,6 @@
 #include "rp_daemon.h"
 #include "rp_table.h"
 
-/* First and longest pause between attempts, of which a random half to one
- * and a half is waited. */
-#define RP_UPLINK_RETRY_MIN_MS 100
-#define RP_UPLINK_RETRY_MAX_MS 800
-
 struct rp_uplink;
 
 struct rp_uplink_ops {
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -408,7 +408,7 @@
 
 struct rp_conn *
 RpConn_Open(const struct rp_conn_context *context, struct rp_endpoint to,
-            const struct rp_conn_ops *ops, void *user)
+            int64_t patience_us, const struct rp_conn_ops *ops, void *user)
 {
     struct rp_conn *conn = create(context, true, ops, user);
     char ip[RP_ENDPOINT_TEXT_MAX];
@@ -417,7 +417,7 @@
         RpIp_Format(to.ip, ip), to.port);
 
     g_socket_client_set_enable_proxy(client, FALSE);
-    conn->connect_source = g_timeout_add(RP_CONN_CONNECT_US / RP_US_PER_MS,
+    conn->connect_source = g_timeout_add((guint)(patience_us / RP_US_PER_MS),
                                          on_connect_timeout, conn);
     conn->operations++;
     g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
--- a/programs/shared/rp_conn.h
+++ b/programs/shared/rp_conn.h
@@ -49,9 +49,10 @@
     struct rp_log *log;
 };
 
-/* Opens a connection; both outcomes are told through `ops`. */
+/* Opens a connection; both outcomes are told through `ops`. It ends unless
+ * the peer has said hello after `patience_us`. */
 struct rp_conn *RpConn_Open(const struct rp_conn_context *context,
-                            struct rp_endpoint to,
+                            struct rp_endpoint to, int64_t patience_us,
                             const struct rp_conn_ops *ops, void *user);
 
 /* Takes over an accepted connection. */
