--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -58,7 +58,6 @@
     X(FLOW_ASKED, "flow_asked", "unknown flows asked of the host")            \
     X(FLOW_RELEARNED, "flow_relearned", "flows found to be the host's")       \
     X(FLOW_NOT_HOSTS, "flow_not_hosts", "flows the host did not know")        \
-    X(FLOW_WAITED, "flow_waited", "new flows that are decided again")           \
     X(FLOW_YIELDED, "flow_yielded", "half-open flows left to another")        \
     X(FLOW_EXPIRED, "flow_expired", "entries dropped after their deadline")   \
     X(DROP_NO_OWNER, "drop_no_owner", "no owner found yet, tables may lag")   \
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -13,7 +13,6 @@
 
     g_queue_init(&agent->short_timers);
     g_queue_init(&agent->reserves);
-    g_queue_init(&agent->waiting);
     agent->config = *config;
     if (!agent->config.codec) {
         agent->config.codec = &rp_codec_ipv4;
@@ -44,7 +43,6 @@
     }
     g_queue_clear_full(&agent->short_timers, g_free);
     g_queue_clear_full(&agent->reserves, g_free);
-    g_queue_clear_full(&agent->waiting, RpAgent_FreeWaiting);
     g_array_free(agent->lost, TRUE);
     RpAgent_GateFree(agent);
     RpFlowTable_Free(agent->flows);
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -66,7 +66,6 @@
     size_t kept_bytes;
     GQueue released;     /* of struct rp_held, on their way to the host */
     GQueue short_timers; /* of struct rp_short_timer, for states */
-    GQueue waiting;      /* SYNs that are decided again */
     GQueue reserves;     /* of struct rp_short_timer, for kept slots */
     uint32_t owned;
     uint32_t busy;
@@ -230,18 +229,6 @@
 bool RpAgent_GatePump(struct rp_agent *agent, int64_t now,
                       struct rp_actions *actions);
 
-/* rp_agent_wait.c: keeps a SYN that would be refused for a second decision;
- * false if it has had one or there is no time or room. */
-bool RpAgent_LetWait(struct rp_agent *agent, int64_t now,
-                     const struct rp_packet *packet,
-                     const struct rp_chain *chain);
-int64_t RpAgent_NextWaiting(const struct rp_agent *agent);
-
-/* Decides at most one that is due; false when there is none. */
-bool RpAgent_EndWaiting(struct rp_agent *agent, int64_t now,
-                        struct rp_actions *actions);
-void RpAgent_FreeWaiting(gpointer data);
-
 /* rp_agent_silence.c: the time of an open flow's check has come. */
 void RpAgent_CheckSilence(struct rp_agent *agent, int64_t now,
                           struct rp_flow *flow, struct rp_actions *actions);
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -215,11 +215,6 @@
     enum rp_counter reason;
     enum rp_verdict verdict = decide(agent, now, packet, chain, &reason);
 
-    if (verdict == RP_VERDICT_REFUSE && !flow &&
-        RpAgent_LetWait(agent, now, packet, chain)) {
-        RpCounters_Add(agent->counters, RP_COUNT_FLOW_WAITED);
-        return;
-    }
     if (verdict == RP_VERDICT_REFUSE) {
         refuse_syn(agent, flow, packet, reason, actions);
         return;
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -126,7 +126,6 @@
     if (RpFlowTable_Count(agent->flows) > 0) {
         next = MIN(next, agent->swept_until);
     }
-    next = MIN(next, RpAgent_NextWaiting(agent));
     return MIN(next, RpGate_NextDeadline(agent->gate));
 }
 
@@ -142,8 +141,7 @@
         return true;
     }
     end_reserves(agent, now);
-    if (RpAgent_GatePump(agent, now, actions) ||
-        RpAgent_EndWaiting(agent, now, actions)) {
+    if (RpAgent_GatePump(agent, now, actions)) {
         return true;
     }
     struct rp_flow *flow = due_short(agent, now);
