A batch that power cut short does not keep a replica from starting

Cause: records that are synced together are one write, and blocks of it reach the disk in any order.

Ruled out: dropping everything behind the first bad record: a damaged block of what was synced and acknowledged would go unnoticed.

Change: a record's header says its position in its batch, in bytes that were zero (older files read as batches of one). A batch is written only once the one before it is durable, so a hole in the last one was never acknowledged: what comes before it is kept, the rest cut off. A hole in an earlier batch or a flipped bit is damage, as before.

--- a/lib/state/rp_journal.c
+++ b/lib/state/rp_journal.c
@@ -19,12 +19,14 @@
 #define HEADER_SIZE 16 /* "rpjournl", format, zeros */
 #define RECORD_HEADER 32
 #define RECORD_MAGIC 0x72706a31u
+#define POSITION_MAX 0xffffffu
 
 /* Layout of a record header, big-endian:
  *   0  magic     4
  *   4  length    4  of the payload
  *   8  number    8  counts records within the file
- *  16  kind      1  and three zero bytes
+ *  16  kind      1
+ *  17  position  3  within its batch, which is what one sync made durable
  *  20  checksum  4  over bytes 0 to 19
  *  24  checksum  8  over the payload
  *
@@ -41,6 +43,7 @@
     uint64_t size;
     uint64_t next_number;
     GByteArray *pending;
+    uint32_t pending_records; /* the batch that the next sync writes */
     bool failed;
 };
 
@@ -55,7 +58,8 @@
 }
 
 static void
-write_record(GByteArray *out, const struct rp_record *record, uint64_t number)
+write_record(GByteArray *out, const struct rp_record *record, uint64_t number,
+             uint32_t position)
 {
     uint8_t header[RECORD_HEADER] = {0};
     const uint8_t *payload = (const uint8_t *)record->payload.data;
@@ -64,6 +68,7 @@
     RpBytes_Put32(header, RECORD_MAGIC);
     RpBytes_Put32(header + 4, (uint32_t)record->payload.len);
     RpBytes_Put64(header + 8, number);
+    RpBytes_Put32(header + 16, MIN(position, POSITION_MAX));
     header[16] = record->kind;
     RpBytes_Put32(header + 20, (uint32_t)checksum_of(header, 20));
     RpBytes_Put64(header + 24, checksum_of(payload, record->payload.len));
@@ -98,19 +103,53 @@
     return RECORD_GOOD;
 }
 
-/* Whether any good record lies in `data`. Then what comes before it is not
- * a tail cut off by a crash. */
-static bool
-has_good_record(const uint8_t *data, size_t len)
+/* The first good record in `data` at `from` or later; `len` if there is
+ * none. */
+static size_t
+find_good_record(const uint8_t *data, size_t len, size_t from)
 {
-    for (size_t i = 0; i + RECORD_HEADER <= len; i++) {
+    for (size_t i = from; i + RECORD_HEADER <= len; i++) {
         size_t size;
         if (RpBytes_Get32(data + i) == RECORD_MAGIC &&
             check_record(data + i, len - i, &size) == RECORD_GOOD) {
-            return true;
+            return i;
+        }
+    }
+    return len;
+}
+
+/* Whether `data` holds what the file system had not filled yet. */
+static bool
+has_hole(const uint8_t *data, size_t len)
+{
+    size_t zeros = 0;
+
+    for (size_t i = 0; i < len && zeros < RECORD_HEADER; i++) {
+        zeros = data[i] == 0 ? zeros + 1 : 0;
+    }
+    return zeros == RECORD_HEADER;
+}
+
+/* Whether the record at `data` with this number is missing from a batch that
+ * was being written when the power was lost: blocks reach the disk in any
+ * order, so others of the batch may be there. A batch is written only once
+ * the one before it is durable, so no good record may be of a later one. */
+static bool
+is_torn_batch(const uint8_t *data, size_t len, uint64_t number)
+{
+    size_t next = find_good_record(data, len, 1);
+
+    if (next == len || !has_hole(data, next)) {
+        return false;
+    }
+    while (next < len) {
+        uint32_t position = RpBytes_Get32(data + next + 16) & POSITION_MAX;
+        if (RpBytes_Get64(data + next + 8) - position > number) {
+            return false;
         }
+        next = find_good_record(data, len, next + 1);
     }
-    return false;
+    return true;
 }
 
 /* A crash leaves a tail that is short, or that the file system had not yet
@@ -118,7 +157,7 @@
 static bool
 is_torn_tail(const uint8_t *data, size_t len, enum record_check check)
 {
-    if (has_good_record(data + 1, len - 1)) {
+    if (find_good_record(data, len, 1) < len) {
         return false;
     }
     if (check == RECORD_SHORT) {
@@ -163,7 +202,9 @@
         enum record_check check = check_record(at, len - offset, &size);
         bool in_order = check == RECORD_GOOD &&
                         RpBytes_Get64(at + 8) == report->records;
-        if (check != RECORD_GOOD && is_torn_tail(at, len - offset, check)) {
+        if (check != RECORD_GOOD &&
+            (is_torn_tail(at, len - offset, check) ||
+             is_torn_batch(at, len - offset, report->records))) {
             report->torn_bytes = len - offset;
             break;
         }
@@ -378,7 +419,8 @@
 void
 RpJournal_Append(struct rp_journal *journal, const struct rp_record *record)
 {
-    write_record(journal->pending, record, journal->next_number++);
+    write_record(journal->pending, record, journal->next_number++,
+                 journal->pending_records++);
 }
 
 enum rp_code
@@ -404,6 +446,7 @@
     }
     journal->size += journal->pending->len;
     g_byte_array_set_size(journal->pending, 0);
+    journal->pending_records = 0;
     return RP_OK;
 }
 
@@ -420,7 +463,7 @@
     }
     append_header(content);
     for (size_t i = 0; i < count; i++) {
-        write_record(content, &records[i], i);
+        write_record(content, &records[i], i, 0);
     }
     int fd = replace_file(journal->folder->str, journal->path->str, content,
                           error);
@@ -435,6 +478,7 @@
     journal->size = size;
     journal->next_number = count;
     g_byte_array_set_size(journal->pending, 0);
+    journal->pending_records = 0;
     return RP_OK;
 }
 
--- a/lib/state/rp_journal.h
+++ b/lib/state/rp_journal.h
@@ -6,8 +6,9 @@
  * pages that it could not write.
  *
  * Opening a journal replays its records in order. A last record that was
- * cut off by a crash is dropped (it was never acknowledged); damage anywhere
- * else is RP_ERR_CORRUPT, and the file is left as it is.
+ * cut off by a crash is dropped (it was never acknowledged), and so is the
+ * rest of a last batch of which the file system wrote only parts; damage
+ * anywhere else is RP_ERR_CORRUPT, and the file is left as it is.
  *
  * RpJournal_Rewrite replaces the whole content (compaction) through a new
  * file that is synced before it takes the old one's name.
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -153,6 +153,95 @@
     g_free(content);
 }
 
+/* Writes one to three after alpha, beta, gamma, all three with one sync. */
+static gchar *
+write_batch(struct fixture *fixture, gsize *len)
+{
+    gchar *content;
+
+    write_three(fixture);
+    struct rp_journal *journal = open_journal(fixture, NULL);
+    append(journal, 4, "first of a batch");
+    append(journal, 5, "second of a batch");
+    append(journal, 6, "third of a batch");
+    assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+    RpJournal_Close(journal);
+    assert_true(g_file_get_contents(fixture->file, &content, len, NULL));
+    return content;
+}
+
+/* Sizes of the records that write_batch writes, headers included. */
+#define BATCH_FIRST (32 + 16)
+#define BATCH_SECOND (32 + 17)
+#define BATCH_THIRD (32 + 16)
+
+/* Power was lost during the write of a batch: blocks of it are on the disk in
+ * any order. What comes before the hole is kept, and the journal goes on. */
+static void
+test_hole_in_last_batch(void **state)
+{
+    static const struct {
+        size_t from_end;
+        size_t size;
+        const char *kept;
+    } holes[] = {
+        {BATCH_FIRST + BATCH_SECOND + BATCH_THIRD, BATCH_FIRST,
+         "1:alpha 2:beta 3:gamma"},
+        {BATCH_SECOND + BATCH_THIRD, BATCH_SECOND,
+         "1:alpha 2:beta 3:gamma 4:first of a batch"},
+        {BATCH_SECOND + BATCH_THIRD + 8, 40, "1:alpha 2:beta 3:gamma"},
+    };
+    struct fixture *fixture = *state;
+    gsize len;
+    gchar *content = write_batch(fixture, &len);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(holes); i++) {
+        gchar *torn = g_memdup2(content, len);
+        memset(torn + len - holes[i].from_end, 0, holes[i].size);
+        assert_true(
+            g_file_set_contents(fixture->file, torn, (gssize)len, NULL));
+        struct rp_journal *journal = open_journal(fixture, NULL);
+        assert_non_null(journal);
+        assert_string_equal(fixture->seen->str, holes[i].kept);
+        append(journal, 9, "after");
+        assert_int_equal(RpJournal_Sync(journal, NULL), RP_OK);
+        RpJournal_Close(journal);
+        struct rp_journal_report report;
+        assert_int_equal(RpJournal_Check(fixture->folder, &report, NULL),
+                         RP_OK);
+        assert_int_equal(report.torn_bytes, 0);
+        g_free(torn);
+    }
+    g_free(content);
+}
+
+/* A hole in what was synced before the last batch, or a flipped bit in that
+ * batch, is damage. */
+static void
+test_hole_before_last_batch(void **state)
+{
+    struct fixture *fixture = *state;
+    gsize len;
+    gchar *content = write_batch(fixture, &len);
+    const size_t batch = BATCH_FIRST + BATCH_SECOND + BATCH_THIRD;
+
+    memset(content + len - batch - 37, 0, 37);
+    assert_true(
+        g_file_set_contents(fixture->file, content, (gssize)len, NULL));
+    assert_null(open_journal(fixture, NULL));
+    g_free(content);
+    g_remove(fixture->file);
+    content = write_batch(fixture, &len);
+    for (size_t i = len - batch; i < len; i++) {
+        content[i] ^= 0x10;
+        assert_true(
+            g_file_set_contents(fixture->file, content, (gssize)len, NULL));
+        assert_null(open_journal(fixture, NULL));
+        content[i] ^= 0x10;
+    }
+    g_free(content);
+}
+
 /* One flipped bit anywhere is damage, never a shorter journal. */
 static void
 test_every_flipped_bit_is_damage(void **state)
@@ -251,6 +340,8 @@
         TEST(test_reopen),
         TEST(test_cut_at_every_byte),
         TEST(test_zero_tail),
+        TEST(test_hole_in_last_batch),
+        TEST(test_hole_before_last_batch),
         TEST(test_every_flipped_bit_is_damage),
         TEST(test_rewrite),
         TEST(test_folder_is_locked),
