A replica without a log asks to join on each new link

Cause: a replica asked to be let in at its first tick, when no link was up, and then a second later. So one that had lost its disk came back a second late, and a group that got its power back with one disk lost waited for a lease: the others must hear from it that its address has a new process.

Ruled out: the trial after a start (test_replica_start has groups with lost disks, in which asking is prompt).

Change: the wish to join is the first message on each link that comes up.

--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -71,16 +71,60 @@
     g_ptr_array_unref(list);
 }
 
+static struct rp_replica_member
+self_as_member(const struct control *control)
+{
+    return (struct rp_replica_member){
+        .id = RpReplica_Id(RpControlReplica_Replica(control->replica)),
+        .name = control->settings.common.name,
+        .ip = control->settings.listen.ip,
+        .port = control->settings.listen.port};
+}
+
+/* Whether the log knows this replica under the address it has now. */
+static bool
+is_listed(const struct control *control)
+{
+    struct rp_replica *replica = RpControlReplica_Replica(control->replica);
+    const GArray *members = RpReplica_Members(replica);
+
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            members, struct rp_replica_member, i);
+        if (member->id == RpReplica_Id(replica)) {
+            return member->ip == control->settings.listen.ip &&
+                   member->port == control->settings.listen.port;
+        }
+    }
+    return false;
+}
+
+/* Whether this replica should ask to be let in, at its present address. */
+static bool
+wants_to_join(const struct control *control, int64_t now)
+{
+    return RpReplica_WantsToJoin(RpControlReplica_Replica(control->replica),
+                                 now) ||
+           !is_listed(control);
+}
+
 static void
 on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
 {
     struct link *link = user;
+    struct control *control = link->links->control;
 
     link->ready = true;
     link->name = hello->name;
-    send_upstreams(link->links->control, conn);
-    RpLog_Event(link->links->control->daemon.log, RP_LOG_INFO,
-                "replica_connected", "peer=%s", hello->name.data);
+    if (wants_to_join(control, RpClock_Now())) {
+        /* At once: others may wait to hear that a disk was lost. */
+        const struct rp_msg msg = {
+            .type = RP_MSG_JOIN, .join = {.member = self_as_member(control)}};
+        RpConn_Send(conn, &msg);
+    }
+    send_upstreams(control, conn);
+    RpLog_Event(control->daemon.log, RP_LOG_INFO, "replica_connected",
+                "peer=%s", hello->name.data);
 }
 
 static void
@@ -185,42 +229,12 @@
     }
 }
 
-static struct rp_replica_member
-self_as_member(const struct control *control)
-{
-    return (struct rp_replica_member){
-        .id = RpReplica_Id(RpControlReplica_Replica(control->replica)),
-        .name = control->settings.common.name,
-        .ip = control->settings.listen.ip,
-        .port = control->settings.listen.port};
-}
-
-/* Whether the log knows this replica under the address it has now. */
-static bool
-is_listed(const struct control *control)
-{
-    struct rp_replica *replica = RpControlReplica_Replica(control->replica);
-    const GArray *members = RpReplica_Members(replica);
-
-    for (guint i = 0; i < members->len; i++) {
-        const struct rp_replica_member *member = &g_array_index(
-            members, struct rp_replica_member, i);
-        if (member->id == RpReplica_Id(replica)) {
-            return member->ip == control->settings.listen.ip &&
-                   member->port == control->settings.listen.port;
-        }
-    }
-    return false;
-}
-
 static void
 ask_to_join(struct control_links *links, int64_t now)
 {
     struct control *control = links->control;
-    struct rp_replica *replica = RpControlReplica_Replica(control->replica);
 
-    if (now < links->join_deadline ||
-        (!RpReplica_WantsToJoin(replica, now) && is_listed(control))) {
+    if (now < links->join_deadline || !wants_to_join(control, now)) {
         return;
     }
     links->join_deadline = now + JOIN_US;
--- a/tests/runs/control.sh
+++ b/tests/runs/control.sh
@@ -145,6 +145,28 @@
 start_control "$other"
 wait_until 20 all_fresh || fail "control-$other does not come back"
 
+say "loss of all power, one disk lost: no lease is waited for"
+# stamp NUMBER PATTERN: when the last such line of a replica was logged, in ms.
+stamp() {
+    date -d "$(grep "$2" "$RUN/control-$1.log" | tail -1 |
+        sed 's/^time=\([^ ]*\).*/\1/')" +%s%3N
+}
+wiped=$((($(leader) + 1) % 3))
+for i in 0 1 2; do stop "control-$i" KILL; done
+rm -rf "${RUN:?}/control-$wiped"
+for i in 0 1 2; do start_control $i; done
+wait_until 20 all_fresh || fail "the replicas do not come back"
+led=$(leader)
+began=0
+for i in 0 1 2; do
+    started=$(stamp $i event=started)
+    [ "$started" -gt "$began" ] && began=$started
+done
+waited=$(($(stamp "$led" "event=replica_role role=leader") - began))
+say "led $waited ms after the last start"
+[ "$waited" -lt 400 ] || fail "led only after $waited ms"
+check_last
+
 say "two operators race for $((2 * RACE)) changes"
 before=$(metric "$(admin_port "$(leader)")" revision)
 race() {
