--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -9,6 +9,8 @@
  * - a replica that heard from a leader lately votes for nobody else, and a
  *   leader that lost its majority steps down: so a leader may answer reads
  *   by itself while its lease holds;
+ * - where every process has started anew there is no lease to wait for, and
+ *   they elect at once (rp_replica_start.c);
  * - one change of the members at a time; a new one learns before it votes;
  * - a replica whose disk was lost has a new id and is let in again.
  *
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -14,8 +14,7 @@
     bool waiting;    /* an append is under way */
     uint64_t snapshot_offset;
     bool granted;
-    bool restarted; /* answered a trial of ours right after its start, or
-                     * another process has its address */
+    bool restarted; /* has said so, or another process has its address */
 };
 
 struct rp_replica {
--- a/lib/state/rp_replica_start.c
+++ b/lib/state/rp_replica_start.c
@@ -7,7 +7,9 @@
  * members, learners too, in a trial of its own. It is won only if each member
  * answers that it has not known a leader since its start either; a member
  * whose disk was lost cannot answer, but whoever asks to join from its
- * address shows that its process is gone.
+ * address shows that its process is gone. What was once heard stays true: a
+ * process that has become leader since has a majority of a higher term behind
+ * it, and that majority grants nothing.
  *
  * Each voter grants this trial only to a candidate that goes before itself:
  * the newest log, then the lowest id. So one of them wins it, and the real
@@ -15,8 +17,8 @@
  * of rp_replica_vote.c come in their time. */
 #include "rp_replica_internal.h"
 
-/* Between two trials of this kind: what a connection between replicas that
- * start together takes at least, twice the clock tick of the control role. */
+/* Between two trials of this kind: two ticks of the control role, which is
+ * about what a connection between replicas that start together takes. */
 #define START_TRIAL_US (40 * RP_US_PER_MS)
 
 /* Whether every member's process is known to have started anew. */
--- a/programs/shared/rp_conn.h
+++ b/programs/shared/rp_conn.h
@@ -20,7 +20,7 @@
  * failed attempt and one table for that: see test_budget.c. */
 #define RP_CONN_PING_US (400 * RP_US_PER_MS)
 #define RP_CONN_SILENCE_US (1200 * RP_US_PER_MS)
-/* An attempt to connect fails unless the peer has said hello by then. A
+/* The longest that an attempt to connect waits for the peer's hello. A
  * machine without power does not answer, and its system repeats the attempt
  * only after a second; a frozen process is connected to by its system and
  * then says nothing. The farthest regions answer within 300 ms. */
