--- a/lib/control/rp_document.h
+++ b/lib/control/rp_document.h
@@ -3,7 +3,7 @@
  * A document is a key file:
  *
  *     [service]
- *     name = lens-desk
+ *     name = thumbnails
  *     address = 10.80.0.1:7000
  *
  *     [limits]
--- a/tests/unit/test_replica_start.c
+++ b/tests/unit/test_replica_start.c
@@ -98,6 +98,7 @@
     }
 }
 
+/* The longest that each group took, over all seeds. */
 static int64_t slowest[G_N_ELEMENTS(cases)];
 
 static unsigned
