Log who votes, and each change of the members with its reason

No line told which members vote, who was promoted or removed and why, what the quorum is, or how long a member has been silent, so hypotheses A (newcomer votes beside the dead), B (never promoted) and C (removal lost) looked the same. Adds event=member_change (leader) and event=replica_members (all replicas), and the gauges voters, learners and failures_tolerated.

--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -70,7 +70,17 @@
     RP_REPLICA_STORE_TRUNCATE, /* delete the entries from index on */
     RP_REPLICA_STORE_SNAPSHOT, /* replace entries up to its index */
     RP_REPLICA_SEND,           /* send msg to the member with id `to` */
-    RP_REPLICA_APPLY           /* apply entry, which is committed */
+    RP_REPLICA_APPLY,          /* apply entry, which is committed */
+    RP_REPLICA_REPORT_CHANGE   /* log that this leader changes the members */
+};
+
+/* Why a leader changes the members. */
+enum rp_member_change {
+    RP_MEMBER_ADDED,     /* a new replica joins as a learner */
+    RP_MEMBER_MOVED,     /* the replica has a new address */
+    RP_MEMBER_DISK_LOST, /* removed: a replica with another id has its place */
+    RP_MEMBER_PROMOTED,  /* the learner has caught up and becomes a voter */
+    RP_MEMBER_SILENT     /* removed: it has not answered for too long */
 };
 
 /* One action. Its kind says which members are set. `entry` and `snapshot`
@@ -85,6 +95,9 @@
     const struct rp_log_entry *entry;
     const struct rp_snapshot *snapshot;
     struct rp_msg msg; /* owned by the action */
+    enum rp_member_change change;
+    struct rp_replica_member member; /* the one that changes */
+    int64_t silent_since; /* when it was last in contact; 0: never */
 };
 
 struct rp_replica;
@@ -178,6 +191,17 @@
  * it has applied all that was committed then. */
 bool RpReplica_IsFresh(const struct rp_replica *replica, int64_t now);
 
+/* Returns "added", "moved", "disk_lost", "promoted" or "silent". */
+const char *RpReplica_ChangeName(enum rp_member_change change);
+
+/* Returns how many voters must store an entry or grant a vote. */
+size_t RpReplica_Quorum(const struct rp_replica *replica);
+
+/* On the leader: returns how many more voters can fail before the group stops,
+ * which counts as failed those that have not answered for
+ * RP_ELECTION_TIMEOUT_US; -1 on any other replica. */
+int RpReplica_FailuresTolerated(const struct rp_replica *replica, int64_t now);
+
 uint64_t RpReplica_Id(const struct rp_replica *replica);
 enum rp_replica_role RpReplica_Role(const struct rp_replica *replica);
 /* Returns "leader", "candidate", "follower" or "learner". */
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -121,8 +121,6 @@
 RpReplica_FindMember(const struct rp_replica *replica, uint64_t id);
 struct rp_peer *RpReplica_FindPeer(struct rp_replica *replica, uint64_t id);
 bool RpReplica_IsVoter(const struct rp_replica *replica, uint64_t id);
-/* Returns how many voters are a majority. */
-size_t RpReplica_Quorum(const struct rp_replica *replica);
 
 /* rp_replica_vote.c: pre-votes and elections. */
 /* Counts the voters that have granted the current vote or pre-vote; this
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -180,6 +180,23 @@
     return times[other_votes_needed - 1];
 }
 
+int
+RpReplica_FailuresTolerated(const struct rp_replica *replica, int64_t now)
+{
+    int answering = RpReplica_IsVoter(replica, replica->id);
+
+    if (replica->role != RP_REPLICA_LEADER) {
+        return -1;
+    }
+    for (guint i = 0; i < replica->peers->len; i++) {
+        const struct rp_peer *peer = &g_array_index(replica->peers,
+                                                    struct rp_peer, i);
+        answering += RpReplica_IsVoter(replica, peer->id) &&
+                     peer->last_contact > now - RP_ELECTION_TIMEOUT_US;
+    }
+    return answering - (int)RpReplica_Quorum(replica);
+}
+
 void
 RpReplica_LeaderTick(struct rp_replica *replica, int64_t now)
 {
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -18,14 +18,43 @@
            term == replica->term;
 }
 
-/* Appends the new list of members, which takes effect at once, and
- * replicates it. */
+const char *
+RpReplica_ChangeName(enum rp_member_change change)
+{
+    static const char *const names[] = {[RP_MEMBER_ADDED] = "added",
+                                        [RP_MEMBER_MOVED] = "moved",
+                                        [RP_MEMBER_DISK_LOST] = "disk_lost",
+                                        [RP_MEMBER_PROMOTED] = "promoted",
+                                        [RP_MEMBER_SILENT] = "silent"};
+
+    return names[change];
+}
+
+/* Adds the action that reports a change of `member`. */
+static void
+report_change(struct rp_replica *replica, enum rp_member_change change,
+              const struct rp_replica_member *member)
+{
+    const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
+    struct rp_replica_action *action = RpReplica_AddAction(
+        replica, RP_REPLICA_REPORT_CHANGE);
+
+    action->change = change;
+    action->member = *member;
+    action->silent_since = peer ? peer->last_contact : 0;
+}
+
+/* Reports the change of `member` and appends the new list, which takes effect
+ * at once, and replicates it. */
 static void
-propose_members(struct rp_replica *replica, int64_t now, GArray *list)
+propose_members(struct rp_replica *replica, int64_t now, GArray *list,
+                enum rp_member_change change,
+                const struct rp_replica_member *member)
 {
     const struct rp_replica_members members = {.list = list};
     GString *data = RpSchema_Encode(&rp_replica_members_schema, &members);
 
+    report_change(replica, change, member);
     RpReplica_AppendEntry(replica, RP_ENTRY_MEMBERS, data);
     g_string_free(data, TRUE);
     RpReplica_UpdatePeers(replica, now);
@@ -103,19 +132,21 @@
             list, struct rp_replica_member, (guint)position);
         updated->ip = member->ip;
         updated->port = member->port;
-        propose_members(replica, now, list);
+        propose_members(replica, now, list, RP_MEMBER_MOVED, member);
     }
     else if (position >= 0) {
         /* The replica lost its disk and has a new id: remove the member with
          * the old id. A later request adds the new one. */
+        const struct rp_replica_member lost = g_array_index(
+            list, struct rp_replica_member, (guint)position);
         g_array_remove_index(list, (guint)position);
-        propose_members(replica, now, list);
+        propose_members(replica, now, list, RP_MEMBER_DISK_LOST, &lost);
     }
     else if (list->len < RP_REPLICA_MEMBERS_MAX) {
         struct rp_replica_member learner = *member;
         learner.voter = 0;
         g_array_append_val(list, learner);
-        propose_members(replica, now, list);
+        propose_members(replica, now, list, RP_MEMBER_ADDED, &learner);
     }
     g_array_free(list, TRUE);
 }
@@ -176,15 +207,20 @@
                 (struct rp_replica_member *)(void *)replica->members->data);
     int unresponsive = find_unresponsive_voter(replica, now);
     GArray *list = copy_members(replica);
+    struct rp_replica_member changed = *learner;
+    enum rp_member_change change = RP_MEMBER_PROMOTED;
     if (unresponsive >= 0) {
         /* Remove the unresponsive voter first; the learner becomes a voter in
          * the next change. Otherwise the dead voter would still count towards
          * the quorum. */
+        changed = g_array_index(list, struct rp_replica_member,
+                                (guint)unresponsive);
+        change = RP_MEMBER_SILENT;
         g_array_remove_index(list, (guint)unresponsive);
     }
     else {
         g_array_index(list, struct rp_replica_member, position).voter = 1;
     }
-    propose_members(replica, now, list);
+    propose_members(replica, now, list, change, &changed);
     g_array_free(list, TRUE);
 }
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -116,6 +116,7 @@
     .send = send_to_replica,
     .applied = on_entry_applied,
     .restored = on_catalog_restored,
+    .member_change = RpControl_LogMemberChange,
     .failed = on_storage_failed};
 
 static void
@@ -251,6 +252,7 @@
 
     RpControlReplica_Tick(control->replica, now);
     log_role_change(control);
+    RpControl_LogMembersIfChanged(control);
     RpControlLinks_Tick(control->links, now);
     update_freshness(control, now);
     expire_leases(control, now);
@@ -295,6 +297,7 @@
         RpReplica_CommitIndex(replica),
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
         control->disconnect_policy.fresh);
+    RpControl_WriteMemberGauges(control, out);
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -46,9 +46,26 @@
     enum rp_replica_role logged_role;
     uint64_t logged_leader; /* replica id; 0: none known */
     uint64_t logged_term;
+    uint64_t logged_members;   /* digest of the list in the last
+                                * "replica_members" log line */
     int64_t next_periodic_run; /* when to run the periodic tasks again */
 };
 
+/* control_members.c: what the logs and metrics tell about the group of
+ * replicas. */
+
+/* Logs that this replica, the leader, changes the members, and why. */
+void RpControl_LogMemberChange(void *user,
+                               const struct rp_replica_action *action);
+
+/* Logs the voters, the learners and the quorum when this replica's list of
+ * members has changed. */
+void RpControl_LogMembersIfChanged(struct control *control);
+
+/* Writes the numbers of voters and learners, and on the leader how many more
+ * failures the group tolerates. */
+void RpControl_WriteMemberGauges(const struct control *control, GString *out);
+
 /* control_nodes.c: accepts connections of nodes, operators and other
  * replicas. */
 
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -413,6 +413,9 @@
             apply_entry(self, action->entry);
         }
         break;
+    case RP_REPLICA_REPORT_CHANGE:
+        self->ops->member_change(self->user, action);
+        break;
     }
 }
 
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -32,6 +32,9 @@
     /* The whole catalogue was replaced, by a snapshot or by reading the
      * journal again. */
     void (*restored)(void *user);
+    /* This replica, the leader, changes the members: an action of the kind
+     * RP_REPLICA_REPORT_CHANGE. */
+    void (*member_change)(void *user, const struct rp_replica_action *action);
     /* Writing to the disk failed. Acknowledged changes are safe. The replica
      * stops taking part until it can reopen its journal, which it tries every
      * RP_STORAGE_RETRY_US. */
--- a/tests/unit/replica_sim.c
+++ b/tests/unit/replica_sim.c
@@ -262,6 +262,8 @@
         case RP_REPLICA_APPLY:
             check_and_apply_entry(sim, instance, act->entry);
             break;
+        case RP_REPLICA_REPORT_CHANGE:
+            break;
         }
     }
     RpReplica_FreeActions(actions);
--- a/tests/unit/test_control_replica.c
+++ b/tests/unit/test_control_replica.c
@@ -53,10 +53,19 @@
     calls->failed++;
 }
 
-static const struct rp_control_replica_ops ops = {.send = on_send,
-                                                  .applied = on_applied,
-                                                  .restored = on_restored,
-                                                  .failed = on_failed};
+static void
+on_member_change(void *user, const struct rp_replica_action *action)
+{
+    (void)user;
+    (void)action;
+}
+
+static const struct rp_control_replica_ops ops = {
+    .send = on_send,
+    .applied = on_applied,
+    .restored = on_restored,
+    .member_change = on_member_change,
+    .failed = on_failed};
 
 static enum rp_code
 propose_edition(struct rp_control_replica *replica, uint64_t version)
