Replicas: change the members however busy the leader is

Cause: the leader promoted learners only when a heartbeat was due. Each proposal and each confirmed read sends a round and puts the heartbeat off, so with less than 100 ms between them no learner ever became a voter. Class: maintenance that hangs on a timer which other work resets. Elsewhere: the step-down check of the leader stands before it and is not affected; the control role's periodic tasks have a deadline of their own.

Ruled out: the learner lagged (its match was the leader's last index). Change: the check runs on each tick.

--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -174,8 +174,9 @@
  * to those without an append in flight. */
 void RpReplica_BroadcastAppend(struct rp_replica *replica, int64_t now,
                                bool heartbeat);
-/* Steps down if no majority has answered for RP_ELECTION_TIMEOUT_US; sends
- * heartbeats that are due. */
+/* Steps down if no majority has answered for RP_ELECTION_TIMEOUT_US; changes
+ * the members if that is due, whether or not other traffic puts off the
+ * heartbeats; sends heartbeats that are due. */
 void RpReplica_LeaderTick(struct rp_replica *replica, int64_t now);
 /* Raises the commit index to the last entry that a majority has stored, if
  * that entry is of the current term, and applies what is committed. */
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -204,8 +204,8 @@
         RpReplica_BecomeFollower(replica, now, replica->term, 0);
         return;
     }
+    RpReplica_PromoteLearner(replica, now);
     if (now >= replica->heartbeat_deadline) {
-        RpReplica_PromoteLearner(replica, now);
         RpReplica_BroadcastAppend(replica, now, true);
     }
 }
