--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -572,6 +572,26 @@
             now - replica->last_leader_contact > RP_REJOIN_TIMEOUT_US);
 }
 
+uint64_t
+RpReplica_LogBytes(const struct rp_replica *replica)
+{
+    uint64_t bytes = 0;
+
+    for (guint i = 0; i < replica->log->len; i++) {
+        const struct rp_log_entry *entry = g_ptr_array_index(replica->log, i);
+        bytes += entry->data->len;
+    }
+    return bytes;
+}
+
+uint64_t
+RpReplica_SnapshotBytes(const struct rp_replica *replica)
+{
+    return replica->snapshot
+               ? replica->snapshot->data->len + replica->snapshot_bytes->len
+               : 0;
+}
+
 uint64_t
 RpReplica_VotedFor(const struct rp_replica *replica)
 {
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -230,6 +230,11 @@
 const GArray *RpReplica_Members(const struct rp_replica *replica);
 bool RpReplica_IsMember(const struct rp_replica *replica);
 
+/* Bytes of the entries in the log, and of the snapshot, both its decoded and
+ * its encoded form. */
+uint64_t RpReplica_LogBytes(const struct rp_replica *replica);
+uint64_t RpReplica_SnapshotBytes(const struct rp_replica *replica);
+
 /* What to store after RpReplica_Compact: the term and the vote, the snapshot
  * (NULL if there is none) and the entries after it, by position from 0. */
 uint64_t RpReplica_VotedFor(const struct rp_replica *replica);
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -186,6 +186,7 @@
         .confirm = {.revision = RpDistribution_LowestConfirmed(
                         control->distribution)}};
     RpControlLinks_SendAll(control->links, &msg);
+    RpControl_LogMemoryIfChanged(control);
     if (RpReplica_Role(get_replica(control)) == RP_REPLICA_LEADER) {
         run_leader_duties(control, now);
     }
@@ -312,6 +313,7 @@
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
         control->disconnect_policy.fresh);
     RpControl_WriteMemberGauges(control, out);
+    RpControl_WriteMemoryGauges(control, out);
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -50,9 +50,10 @@
     enum rp_replica_role logged_role;
     uint64_t logged_leader; /* replica id; 0: none known */
     uint64_t logged_term;
-    uint64_t logged_members;   /* digest of the list in the last
-                                * "replica_members" log line */
-    int64_t next_periodic_run; /* when to run the periodic tasks again */
+    uint64_t logged_members;        /* digest of the list in the last
+                                     * "replica_members" log line */
+    uint64_t logged_resident_bytes; /* in the last "memory_changed" line */
+    int64_t next_periodic_run;      /* when to run the periodic tasks again */
 };
 
 /* control_members.c: what the logs and metrics tell about the group of
@@ -70,6 +71,13 @@
  * failures the group tolerates. */
 void RpControl_WriteMemberGauges(const struct control *control, GString *out);
 
+/* control_memory.c: the sizes of the log, the snapshot and the queues of
+ * connections. */
+void RpControl_WriteMemoryGauges(const struct control *control, GString *out);
+
+/* Logs them when the resident size has changed much since the last line. */
+void RpControl_LogMemoryIfChanged(struct control *control);
+
 /* control_nodes.c: accepts connections of nodes, operators and other
  * replicas. */
 
@@ -85,6 +93,10 @@
 void RpControl_OnApplied(void *user, const struct rp_log_entry *entry,
                          const struct rp_msg_change_reply *reply);
 
+/* Returns the bytes queued for nodes, operators and replicas on the
+ * connections that they opened. */
+uint64_t RpControl_QueuedBytes(const struct control *control);
+
 /* Closes the connections of all nodes, so that they connect to another
  * replica. */
 void RpControl_DisconnectNodes(struct control *control);
@@ -144,6 +156,9 @@
 void RpControlLinks_OnPeerConnected(struct control_links *links, int64_t now,
                                     uint32_t ip);
 
+/* Returns the bytes queued for the other replicas. */
+uint64_t RpControlLinks_QueuedBytes(const struct control_links *links);
+
 /* Sends to every connected replica. */
 void RpControlLinks_SendAll(struct control_links *links,
                             const struct rp_msg *msg);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -314,6 +314,18 @@
     }
 }
 
+uint64_t
+RpControlLinks_QueuedBytes(const struct control_links *links)
+{
+    uint64_t bytes = 0;
+
+    for (guint i = 0; i < links->list->len; i++) {
+        const struct link *link = g_ptr_array_index(links->list, i);
+        bytes += link->conn ? RpConn_Queued(link->conn) : 0;
+    }
+    return bytes;
+}
+
 void
 RpControlLinks_SendAll(struct control_links *links, const struct rp_msg *msg)
 {
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -285,6 +285,20 @@
     }
 }
 
+uint64_t
+RpControl_QueuedBytes(const struct control *control)
+{
+    uint64_t bytes = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->clients);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        bytes += RpConn_Queued(((const struct client *)value)->conn);
+    }
+    return bytes;
+}
+
 void
 RpControl_SendMembersIfChanged(struct control *control)
 {
