Replicas: send a peer its entries one message at a time

What callers saw: leaders of control ended at their memory limit (80 MB) while the configuration had 1,450 routes, so a change was late or unanswered; with links full of repeated entries a follower also learns of changes late.

Change: entries or a chunk are sent to a peer only when the previous ones are answered, or an answer to a later round shows that they were lost; an append holds 256 KB or one entry; heartbeats are empty.

--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -56,6 +56,9 @@
  * expect a replacement to catch up. */
 #define RP_MEMBER_SILENCE_TIMEOUT_US (2 * RP_US_PER_SECOND)
 #define RP_APPEND_MAX_ENTRIES 64
+#define RP_APPEND_MAX_BYTES                                                   \
+    (256u << 10) /* of data; one entry may be larger                          \
+                  */
 #define RP_SNAPSHOT_CHUNK_BYTES (256u << 10) /* bytes */
 
 enum rp_replica_role {
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -14,10 +14,16 @@
     uint64_t acked_round; /* newest round that it has answered */
     /* When that round was sent; at first, when the peer was added. */
     int64_t last_contact;
-    int64_t last_heard;       /* when its last reply of any kind came; same */
-    bool append_in_flight;    /* an append is not answered yet */
-    uint64_t snapshot_offset; /* of the next chunk to send */
-    bool vote_granted;        /* in the current vote or pre-vote */
+    int64_t last_heard; /* when its last reply of any kind came; same */
+    /* Entries, or a chunk of the snapshot, are sent and not answered yet:
+     * their last index, and the first round whose answer would come after
+     * theirs. */
+    bool data_in_flight;
+    uint64_t in_flight_last;
+    uint64_t in_flight_until_round;
+    uint64_t told_commit_index; /* as far as the newest append to it reaches */
+    uint64_t snapshot_offset;   /* of the next chunk to send */
+    bool vote_granted;          /* in the current vote or pre-vote */
     /* Its vote reply says that it has heard from no leader since its start, or
      * its process is gone, because another one asks to join from its
      * address. */
@@ -173,8 +179,8 @@
 void RpReplica_BecomeLeader(struct rp_replica *replica, int64_t now);
 /* Removes peers that are no longer members and adds those that are new. */
 void RpReplica_UpdatePeers(struct rp_replica *replica, int64_t now);
-/* Starts a round: sends an append to all peers, or, unless it is a heartbeat,
- * to those without an append in flight. */
+/* Starts a round: sends the next entries to the peers that lack some and have
+ * none in flight, and if it is a heartbeat an empty append to the others. */
 void RpReplica_BroadcastAppend(struct rp_replica *replica, int64_t now,
                                bool heartbeat);
 /* Steps down if no majority has answered for RP_ELECTION_TIMEOUT_US; changes
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -1,6 +1,9 @@
 /* The leader's side: heartbeats, log replication, the commit index, and
  * snapshots for peers that need entries which the log no longer holds.
  *
+ * Entries and chunks are sent to a peer one message at a time, so that a peer
+ * that does not answer has only that one in its queue.
+ *
  * Each broadcast of appends is a round with a number. Replies echo the
  * number, so the leader knows when the round that a peer has answered was
  * sent; its lease and confirmed reads rest on that. */
@@ -97,46 +100,99 @@
     RpReplica_QueueMessage(replica, peer->id, &msg);
 }
 
-/* Sends the entries from the peer's next index on, or none as a heartbeat;
- * a chunk of the snapshot if the log no longer holds the entry before. */
-static void
-send_append(struct rp_replica *replica, struct rp_peer *peer)
+/* Returns an append without entries that follows the entry `previous_index`,
+ * of which only the term is left to fill in. */
+static struct rp_msg
+make_append(const struct rp_replica *replica, const struct rp_peer *peer,
+            uint64_t previous_index)
 {
-    struct rp_msg msg = {
+    return (struct rp_msg){
         .type = RP_MSG_APPEND,
         .append = {.from = replica->id,
                    .to = peer->id,
                    .term = replica->term,
-                   .previous_index = peer->next_index - 1,
+                   .previous_index = previous_index,
                    .committed = replica->commit_index,
                    .round = replica->round,
                    .fresh = replica->lease_is_valid,
                    .entries = RpSchema_NewList(&rp_log_entry_schema)}};
+}
+
+/* Appends copies of the entries from `index` on, as many as one append may
+ * hold, and at least one if there is one. */
+static void
+append_entries(const struct rp_replica *replica, uint64_t index,
+               GArray *entries)
+{
+    size_t bytes = 0;
+
+    for (guint i = 0; i < RP_APPEND_MAX_ENTRIES; i++) {
+        const struct rp_log_entry *entry = RpReplicaLog_EntryAt(replica,
+                                                                index + i);
+        if (!entry ||
+            (i > 0 && bytes + entry->data->len > RP_APPEND_MAX_BYTES)) {
+            return;
+        }
+        bytes += entry->data->len;
+        g_array_set_size(entries, i + 1);
+        struct rp_log_entry *copy = &g_array_index(entries,
+                                                   struct rp_log_entry, i);
+        *copy = *entry;
+        copy->data = g_string_new_len(entry->data->str,
+                                      (gssize)entry->data->len);
+    }
+}
+
+/* Sends the entries from the peer's next index on; a chunk of the snapshot if
+ * the log no longer holds the entry before. */
+static void
+send_data(struct rp_replica *replica, struct rp_peer *peer)
+{
+    struct rp_msg msg = make_append(replica, peer, peer->next_index - 1);
     struct rp_msg_append *append = &msg.append;
 
+    peer->data_in_flight = true;
+    peer->in_flight_until_round = replica->round + 1;
     if (!RpReplicaLog_TermAt(replica, peer->next_index - 1,
                              &append->previous_term)) {
         RpMsg_Clear(&msg);
+        peer->in_flight_last = replica->snapshot->index;
         send_snapshot_chunk(replica, peer);
         return;
     }
-    for (uint64_t i = 0; i < RP_APPEND_MAX_ENTRIES; i++) {
-        const struct rp_log_entry *entry = RpReplicaLog_EntryAt(
-            replica, peer->next_index + i);
-        if (!entry) {
-            break;
-        }
-        g_array_set_size(append->entries, (guint)i + 1);
-        struct rp_log_entry *copy = &g_array_index(append->entries,
-                                                   struct rp_log_entry, i);
-        *copy = *entry;
-        copy->data = g_string_new_len(entry->data->str,
-                                      (gssize)entry->data->len);
+    append_entries(replica, peer->next_index, append->entries);
+    peer->in_flight_last = append->previous_index + append->entries->len;
+    peer->told_commit_index = MIN(append->committed, peer->in_flight_last);
+    RpReplica_QueueMessage(replica, peer->id, &msg);
+}
+
+/* Sends an append without entries, which the peer accepts whatever data is in
+ * flight to it: it follows the last entry that the peer is known to store, or
+ * none if the log no longer holds that one. */
+static void
+send_heartbeat(struct rp_replica *replica, struct rp_peer *peer)
+{
+    struct rp_msg msg = make_append(replica, peer, peer->match_index);
+
+    if (!RpReplicaLog_TermAt(replica, peer->match_index,
+                             &msg.append.previous_term)) {
+        msg.append.previous_index = 0;
+        msg.append.previous_term = 0;
     }
-    peer->append_in_flight = true;
+    peer->told_commit_index = MIN(msg.append.committed,
+                                  msg.append.previous_index);
     RpReplica_QueueMessage(replica, peer->id, &msg);
 }
 
+/* Whether the peer lacks entries, or is not known to store them, and none are
+ * in flight to it. */
+static bool
+needs_data(const struct rp_replica *replica, const struct rp_peer *peer)
+{
+    return !peer->data_in_flight &&
+           peer->match_index < RpReplicaLog_LastIndex(replica);
+}
+
 void
 RpReplica_BroadcastAppend(struct rp_replica *replica, int64_t now,
                           bool heartbeat)
@@ -146,8 +202,11 @@
     for (guint i = 0; i < replica->peers->len; i++) {
         struct rp_peer *peer = &g_array_index(replica->peers, struct rp_peer,
                                               i);
-        if (heartbeat || !peer->append_in_flight) {
-            send_append(replica, peer);
+        if (needs_data(replica, peer)) {
+            send_data(replica, peer);
+        }
+        else if (heartbeat) {
+            send_heartbeat(replica, peer);
         }
     }
     replica->heartbeat_deadline = now + RP_HEARTBEAT_INTERVAL_US;
@@ -268,7 +327,12 @@
         return;
     }
     peer->last_heard = now;
-    peer->append_in_flight = false;
+    /* An answer to a later round arrives after the one to the data, unless the
+     * data was lost. */
+    if (!reply->accepted || reply->match >= peer->in_flight_last ||
+        reply->round >= peer->in_flight_until_round) {
+        peer->data_in_flight = false;
+    }
     if (reply->round > peer->acked_round) {
         peer->acked_round = reply->round;
         peer->last_contact = MAX(peer->last_contact,
@@ -283,7 +347,7 @@
         peer->next_index = MIN(peer->next_index - 1, reply->match + 1);
         peer->next_index = MAX(peer->next_index, peer->match_index + 1);
         peer->snapshot_offset = 0;
-        send_append(replica, peer);
+        send_data(replica, peer);
         return;
     }
     peer->match_index = MAX(peer->match_index, reply->match);
@@ -296,8 +360,12 @@
         RpReplica_BroadcastAppend(replica, now, true);
         return;
     }
-    if (peer->next_index <= RpReplicaLog_LastIndex(replica)) {
-        send_append(replica, peer);
+    if (needs_data(replica, peer)) {
+        send_data(replica, peer);
+    }
+    else if (!peer->data_in_flight &&
+             peer->told_commit_index < replica->commit_index) {
+        send_heartbeat(replica, peer);
     }
 }
 
@@ -319,11 +387,9 @@
     peer->last_heard = now;
     replica->lease_is_valid = RpReplica_IsFresh(replica, now);
     peer->snapshot_offset = reply->offset;
-    if (reply->offset < replica->snapshot_bytes->len) {
-        send_snapshot_chunk(replica, peer);
-        return;
+    if (reply->offset >= replica->snapshot_bytes->len) {
+        peer->match_index = MAX(peer->match_index, reply->index);
+        peer->next_index = MAX(peer->next_index, reply->index + 1);
     }
-    peer->match_index = MAX(peer->match_index, reply->index);
-    peer->next_index = MAX(peer->next_index, reply->index + 1);
-    send_append(replica, peer);
+    send_data(replica, peer);
 }
