--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -75,7 +75,9 @@
     RP_REPLICA_STORE_SNAPSHOT, /* replace entries up to its index */
     RP_REPLICA_SEND,           /* send msg to the member with id `to` */
     RP_REPLICA_APPLY,          /* apply entry, which is committed */
-    RP_REPLICA_REPORT_CHANGE   /* log that this leader changes the members */
+    RP_REPLICA_REPORT_CHANGE,  /* log that this leader changes the members */
+    /* Log that the leader's snapshot up to index does not decode. */
+    RP_REPLICA_REPORT_BAD_SNAPSHOT
 };
 
 /* Why a leader changes the members. */
--- a/lib/state/rp_replica_follow.c
+++ b/lib/state/rp_replica_follow.c
@@ -145,9 +145,8 @@
 }
 
 /* Decodes the complete snapshot and replaces the log and state by it if it
- * is ahead of the commit index. A snapshot that does not decode is
- * ignored. */
-static void
+ * is ahead of the commit index. Returns false if it does not decode. */
+static bool
 install_snapshot(struct rp_replica *replica)
 {
     struct rp_snapshot snapshot;
@@ -155,7 +154,9 @@
                            .len = replica->incoming_snapshot->len};
 
     if (!RpSchema_Decode(&rp_snapshot_schema, bytes, &snapshot)) {
-        return;
+        RpReplica_AddAction(replica, RP_REPLICA_REPORT_BAD_SNAPSHOT)->index =
+            replica->incoming_snapshot_index;
+        return false;
     }
     if (snapshot.index > replica->commit_index) {
         RpReplicaLog_SetSnapshot(replica, &snapshot);
@@ -165,6 +166,7 @@
             replica->snapshot;
     }
     RpSchema_Clear(&rp_snapshot_schema, &snapshot);
+    return true;
 }
 
 void
@@ -193,9 +195,14 @@
                         (gssize)chunk->data->len);
     uint64_t received = replica->incoming_snapshot->len;
     if (received >= chunk->total) {
-        install_snapshot(replica);
+        bool installed = install_snapshot(replica);
         discard_incoming_snapshot(replica);
         replica->incoming_snapshot_index = 0;
+        if (!installed) {
+            /* Unacknowledged, so that the leader does not count this replica
+             * as one that stores it. */
+            return;
+        }
     }
     reply_snapshot(replica, chunk, received);
 }
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -126,11 +126,21 @@
                          error);
 }
 
+static void
+on_snapshot_refused(void *user, uint64_t index)
+{
+    const struct control *control = user;
+
+    RpLog_Event(control->daemon.log, RP_LOG_ERROR, "snapshot_refused",
+                "index=%" G_GUINT64_FORMAT " reason=does_not_decode", index);
+}
+
 static const struct rp_control_replica_ops replica_ops = {
     .send = send_to_replica,
     .applied = on_entry_applied,
     .restored = on_catalog_restored,
     .member_change = RpControl_LogMemberChange,
+    .snapshot_refused = on_snapshot_refused,
     .failed = on_storage_failed};
 
 static void
--- a/tests/unit/replica_sim.c
+++ b/tests/unit/replica_sim.c
@@ -278,6 +278,7 @@
             check_and_apply_entry(sim, instance, act->entry);
             break;
         case RP_REPLICA_REPORT_CHANGE:
+        case RP_REPLICA_REPORT_BAD_SNAPSHOT:
             break;
         }
     }
--- a/tests/unit/test_control_replica.c
+++ b/tests/unit/test_control_replica.c
@@ -60,11 +60,19 @@
     (void)action;
 }
 
+static void
+on_snapshot_refused(void *user, uint64_t index)
+{
+    (void)user;
+    (void)index;
+}
+
 static const struct rp_control_replica_ops ops = {
     .send = on_send,
     .applied = on_applied,
     .restored = on_restored,
     .member_change = on_member_change,
+    .snapshot_refused = on_snapshot_refused,
     .failed = on_failed};
 
 static enum rp_code
