Replicas: a join request changes the member with its id

Cause: the member to update was looked up by name or address. A known id with a name and address of no member wrote before the list (the test ended in a segmentation fault), with those of another member it changed that one, and a leader whose own address had changed never updated itself. Class: a step of a change of members that waits for a message of someone else.

--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -72,24 +72,81 @@
     return list;
 }
 
-/* Returns the position of the member with the same name or address; -1 if
- * there is none. */
+static const struct rp_replica_member *
+member_at(const struct rp_replica *replica, guint position)
+{
+    return &g_array_index(replica->members, struct rp_replica_member,
+                          position);
+}
+
+/* Returns the position of the member with this id; -1 if there is none. */
 static int
-find_member_by_name_or_address(const struct rp_replica *replica,
-                               const struct rp_replica_member *member)
+find_position(const struct rp_replica *replica, uint64_t id)
 {
     for (guint i = 0; i < replica->members->len; i++) {
-        const struct rp_replica_member *other = &g_array_index(
-            replica->members, struct rp_replica_member, i);
-        bool same_address = other->ip == member->ip &&
-                            other->port == member->port;
-        if (same_address || RpName_Equal(&other->name, &member->name)) {
+        if (member_at(replica, i)->id == id) {
             return (int)i;
         }
     }
     return -1;
 }
 
+/* Returns the position of the member with another id whose name or address
+ * `newcomer` has, because its disk is lost; -1 if there is none. */
+static int
+find_replaced(const struct rp_replica *replica,
+              const struct rp_replica_member *newcomer)
+{
+    for (guint i = 0; i < replica->members->len; i++) {
+        const struct rp_replica_member *other = member_at(replica, i);
+        bool same_address = other->ip == newcomer->ip &&
+                            other->port == newcomer->port;
+        if (other->id != newcomer->id &&
+            (same_address || RpName_Equal(&other->name, &newcomer->name))) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Updates the address of a member, if it has changed. */
+static void
+update_address(struct rp_replica *replica, int64_t now, guint position,
+               const struct rp_replica_member *member)
+{
+    GArray *list = copy_members(replica);
+    struct rp_replica_member *updated = &g_array_index(
+        list, struct rp_replica_member, position);
+
+    if (updated->ip != member->ip || updated->port != member->port) {
+        updated->ip = member->ip;
+        updated->port = member->port;
+        propose_members(replica, now, list, RP_MEMBER_MOVED, updated);
+    }
+    g_array_free(list, TRUE);
+}
+
+/* Adds a learner. Removes the member whose place it takes in the same change:
+ * at most one voter differs, as learners count towards no quorum. */
+static void
+add_learner(struct rp_replica *replica, int64_t now,
+            const struct rp_replica_member *newcomer)
+{
+    int replaced = find_replaced(replica, newcomer);
+    struct rp_replica_member learner = *newcomer;
+    GArray *list = copy_members(replica);
+
+    learner.voter = 0;
+    if (replaced >= 0) {
+        report_change(replica, RP_MEMBER_DISK_LOST,
+                      member_at(replica, (guint)replaced));
+        g_array_remove_index(list, (guint)replaced);
+    }
+    g_array_append_val(list, learner);
+    propose_members(replica, now, list, RP_MEMBER_ADDED, &learner);
+    g_array_free(list, TRUE);
+}
+
 /* Sends the join request to the leader if it is known. */
 static void
 forward_join(struct rp_replica *replica,
@@ -113,50 +170,19 @@
         }
         return;
     }
-    const struct rp_replica_member *known = RpReplica_FindMember(replica,
-                                                                 member->id);
-    int position = find_member_by_name_or_address(replica, member);
-    bool collides_with_self = position >= 0 &&
-                              g_array_index(replica->members,
-                                            struct rp_replica_member, position)
-                                      .id == replica->id;
-
-    if (!can_change_members(replica) || member->id == 0 ||
-        collides_with_self ||
-        (known && known->ip == member->ip && known->port == member->port)) {
+    if (!can_change_members(replica) || member->id == 0) {
         return;
     }
-    GArray *list = copy_members(replica);
-    if (known) {
-        /* The replica has a new address. */
-        struct rp_replica_member *updated = &g_array_index(
-            list, struct rp_replica_member, (guint)position);
-        updated->ip = member->ip;
-        updated->port = member->port;
-        propose_members(replica, now, list, RP_MEMBER_MOVED, member);
+    int known = find_position(replica, member->id);
+    int replaced = find_replaced(replica, member);
+    if (known >= 0) {
+        update_address(replica, now, (guint)known, member);
     }
-    else if (position >= 0) {
-        /* The replica lost its disk and has a new id: remove the member with
-         * the old id. A later request adds the new one. */
-        const struct rp_replica_member lost = g_array_index(
-            list, struct rp_replica_member, (guint)position);
-        g_array_remove_index(list, (guint)position);
-        propose_members(replica, now, list, RP_MEMBER_DISK_LOST, &lost);
+    else if (replaced >= 0
+                 ? member_at(replica, (guint)replaced)->id != replica->id
+                 : replica->members->len < RP_REPLICA_MEMBERS_MAX) {
+        add_learner(replica, now, member);
     }
-    else if (list->len < RP_REPLICA_MEMBERS_MAX) {
-        struct rp_replica_member learner = *member;
-        learner.voter = 0;
-        g_array_append_val(list, learner);
-        propose_members(replica, now, list, RP_MEMBER_ADDED, &learner);
-    }
-    g_array_free(list, TRUE);
-}
-
-static const struct rp_replica_member *
-member_at(const struct rp_replica *replica, guint position)
-{
-    return &g_array_index(replica->members, struct rp_replica_member,
-                          position);
 }
 
 /* Whether a member lags by at most CAUGHT_UP_MAX_LAG entries. */
