--- a/tests/unit/test_replica_members.c
+++ b/tests/unit/test_replica_members.c
@@ -12,13 +12,15 @@
 #define PAUSE_STEPS 50 /* from the loss of a machine to its replacement */
 /* Users expect service again 4 s after a failure; the failures last longer. */
 #define SERVICE_STEPS (4 * RP_US_PER_SECOND / STEP_US)
+#define FREEZE_STEPS (2300 * RP_US_PER_MS / STEP_US)
 #define LOSS_STEPS (SERVICE_STEPS + 50)
 #define DEFAULT_SEEDS 5
 
 enum how {
     HOW_GONE,    /* lost for good, replaced at another address */
     HOW_PLANNED, /* the same, but the replacement starts first */
-    HOW_WIPED    /* returns at its address with an empty disk */
+    HOW_WIPED,   /* returns at its address with an empty disk */
+    HOW_FROZEN   /* stands still until the group has removed it */
 };
 
 /* Further seeds that each found a fault once. */
@@ -39,12 +41,14 @@
     {"4, one gone", 4, 1, 1, HOW_GONE, 4 * RP_US_PER_SECOND},
     {"4, planned", 4, 1, 1, HOW_PLANNED, 4 * RP_US_PER_SECOND},
     {"4, wiped", 4, 1, 1, HOW_WIPED, 4 * RP_US_PER_SECOND},
+    {"4, one frozen", 4, 1, 1, HOW_FROZEN, 4 * RP_US_PER_SECOND},
     {"5, two gone", 5, 2, 2, HOW_GONE, 6 * RP_US_PER_SECOND},
     {"5, two planned", 5, 2, 2, HOW_PLANNED, 6 * RP_US_PER_SECOND},
     {"5, two wiped", 5, 2, 2, HOW_WIPED, 6 * RP_US_PER_SECOND},
     {"6, two gone", 6, 2, 2, HOW_GONE, 6 * RP_US_PER_SECOND},
     {"6, two planned", 6, 2, 2, HOW_PLANNED, 6 * RP_US_PER_SECOND},
     {"6, two wiped", 6, 2, 2, HOW_WIPED, 6 * RP_US_PER_SECOND},
+    {"6, two frozen", 6, 2, 2, HOW_FROZEN, 6 * RP_US_PER_SECOND},
 };
 
 static const struct scenario *scenario; /* the one that runs */
@@ -99,11 +103,18 @@
             sim_lose_disk(sim, old[i]);
             sim->instances[old[i]].down_steps = PAUSE_STEPS;
         }
+        else if (scenario->how == HOW_FROZEN) {
+            sim->instances[old[i]].frozen_steps = FREEZE_STEPS;
+        }
         else {
             sim_remove_instance(sim, old[i]);
         }
     }
-    if (scenario->how != HOW_PLANNED) {
+    if (scenario->how == HOW_FROZEN) {
+        run_steps(sim, FREEZE_STEPS);
+        started = sim->now;
+    }
+    else if (scenario->how != HOW_PLANNED) {
         run_steps(sim, PAUSE_STEPS);
         started = sim->now;
     }
