--- a/tests/unit/test_replica_queue.c
+++ b/tests/unit/test_replica_queue.c
@@ -128,7 +128,7 @@
 {
     static struct group group;
     GString *change = g_string_new(NULL);
-    uint64_t index;
+    uint64_t index = 0;
     unsigned changes = 0;
 
     (void)state;
