--- a/tests/unit/test_control_memory.c
+++ b/tests/unit/test_control_memory.c
@@ -14,8 +14,9 @@
 #define CHANGES 40       /* 20 s at two a second; several compactions */
 #define SUBSCRIBERS 74   /* nodes of the deployment */
 #define MACHINE_BYTES (80u << 20)
-#define BUDGET_BYTES (MACHINE_BYTES / 2) /* the rest: code, parsing, queues   \
-                                          */
+#define BUDGET_BYTES                                                          \
+    (MACHINE_BYTES / 2) /* the rest: code, parsing, queues                    \
+                         */
 
 struct sent {
     size_t messages;
