--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -10,7 +10,8 @@
     COMMAND_INIT = 1,
     COMMAND_CHANGE,
     COMMAND_RELEASE,
-    COMMAND_EDITION
+    COMMAND_EDITION,
+    COMMAND_EXPIRE_FORMER
 };
 
 static void
@@ -48,6 +49,8 @@
     catalog->answers = g_hash_table_new(hash_change_id, equal_change_ids);
     catalog->quarantine = g_array_new(FALSE, TRUE,
                                       sizeof(struct rp_quarantined_address));
+    catalog->former = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                            g_free, RpCatalog_FreeFormerList);
     g_queue_init(&catalog->answer_order);
     return catalog;
 }
@@ -59,6 +62,7 @@
     g_hash_table_remove_all(catalog->answers);
     g_queue_clear_full(&catalog->answer_order, g_free);
     g_array_set_size(catalog->quarantine, 0);
+    g_hash_table_remove_all(catalog->former);
     RpEdition_Clear(&catalog->edition);
     if (catalog->edition_bytes) {
         g_string_free(catalog->edition_bytes, TRUE);
@@ -84,6 +88,7 @@
     RpCatalog_Clear(catalog);
     g_hash_table_destroy(catalog->entries);
     g_hash_table_destroy(catalog->answers);
+    g_hash_table_destroy(catalog->former);
     g_array_free(catalog->quarantine, TRUE);
     g_free(catalog);
 }
@@ -125,13 +130,32 @@
     return out;
 }
 
-GString *
-RpCatalog_EncodeRelease(uint64_t revision)
+/* Encodes a command whose body is a revision. */
+static GString *
+encode_revision_command(enum command_kind kind, uint64_t revision)
 {
     uint8_t body[sizeof revision];
 
     RpBytes_Put64(body, revision);
-    return encode_command(COMMAND_RELEASE, body, sizeof body);
+    return encode_command(kind, body, sizeof body);
+}
+
+GString *
+RpCatalog_EncodeRelease(uint64_t revision)
+{
+    return encode_revision_command(COMMAND_RELEASE, revision);
+}
+
+GString *
+RpCatalog_EncodeExpireFormer(uint64_t revision)
+{
+    return encode_revision_command(COMMAND_EXPIRE_FORMER, revision);
+}
+
+bool
+RpCatalog_IsExpireFormer(struct rp_str command)
+{
+    return command.len > 0 && command.data[0] == COMMAND_EXPIRE_FORMER;
 }
 
 void
@@ -387,6 +411,17 @@
     return RP_OK;
 }
 
+/* Decodes the body of a command that consists of a revision. */
+static bool
+decode_revision(struct rp_str body, uint64_t *revision)
+{
+    if (body.len != sizeof *revision) {
+        return false;
+    }
+    *revision = RpBytes_Get64((const uint8_t *)body.data);
+    return true;
+}
+
 /* Ends the quarantine of addresses that were given up at or before the
  * revision in `body`. */
 static enum rp_code
@@ -394,10 +429,9 @@
 {
     uint64_t revision;
 
-    if (body.len != sizeof revision) {
+    if (!decode_revision(body, &revision)) {
         return RP_ERR_FORMAT;
     }
-    revision = RpBytes_Get64((const uint8_t *)body.data);
     for (guint i = catalog->quarantine->len; i-- > 0;) {
         const struct rp_quarantined_address *row = &g_array_index(
             catalog->quarantine, struct rp_quarantined_address, i);
@@ -408,6 +442,20 @@
     return RP_OK;
 }
 
+/* Forgets the former targets that were recorded at or before the revision in
+ * `body`. */
+static enum rp_code
+apply_expire_former(struct rp_catalog *catalog, struct rp_str body)
+{
+    uint64_t revision;
+
+    if (!decode_revision(body, &revision)) {
+        return RP_ERR_FORMAT;
+    }
+    RpCatalog_ExpireFormer(catalog, revision);
+    return RP_OK;
+}
+
 struct rp_catalog_entry *
 RpCatalog_AddEditionService(struct rp_catalog *catalog,
                             const struct rp_edition_service *service,
@@ -466,21 +514,17 @@
 }
 
 /* Adds the services that the current edition lists, updates their limits, and
- * removes those services of earlier editions that it does not list. */
+ * removes those services of earlier editions that are not used any more. */
 static void
 apply_edition_services(struct rp_catalog *catalog)
 {
     const GArray *services = catalog->edition.services;
-    GHashTable *listed = g_hash_table_new(RpName_Hash, RpName_EqualKeys);
-    GHashTableIter iter;
-    gpointer value;
 
     for (guint i = 0; i < services->len; i++) {
         struct rp_edition_service *service = &g_array_index(
             services, struct rp_edition_service, i);
         struct rp_catalog_entry *entry = g_hash_table_lookup(catalog->entries,
                                                              &service->name);
-        g_hash_table_add(listed, &service->name);
         if (!entry) {
             RpCatalog_AddEditionService(catalog, service, catalog->next_id++,
                                         catalog->revision);
@@ -492,15 +536,7 @@
             entry->revision = catalog->revision;
         }
     }
-    g_hash_table_iter_init(&iter, catalog->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct rp_catalog_entry *entry = value;
-        if (entry->from_edition &&
-            !g_hash_table_contains(listed, &entry->name)) {
-            g_hash_table_iter_remove(&iter);
-        }
-    }
-    g_hash_table_destroy(listed);
+    RpCatalog_RemoveUnusedServices(catalog);
 }
 
 /* Applies an edition if it is valid and its version is higher than the current
@@ -518,9 +554,12 @@
     uint64_t version = edition.version;
     enum rp_code code = RpEdition_Check(&edition, error);
     code = code == RP_OK ? check_no_documents(catalog, &edition, error) : code;
+    reply->repeated = code == RP_OK && version <= catalog->edition.version;
+    if (code == RP_OK && !reply->repeated) {
+        RpCatalog_RecordFormer(catalog, &edition, catalog->revision + 1);
+    }
     RpEdition_Clear(&edition);
     RP_RETURN_IF_ERROR(code);
-    reply->repeated = version <= catalog->edition.version;
     if (!reply->repeated && RpCatalog_SetEdition(catalog, body)) {
         catalog->revision++;
         apply_edition_services(catalog);
@@ -578,6 +617,8 @@
         return apply_release(catalog, body);
     case COMMAND_EDITION:
         return apply_edition(catalog, body, reply);
+    case COMMAND_EXPIRE_FORMER:
+        return apply_expire_former(catalog, body);
     default:
         return RP_ERR_FORMAT;
     }
--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -15,6 +15,11 @@
  *   edition (rp_edition.h). A new edition replaces the services and virtual
  *   addresses of the previous one and leaves services with a document
  *   unchanged. A service keeps its id as long as each edition lists it.
+ * - When an edition moves a virtual address to other services or changes their
+ *   weights, the catalogue keeps the services that had the address as former
+ *   targets, so that packets of open flows still find their owner. It keeps a
+ *   service that the edition no longer lists as long as it is a former target.
+ *   An expiry command ends that once no flow of that time can be open.
  * - An address that a service no longer uses stays quarantined: other services
  *   cannot use it until a release command confirms that the connected nodes
  *   run the revision in which it was given up, or a later one.
@@ -29,6 +34,7 @@
 #include "rp_msg.h"
 
 #define RP_CATALOG_MAX_ANSWERS 65536 /* change ids */
+#define RP_CATALOG_MAX_FORMER 3      /* former targets of one address */
 
 /* A service in the catalogue. */
 struct rp_catalog_entry {
@@ -41,6 +47,12 @@
     bool from_edition; /* the edition defines the service, not a document */
 };
 
+/* A service to which an earlier edition sent flows of a virtual address. */
+struct rp_former_target {
+    uint32_t service_id;
+    uint64_t revision; /* at which an edition changed the address's targets */
+};
+
 /* An address that a service no longer uses but other services cannot use
  * yet. */
 struct rp_quarantined_address {
@@ -63,11 +75,17 @@
 /* These functions encode commands for RpCatalog_Apply. The caller frees the
  * result. Init sets the flow hash key once; Change applies or deletes a
  * document; Release ends the quarantine of addresses up to `revision`;
- * Edition installs an edition. */
+ * Edition installs an edition; ExpireFormer forgets the former targets that
+ * were recorded up to `revision`. */
 GString *RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE]);
 GString *RpCatalog_EncodeChange(const struct rp_msg_change *change);
 GString *RpCatalog_EncodeRelease(uint64_t revision);
 GString *RpCatalog_EncodeEdition(const struct rp_edition *edition);
+GString *RpCatalog_EncodeExpireFormer(uint64_t revision);
+
+/* Returns whether a command is one of RpCatalog_EncodeExpireFormer. It changes
+ * the tables of nodes, but not the revision. */
+bool RpCatalog_IsExpireFormer(struct rp_str command);
 
 /* Applies a command. `reply` receives the reply to a change or an edition,
  * and may be NULL; clear it with rp_msg_change_reply_schema. A change or an
@@ -112,6 +130,15 @@
 /* Returns the edition in force, or NULL before the first one. */
 const struct rp_edition *RpCatalog_Edition(const struct rp_catalog *catalog);
 
+/* Returns the former targets of a virtual address as an array of struct
+ * rp_former_target, the latest last, or NULL. The catalogue owns it. */
+const GArray *RpCatalog_FormerTargets(const struct rp_catalog *catalog,
+                                      struct rp_endpoint address);
+
+/* Returns the highest revision at which a former target was recorded, or 0 if
+ * there is none. */
+uint64_t RpCatalog_FormerRevision(const struct rp_catalog *catalog);
+
 /* Returns the highest revision at which a quarantined address was given up,
  * or 0 if no address is quarantined. */
 uint64_t RpCatalog_QuarantineRevision(const struct rp_catalog *catalog);
--- a/lib/control/rp_catalog_internal.h
+++ b/lib/control/rp_catalog_internal.h
@@ -23,6 +23,9 @@
     GQueue answer_order; /* of struct rp_catalog_answer, oldest first; owns
                             the elements */
     GArray *quarantine;  /* of struct rp_quarantined_address */
+    /* Earlier targets of the edition's virtual addresses: address key ->
+     * GArray of struct rp_former_target, the latest last. */
+    GHashTable *former;
     struct rp_edition edition; /* version 0: no edition yet */
     GString *edition_bytes;    /* `edition`, encoded; NULL: none yet */
 };
@@ -41,6 +44,28 @@
 /* Frees all services, answers, quarantined addresses and the edition. */
 void RpCatalog_Clear(struct rp_catalog *catalog);
 
+/* rp_catalog_former.c: frees a list in `former`; a GDestroyNotify. */
+void RpCatalog_FreeFormerList(gpointer data);
+
+/* Adds a former target of the virtual address with this key, as its latest,
+ * and drops the earliest one above RP_CATALOG_MAX_FORMER. */
+void RpCatalog_AddFormer(struct rp_catalog *catalog, guint64 key,
+                         uint32_t service_id, uint64_t revision);
+
+/* Compares the edition in force with `new`, which takes effect at `revision`:
+ * the targets of an address whose targets or weights change become former
+ * ones. Forgets the former targets of addresses that `new` does not list. */
+void RpCatalog_RecordFormer(struct rp_catalog *catalog,
+                            const struct rp_edition *new, uint64_t revision);
+
+/* Removes the services of earlier editions that the edition in force does not
+ * list and that are no former target. */
+void RpCatalog_RemoveUnusedServices(struct rp_catalog *catalog);
+
+/* Removes the former targets that were recorded at or before `revision`, and
+ * the services that are unused then. */
+void RpCatalog_ExpireFormer(struct rp_catalog *catalog, uint64_t revision);
+
 /* Stores an answer, and drops the oldest ones above
  * RP_CATALOG_MAX_ANSWERS. */
 void RpCatalog_StoreAnswer(struct rp_catalog *catalog,
--- a/lib/control/rp_catalog_snapshot.c
+++ b/lib/control/rp_catalog_snapshot.c
@@ -11,11 +11,21 @@
     GString *text;
 };
 
-/* A service that the edition defines. The edition holds its limits. */
+/* A service that an edition defines or has defined. Its limits are in the
+ * edition in force if that lists it. */
 struct stored_edition_service {
     struct rp_name name;
     uint32_t id;
     uint64_t revision;
+    uint32_t flows_per_upstream;
+};
+
+/* A former target of a virtual address. */
+struct stored_former {
+    uint32_t address;
+    uint16_t port;
+    uint32_t service_id;
+    uint64_t revision;
 };
 
 struct stored_catalog {
@@ -28,6 +38,7 @@
     GArray *quarantine; /* of struct rp_quarantined_address */
     GArray *plain;      /* of struct stored_edition_service */
     GString *edition;   /* encoded; empty: no edition yet */
+    GArray *former;     /* of struct stored_former, by address */
 };
 
 static const struct rp_field answer_fields[] = {
@@ -62,9 +73,23 @@
     RP_FIELD(RP_FIELD_NAME, stored_edition_service, name),
     RP_FIELD(RP_FIELD_UINT, stored_edition_service, id),
     RP_FIELD(RP_FIELD_UINT, stored_edition_service, revision),
+    RP_FIELD(RP_FIELD_UINT, stored_edition_service, flows_per_upstream),
 };
-static const struct rp_schema edition_service_schema = RP_SCHEMA(
-    stored_edition_service, edition_service_fields);
+/* Snapshots of versions without former targets end before the last field. */
+static const struct rp_schema edition_service_schema = {
+    .fields = edition_service_fields,
+    .count = G_N_ELEMENTS(edition_service_fields),
+    .required = G_N_ELEMENTS(edition_service_fields) - 1,
+    .size = sizeof(struct stored_edition_service)};
+
+static const struct rp_field former_fields[] = {
+    RP_FIELD(RP_FIELD_UINT, stored_former, address),
+    RP_FIELD(RP_FIELD_UINT, stored_former, port),
+    RP_FIELD(RP_FIELD_UINT, stored_former, service_id),
+    RP_FIELD(RP_FIELD_UINT, stored_former, revision),
+};
+static const struct rp_schema former_schema = RP_SCHEMA(stored_former,
+                                                        former_fields);
 
 static const struct rp_field stored_catalog_fields[] = {
     RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
@@ -76,9 +101,14 @@
     RP_FIELD_LIST_OF(stored_catalog, quarantine, &quarantine_schema),
     RP_FIELD_LIST_OF(stored_catalog, plain, &edition_service_schema),
     RP_FIELD(RP_FIELD_TEXT, stored_catalog, edition),
+    RP_FIELD_LIST_OF(stored_catalog, former, &former_schema),
 };
-static const struct rp_schema stored_catalog_schema = RP_SCHEMA(
-    stored_catalog, stored_catalog_fields);
+/* Snapshots of versions without former targets end before the last field. */
+static const struct rp_schema stored_catalog_schema = {
+    .fields = stored_catalog_fields,
+    .count = G_N_ELEMENTS(stored_catalog_fields),
+    .required = G_N_ELEMENTS(stored_catalog_fields) - 1,
+    .size = sizeof(struct stored_catalog)};
 
 /* Appends services with a document to `rows`, and services of the edition to
  * `plain`. */
@@ -93,7 +123,8 @@
             const struct stored_edition_service service_row = {
                 .name = entry->name,
                 .id = entry->id,
-                .revision = entry->revision};
+                .revision = entry->revision,
+                .flows_per_upstream = entry->document.flows_per_upstream};
             g_array_append_val(plain, service_row);
             continue;
         }
@@ -108,6 +139,40 @@
     g_ptr_array_unref(entries);
 }
 
+static gint
+compare_keys(gconstpointer a, gconstpointer b)
+{
+    guint64 left = *(const guint64 *)a;
+    guint64 right = *(const guint64 *)b;
+
+    return (left > right) - (left < right);
+}
+
+/* Appends the former targets in the order of their addresses, so that equal
+ * catalogues have equal snapshots. */
+static void
+store_former(const struct rp_catalog *catalog, GArray *rows)
+{
+    GList *keys = g_list_sort(g_hash_table_get_keys(catalog->former),
+                              compare_keys);
+
+    for (const GList *link = keys; link; link = link->next) {
+        const guint64 *key = link->data;
+        const GArray *list = g_hash_table_lookup(catalog->former, key);
+        for (guint j = 0; j < list->len; j++) {
+            const struct rp_former_target *target = &g_array_index(
+                list, struct rp_former_target, j);
+            const struct stored_former row = {
+                .address = (uint32_t)(*key >> 16),
+                .port = (uint16_t)*key,
+                .service_id = target->service_id,
+                .revision = target->revision};
+            g_array_append_val(rows, row);
+        }
+    }
+    g_list_free(keys);
+}
+
 GString *
 RpCatalog_Snapshot(const struct rp_catalog *catalog)
 {
@@ -119,10 +184,12 @@
         .answers = RpSchema_NewList(&answer_schema),
         .quarantine = RpSchema_NewList(&quarantine_schema),
         .plain = RpSchema_NewList(&edition_service_schema),
-        .edition = g_string_new(NULL)};
+        .edition = g_string_new(NULL),
+        .former = RpSchema_NewList(&former_schema)};
 
     memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
     store_entries(catalog, stored.entries, stored.plain);
+    store_former(catalog, stored.former);
     if (catalog->edition_bytes) {
         g_string_append_len(stored.edition, catalog->edition_bytes->str,
                             (gssize)catalog->edition_bytes->len);
@@ -156,7 +223,25 @@
     return RP_OK;
 }
 
-/* Restores the edition and its services, which keep their stored ids. */
+/* Finds a service of the edition in force; NULL if it does not list it. */
+static const struct rp_edition_service *
+find_edition_service(const struct rp_catalog *catalog,
+                     const struct rp_name *name)
+{
+    const GArray *services = catalog->edition.services;
+
+    for (guint i = 0; i < services->len; i++) {
+        const struct rp_edition_service *service = &g_array_index(
+            services, struct rp_edition_service, i);
+        if (RpName_Equal(&service->name, name)) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+/* Restores the edition, its services and former targets. Services keep their
+ * stored ids. */
 static enum rp_code
 restore_edition(struct rp_catalog *catalog,
                 const struct stored_catalog *stored)
@@ -170,19 +255,25 @@
     if (!RpCatalog_SetEdition(catalog, bytes)) {
         return RP_ERR_FORMAT;
     }
-    const GArray *services = catalog->edition.services;
     for (guint i = 0; i < stored->plain->len; i++) {
         const struct stored_edition_service *row = &g_array_index(
             stored->plain, struct stored_edition_service, i);
-        for (guint j = 0; j < services->len; j++) {
-            const struct rp_edition_service *service = &g_array_index(
-                services, struct rp_edition_service, j);
-            if (RpName_Equal(&service->name, &row->name)) {
-                RpCatalog_AddEditionService(catalog, service, row->id,
-                                            row->revision);
-            }
-        }
+        const struct rp_edition_service former = {
+            .name = row->name, .flows_per_upstream = row->flows_per_upstream};
+        const struct rp_edition_service *service = find_edition_service(
+            catalog, &row->name);
+        RpCatalog_AddEditionService(catalog, service ? service : &former,
+                                    row->id, row->revision);
+    }
+    for (guint i = 0; stored->former && i < stored->former->len; i++) {
+        const struct stored_former *row = &g_array_index(
+            stored->former, struct stored_former, i);
+        RpCatalog_AddFormer(catalog,
+                            RpEndpoint_Key((struct rp_endpoint){
+                                .ip = row->address, .port = row->port}),
+                            row->service_id, row->revision);
     }
+    RpCatalog_RemoveUnusedServices(catalog);
     return RP_OK;
 }
 
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -31,6 +31,8 @@
         g_int64_hash, g_int64_equal, g_free, RpDistribution_FreeString);
     distribution->edition_services = g_hash_table_new_full(
         RpName_Hash, RpName_EqualKeys, g_free, NULL);
+    distribution->shared = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                                 g_free, NULL);
     distribution->pending.deadline = RP_NEVER;
     return distribution;
 }
@@ -48,6 +50,7 @@
         g_array_free(distribution->pending.removed_vips, TRUE);
         g_hash_table_destroy(distribution->sent_vips);
         g_hash_table_destroy(distribution->edition_services);
+        g_hash_table_destroy(distribution->shared);
         g_free(distribution);
     }
 }
@@ -118,7 +121,7 @@
  * subscribed to one service also gets the services that share a virtual
  * address with it. */
 static bool
-is_service_visible(const struct rp_distribution *distribution,
+is_service_visible(struct rp_distribution *distribution,
                    const struct node *node, const struct rp_name *service)
 {
     return node->service.len == 0 || RpName_Equal(&node->service, service) ||
@@ -144,7 +147,7 @@
 }
 
 static void
-append_visible_services(const struct rp_distribution *distribution,
+append_visible_services(struct rp_distribution *distribution,
                         const struct node *node, GArray *services)
 {
     GPtrArray *entries = RpCatalog_List(distribution->catalog);
@@ -173,7 +176,7 @@
 
 /* Appends those of the named services that are visible to the node. */
 static void
-append_visible_named_services(const struct rp_distribution *distribution,
+append_visible_named_services(struct rp_distribution *distribution,
                               const struct node *node, GHashTable *names,
                               GArray *services)
 {
@@ -191,7 +194,8 @@
 }
 
 /* Sends what has changed since the last flush and is visible to the node.
- * Sends nothing if no service changed and the revision is the same. */
+ * Sends nothing if nothing changed for the node and the revision is the
+ * same. */
 static void
 send_update(struct rp_distribution *distribution, const struct node *node)
 {
@@ -225,6 +229,7 @@
     g_array_append_vals(msg.table.removed_vips, pending->removed_vips->data,
                         pending->removed_vips->len);
     if (msg.table.services->len || msg.table.removed->len ||
+        msg.table.vips->len || msg.table.removed_vips->len ||
         pending->revision_changed) {
         distribution->send(distribution->user, node->connection, &msg);
     }
@@ -341,6 +346,7 @@
     gpointer key;
     gpointer value;
 
+    distribution->shared_filled = false;
     distribution->edition_services = g_hash_table_new_full(
         RpName_Hash, RpName_EqualKeys, g_free, NULL);
     for (guint i = 0; i < entries->len; i++) {
@@ -351,9 +357,8 @@
         g_hash_table_insert(distribution->edition_services,
                             g_memdup2(&entry->name, sizeof entry->name),
                             GUINT_TO_POINTER(entry->id));
-        /* The catalogue's current revision marks the services that the new
-         * edition added or changed. */
-        if (entry->revision == RpCatalog_Revision(distribution->catalog)) {
+        /* Services that an edition added or changed since the last flush. */
+        if (entry->revision > distribution->sent_revision) {
             RpDistribution_MarkServiceChanged(distribution, now, &entry->name);
         }
         if (RpDistribution_IsShared(distribution, &entry->name)) {
--- a/lib/control/rp_distribution_internal.h
+++ b/lib/control/rp_distribution_internal.h
@@ -48,7 +48,11 @@
      * struct rp_msg_vip. */
     GHashTable *sent_vips;
     GHashTable *edition_services; /* names in the edition -> service ids */
-    bool sent_vips_filled;        /* a flush has filled `sent_vips` */
+    /* Pairs of services that share a virtual address, as share_key; each
+     * service is also paired with itself. Empty until `shared_filled`. */
+    GHashTable *shared;
+    bool shared_filled;
+    bool sent_vips_filled; /* a flush has filled `sent_vips` */
     struct pending pending;
     uint64_t generation;    /* of the services in tables: number of flushes */
     uint64_t sent_revision; /* the catalogue's, at the last flush */
@@ -82,15 +86,15 @@
  * the new, changed and removed ones to the pending changes. */
 void RpDistribution_DiffVips(struct rp_distribution *distribution);
 
-/* Returns whether two services share a virtual address. If they do, flows of
- * one service may have been placed while the weights were different, and
- * arrive at agents of the other. */
-bool RpDistribution_ShareVip(const struct rp_distribution *distribution,
+/* Returns whether two services share a virtual address, as present or former
+ * targets. If they do, flows of one service may have been placed while the
+ * targets or weights were different, and arrive at agents of the other. */
+bool RpDistribution_ShareVip(struct rp_distribution *distribution,
                              const struct rp_name *a, const struct rp_name *b);
 
 /* Returns whether the service shares a virtual address with any other
  * service. */
-bool RpDistribution_IsShared(const struct rp_distribution *distribution,
+bool RpDistribution_IsShared(struct rp_distribution *distribution,
                              const struct rp_name *service);
 
 #endif
--- a/lib/control/rp_distribution_vips.c
+++ b/lib/control/rp_distribution_vips.c
@@ -18,6 +18,25 @@
     g_array_set_size(vips, 0);
 }
 
+/* Appends the former targets of the address, the latest first. Their weight is
+ * 0, so they get no new flows. */
+static void
+append_former_targets(const struct rp_distribution *distribution,
+                      struct rp_msg_vip *vip)
+{
+    const GArray *former = RpCatalog_FormerTargets(
+        distribution->catalog,
+        (struct rp_endpoint){.ip = vip->address, .port = vip->port});
+
+    for (guint i = former ? former->len : 0; i-- > 0;) {
+        const struct rp_msg_target row = {
+            .service_id =
+                g_array_index(former, struct rp_former_target, i).service_id,
+            .weight = 0};
+        g_array_append_val(vip->targets, row);
+    }
+}
+
 /* Converts a virtual address of the edition to its form in tables. Clear the
  * result with RpSchema_Clear. */
 static struct rp_msg_vip
@@ -42,6 +61,7 @@
                                           .weight = target->weight};
         g_array_append_val(vip.targets, row);
     }
+    append_former_targets(distribution, &vip);
     return vip;
 }
 
@@ -137,50 +157,68 @@
     distribution->sent_vips_filled = true;
 }
 
-static bool
-has_target(const struct rp_edition_vip *vip, const struct rp_name *service)
+static guint64
+share_key(uint32_t a, uint32_t b)
 {
-    for (guint i = 0; i < vip->targets->len; i++) {
-        const struct rp_edition_target *target = &g_array_index(
-            vip->targets, struct rp_edition_target, i);
-        if (RpName_Equal(&target->service, service)) {
-            return true;
+    return (uint64_t)MIN(a, b) << 32 | MAX(a, b);
+}
+
+/* Adds every pair of the address's targets. */
+static void
+add_shared_pairs(GHashTable *shared, const GArray *targets)
+{
+    for (guint i = 0; targets->len > 1 && i < targets->len; i++) {
+        for (guint j = i; j < targets->len; j++) {
+            guint64 key = share_key(
+                g_array_index(targets, struct rp_msg_target, i).service_id,
+                g_array_index(targets, struct rp_msg_target, j).service_id);
+            if (!g_hash_table_contains(shared, &key)) {
+                g_hash_table_add(shared, g_memdup2(&key, sizeof key));
+            }
         }
     }
-    return false;
 }
 
-bool
-RpDistribution_ShareVip(const struct rp_distribution *distribution,
-                        const struct rp_name *a, const struct rp_name *b)
+static void
+fill_shared(struct rp_distribution *distribution)
 {
     const struct rp_edition *edition = RpCatalog_Edition(
         distribution->catalog);
 
+    if (distribution->shared_filled) {
+        return;
+    }
+    g_hash_table_remove_all(distribution->shared);
     for (guint i = 0; edition && i < edition->vips->len; i++) {
-        const struct rp_edition_vip *vip = &g_array_index(
-            edition->vips, struct rp_edition_vip, i);
-        if (vip->targets->len > 1 && has_target(vip, a) &&
-            has_target(vip, b)) {
-            return true;
-        }
+        struct rp_msg_vip vip = make_table_vip(
+            distribution,
+            &g_array_index(edition->vips, struct rp_edition_vip, i));
+        add_shared_pairs(distribution->shared, vip.targets);
+        RpSchema_Clear(&rp_msg_vip_schema, &vip);
     }
-    return false;
+    distribution->shared_filled = true;
 }
 
 bool
-RpDistribution_IsShared(const struct rp_distribution *distribution,
-                        const struct rp_name *service)
+RpDistribution_ShareVip(struct rp_distribution *distribution,
+                        const struct rp_name *a, const struct rp_name *b)
 {
-    const struct rp_edition *edition = RpCatalog_Edition(
-        distribution->catalog);
-
-    for (guint i = 0; edition && i < edition->vips->len; i++) {
-        const struct rp_edition_vip *vip = &g_array_index(
-            edition->vips, struct rp_edition_vip, i);
-        if (vip->targets->len > 1 && has_target(vip, service)) {
-            return true;
-        }
+    const struct rp_catalog_entry *left = RpCatalog_Find(distribution->catalog,
+                                                         a);
+    const struct rp_catalog_entry *right = RpCatalog_Find(
+        distribution->catalog, b);
+
+    fill_shared(distribution);
+    if (!left || !right) {
+        return false;
     }
-    return false;
+    guint64 key = share_key(left->id, right->id);
+    return g_hash_table_contains(distribution->shared, &key);
+}
+
+bool
+RpDistribution_IsShared(struct rp_distribution *distribution,
+                        const struct rp_name *service)
+{
+    return RpDistribution_ShareVip(distribution, service, service);
 }
--- a/lib/flow/rp_agent_chain.c
+++ b/lib/flow/rp_agent_chain.c
@@ -34,7 +34,8 @@
             RpChain_Contains(chain, candidate)) {
             continue;
         }
-        if (!RpChain_Append(chain, candidate)) {
+        if (!RpChain_AppendOf(chain, candidate,
+                              agent->service->tag.service_id)) {
             return false;
         }
         chain->visited = chain->count;
@@ -92,11 +93,16 @@
     }
     bool visited = index < chain->visited;
     if (visited || (is_new_flow && !accepts_new_flows(agent, preferred)) ||
-        (index == chain->count && !RpChain_Append(chain, preferred))) {
+        (index == chain->count &&
+         !RpChain_AppendOf(chain, preferred,
+                           agent->service->tag.service_id))) {
         return RpAgent_NextHop(agent, chain, caller, is_new_flow, next);
     }
     /* Swaps it with the first candidate that has not had the packet. */
+    uint8_t preferred_service = chain->hop_service[index];
     chain->hop[index] = chain->hop[chain->visited];
+    chain->hop_service[index] = chain->hop_service[chain->visited];
+    chain->hop_service[chain->visited] = preferred_service;
     chain->hop[chain->visited++] = preferred;
     *next = preferred;
     return true;
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -36,6 +36,9 @@
     action->chain = *chain;
     action->next = next;
     action->tag = agent->service->tag;
+    if (chain->visited > 0) {
+        action->tag = RpChain_HopTag(chain, chain->visited - 1u, action->tag);
+    }
 }
 
 /* Records that another agent, reached through `next`, handles the flow.
@@ -462,7 +465,11 @@
         return;
     }
     if (flow && flow->state == RP_FLOW_REDIRECTED) {
-        flow->next_hop = next;
+        struct rp_service_tag tag = RpChain_HopTag(
+            &next_chain, next_chain.visited - 1u, agent->service->tag);
+        if (tag.service_id == agent->service->tag.service_id) {
+            flow->next_hop = next;
+        }
         flow->flags &= (uint16_t)~RP_FLOW_OWNER_UNKNOWN;
         flow->deadline = now + RP_REDIRECT_TIMEOUT_US;
     }
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -1,23 +1,23 @@
 /* The routing decision of a balancer. See rp_balancer.h. */
 #include "rp_balancer.h"
 
-/* Appends the highest-ranked members whose state is in `states`.
+/* Appends the highest-ranked members whose state is in `states`, until the
+ * chain has `limit` candidates.
  *
  * If all members appended before the last place are in the preferred zone,
  * the best member of another zone gets the last place. Otherwise a flow could
  * not reach idle members elsewhere when its own zone is full. */
 static void
 append_candidates(struct rp_chain *chain, const struct rp_service *service,
-                  uint64_t hash, unsigned states)
+                  uint64_t hash, unsigned states, size_t limit)
 {
     const struct rp_member *ranked[RP_MAX_CHAIN];
     size_t count = RpService_RankMembers(service, hash, states, ranked,
                                          RP_MAX_CHAIN);
     bool all_in_zone = true;
 
-    for (size_t i = 0; i < count && chain->count < RP_ROUTE_MAX_CANDIDATES;
-         i++) {
-        bool is_last = chain->count == RP_ROUTE_MAX_CANDIDATES - 1;
+    for (size_t i = 0; i < count && chain->count < limit; i++) {
+        bool is_last = chain->count == limit - 1;
         size_t pick = i;
         while (is_last && all_in_zone && pick < count &&
                ranked[pick]->in_preferred_zone) {
@@ -25,8 +25,42 @@
         }
         pick = pick < count ? pick : i;
         all_in_zone = all_in_zone && ranked[pick]->in_preferred_zone;
-        RpChain_Append(chain, ranked[pick]->agent);
+        RpChain_AppendOf(chain, ranked[pick]->agent, service->tag.service_id);
+    }
+}
+
+/* Appends candidates for a packet of an open flow: members whose lease has
+ * expired only where others leave room. */
+static void
+append_owners(struct rp_chain *chain, const struct rp_service *service,
+              uint64_t hash)
+{
+    size_t limit = MIN(chain->count + RP_ROUTE_MAX_CANDIDATES, RP_MAX_CHAIN);
+
+    append_candidates(chain, service, hash, RP_MEMBERS_SERVING, limit);
+    append_candidates(chain, service, hash, RP_MEMBERS_LOST, limit);
+}
+
+/* Sets the services of the chain: the selected one and the former targets of
+ * the address. Leaves the chain with one service if there are none. */
+static void
+set_chain_services(struct rp_chain *chain, const struct rp_table *table,
+                   struct rp_endpoint address,
+                   const struct rp_service *selected)
+{
+    const struct rp_vip *vip = RpTable_FindVip(table, address);
+    size_t count = 1;
+
+    chain->service[0] = selected->tag;
+    for (size_t i = 0; vip && i < vip->count && count < RP_CHAIN_MAX_SERVICES;
+         i++) {
+        const struct rp_service *service = RpTable_FindById(
+            table, vip->targets[i].service_id);
+        if (vip->targets[i].weight == 0 && service && service != selected) {
+            chain->service[count++] = service->tag;
+        }
     }
+    chain->service_count = count > 1 ? (uint8_t)count : 0;
 }
 
 /* Rotates the candidates by `steps`, so that each copy of a SYN goes to
@@ -64,10 +98,22 @@
         return;
     }
     route->tag = service->tag;
-    append_candidates(&route->chain, service, hash,
-                      opens ? RP_MEMBERS_READY : RP_MEMBERS_SERVING);
-    if (!opens) {
-        append_candidates(&route->chain, service, hash, RP_MEMBERS_LOST);
+    if (opens) {
+        append_candidates(&route->chain, service, hash, RP_MEMBERS_READY,
+                          RP_ROUTE_MAX_CANDIDATES);
+    }
+    else {
+        set_chain_services(&route->chain, table, address, service);
+        append_owners(&route->chain, service, hash);
+        for (size_t i = 1; i < route->chain.service_count; i++) {
+            append_owners(
+                &route->chain,
+                RpTable_FindById(table, route->chain.service[i].service_id),
+                hash);
+        }
+        if (route->chain.count > 0) {
+            route->tag = RpChain_HopTag(&route->chain, 0, service->tag);
+        }
     }
     if (opens && packet->syn_retransmits > 0 && route->chain.count > 1) {
         rotate_candidates(&route->chain, packet->syn_retransmits);
--- a/lib/flow/rp_balancer.h
+++ b/lib/flow/rp_balancer.h
@@ -25,6 +25,8 @@
  * A packet that opens a flow gets only ready members as candidates. Any
  * other packet may belong to a flow on a ready or a draining member; members
  * whose lease has expired follow these as candidates if the chain has room.
+ * If the address has former targets, its flows may have been opened with
+ * these: their best members follow, and the chain names the services.
  *
  * Without candidates, a packet that opens a flow is answered with a reset,
  * unless the table may still lack members. All other packets are dropped. */
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -44,8 +44,10 @@
 };
 
 /* A virtual address of the configuration in force. Flows to it are
- * divided among its target services in proportion to their weights. The
- * address of a service itself needs no such entry. */
+ * divided among its target services in proportion to their weights. A target
+ * with weight 0 gets no new flows, but may still have open ones from an
+ * earlier configuration. The address of a service itself needs no such entry.
+ */
 struct rp_vip {
     struct rp_endpoint address;
     enum rp_request_kind kind;
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -1,4 +1,4 @@
-/* Parses and writes Geneve headers with the service and chain options. */
+/* Parses and writes Geneve headers with the options of rp_geneve.h. */
 #include "rp_geneve.h"
 
 #include <assert.h>
@@ -11,11 +11,20 @@
 #define OPTION_CRITICAL 0x80
 #define OPTION_SERVICE 0x81
 #define OPTION_CHAIN 0x82
+#define OPTION_SERVICES 0x03
 #define SERVICE_SIZE 16
 #define CHAIN_HEADER_SIZE 4
 #define CHAIN_HOP_SIZE 8
 #define CHAIN_FORCED 0x80 /* flag in the byte of the best candidate */
 
+static struct rp_service_tag
+get_tag(const uint8_t *data)
+{
+    return (struct rp_service_tag){.service_id = RpBytes_Get32(data),
+                                   .incarnation = RpBytes_Get32(data + 4),
+                                   .generation = RpBytes_Get64(data + 8)};
+}
+
 static bool
 parse_service(const uint8_t *data, size_t len, struct rp_geneve *out)
 {
@@ -23,9 +32,36 @@
         return false;
     }
     out->has_tag = true;
-    out->tag.service_id = RpBytes_Get32(data);
-    out->tag.incarnation = RpBytes_Get32(data + 4);
-    out->tag.generation = RpBytes_Get64(data + 8);
+    out->tag = get_tag(data);
+    return true;
+}
+
+static bool
+parse_services(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    struct rp_chain *chain = &out->chain;
+
+    if (len % SERVICE_SIZE != 0 ||
+        len > SERVICE_SIZE * RP_CHAIN_MAX_SERVICES ||
+        chain->service_count > 0) {
+        return false;
+    }
+    chain->service_count = (uint8_t)(len / SERVICE_SIZE);
+    for (size_t i = 0; i < chain->service_count; i++) {
+        chain->service[i] = get_tag(data + i * SERVICE_SIZE);
+    }
+    return true;
+}
+
+/* Whether every candidate refers to a service of the chain. */
+static bool
+has_valid_services(const struct rp_chain *chain)
+{
+    for (size_t i = 0; chain->service_count > 0 && i < chain->count; i++) {
+        if (chain->hop_service[i] >= chain->service_count) {
+            return false;
+        }
+    }
     return true;
 }
 
@@ -53,6 +89,7 @@
         const uint8_t *hop = data + CHAIN_HEADER_SIZE + i * CHAIN_HOP_SIZE;
         chain->hop[i].ip = RpBytes_Get32(hop);
         chain->hop[i].port = RpBytes_Get16(hop + 4);
+        chain->hop_service[i] = hop[6];
     }
     out->has_chain = true;
     return true;
@@ -81,6 +118,9 @@
         else if (class == OPTION_CLASS && type == OPTION_CHAIN) {
             accepted = parse_chain(value, body_size, out);
         }
+        else if (class == OPTION_CLASS && type == OPTION_SERVICES) {
+            accepted = parse_services(value, body_size, out);
+        }
         else {
             accepted = !(type & OPTION_CRITICAL);
         }
@@ -90,7 +130,7 @@
         data += OPTION_HEADER_SIZE + body_size;
         len -= OPTION_HEADER_SIZE + body_size;
     }
-    return true;
+    return has_valid_services(&out->chain);
 }
 
 bool
@@ -104,6 +144,7 @@
     out->chain.best = 0;
     out->chain.lowest_utilisation = RP_CHAIN_NO_UTILISATION;
     out->chain.forced = false;
+    out->chain.service_count = 0;
     if (len < RP_GENEVE_HEADER) {
         *reason = RP_COUNT_DROP_SHORT;
         return false;
@@ -135,15 +176,32 @@
 }
 
 static uint8_t *
-write_service(uint8_t *p, const struct rp_service_tag *tag)
+put_tag(uint8_t *p, const struct rp_service_tag *tag)
 {
-    p = write_option_header(p, OPTION_SERVICE, SERVICE_SIZE);
     RpBytes_Put32(p, tag->service_id);
     RpBytes_Put32(p + 4, tag->incarnation);
     RpBytes_Put64(p + 8, tag->generation);
     return p + SERVICE_SIZE;
 }
 
+static uint8_t *
+write_service(uint8_t *p, const struct rp_service_tag *tag)
+{
+    return put_tag(write_option_header(p, OPTION_SERVICE, SERVICE_SIZE), tag);
+}
+
+static uint8_t *
+write_services(uint8_t *p, const struct rp_chain *chain)
+{
+    assert(chain->service_count <= RP_CHAIN_MAX_SERVICES);
+    p = write_option_header(p, OPTION_SERVICES,
+                            (size_t)chain->service_count * SERVICE_SIZE);
+    for (size_t i = 0; i < chain->service_count; i++) {
+        p = put_tag(p, &chain->service[i]);
+    }
+    return p;
+}
+
 static uint8_t *
 write_chain(uint8_t *p, const struct rp_chain *chain)
 {
@@ -160,7 +218,8 @@
     for (size_t i = 0; i < chain->count; i++) {
         RpBytes_Put32(p, chain->hop[i].ip);
         RpBytes_Put16(p + 4, chain->hop[i].port);
-        RpBytes_Put16(p + 6, 0);
+        p[6] = chain->service_count ? chain->hop_service[i] : 0;
+        p[7] = 0;
         p += CHAIN_HOP_SIZE;
     }
     return p;
@@ -179,6 +238,9 @@
     if (chain) {
         p = write_chain(p, chain);
     }
+    if (chain && chain->service_count > 0) {
+        p = write_services(p, chain);
+    }
     size_t options = (size_t)(p - out) - RP_GENEVE_HEADER;
     out[0] = (uint8_t)(options / 4);
     out[1] = options ? 0x40 : 0; /* the "critical options present" bit */
@@ -197,12 +259,49 @@
     return false;
 }
 
-bool
-RpChain_Append(struct rp_chain *chain, struct rp_endpoint endpoint)
+static bool
+append_hop(struct rp_chain *chain, struct rp_endpoint endpoint, uint8_t index)
 {
     if (chain->count >= RP_MAX_CHAIN) {
         return false;
     }
+    chain->hop_service[chain->count] = index;
     chain->hop[chain->count++] = endpoint;
     return true;
 }
+
+bool
+RpChain_Append(struct rp_chain *chain, struct rp_endpoint endpoint)
+{
+    return append_hop(chain, endpoint, 0);
+}
+
+bool
+RpChain_AppendOf(struct rp_chain *chain, struct rp_endpoint endpoint,
+                 uint32_t service_id)
+{
+    uint8_t index = 0;
+
+    while (index < chain->service_count &&
+           chain->service[index].service_id != service_id) {
+        index++;
+    }
+    if (chain->service_count == 0) {
+        index = 0;
+    }
+    else if (index == chain->service_count) {
+        return false;
+    }
+    return append_hop(chain, endpoint, index);
+}
+
+struct rp_service_tag
+RpChain_HopTag(const struct rp_chain *chain, size_t index,
+               struct rp_service_tag own)
+{
+    if (chain->service_count == 0) {
+        return own;
+    }
+    struct rp_service_tag tag = chain->service[chain->hop_service[index]];
+    return tag.service_id == own.service_id ? own : tag;
+}
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -1,13 +1,15 @@
 /* Encapsulation between fabric, balancers, agents and hosts: Geneve over UDP
  * (RFC 8926) with one inner packet.
  *
- * Two options of the experimental class carry the balancer's decision:
+ * Three options of the experimental class carry the balancer's decision:
  *
  * - service (critical, 16 bytes): id, incarnation and table generation of
  *   the service that the packet is for;
  * - chain (critical, 4 + 8 * n bytes): the candidate agents in order, how
  *   many of them have seen the packet already, and, for a new flow, which
- *   of these was the least busy and its utilisation.
+ *   of these was the least busy and its utilisation;
+ * - services (16 * n bytes), only if the candidates belong to more than one
+ *   service: the services' tags, which the candidates refer to by their index.
  *
  * Unknown options are skipped unless they are marked critical.
  */
@@ -21,10 +23,11 @@
 #include "rp_counters.h"
 #include "rp_endpoint.h"
 
-#define RP_GENEVE_IPV4 0x0800  /* protocol type of an inner IPv4 packet */
-#define RP_MAX_CHAIN 15        /* most candidates that fit into one option */
-#define RP_GENEVE_HEADER 8     /* bytes */
-#define RP_GENEVE_HEADROOM 160 /* bytes; largest header with its options */
+#define RP_GENEVE_IPV4 0x0800   /* protocol type of an inner IPv4 packet */
+#define RP_MAX_CHAIN 15         /* most candidates that fit into one option */
+#define RP_GENEVE_HEADER 8      /* bytes */
+#define RP_CHAIN_MAX_SERVICES 4 /* most services of one chain's candidates */
+#define RP_GENEVE_HEADROOM 224  /* bytes; largest header with its options */
 #define RP_DATAGRAM_MAX (9216 + RP_GENEVE_HEADROOM) /* bytes */
 
 /* Identifies a service: its id, the incarnation of that id, and the generation
@@ -53,6 +56,12 @@
      * the packet on; no service passes it on a second time. */
     bool forced;
     struct rp_endpoint hop[RP_MAX_CHAIN];
+    /* Only if the candidates belong to several services: hop[i] is an agent
+     * of service[hop_service[i]]. Else `service_count` is 0, and all are
+     * agents of the service that the packet is for. */
+    uint8_t service_count;
+    uint8_t hop_service[RP_MAX_CHAIN];
+    struct rp_service_tag service[RP_CHAIN_MAX_SERVICES];
 };
 
 /* A parsed datagram; `inner` points into the datagram. */
@@ -82,7 +91,19 @@
 bool RpChain_Contains(const struct rp_chain *chain,
                       struct rp_endpoint endpoint);
 
-/* Adds a candidate at the end; returns false if the chain is full. */
+/* Adds a candidate at the end; returns false if the chain is full. If the
+ * chain has several services, the candidate belongs to the first. */
 bool RpChain_Append(struct rp_chain *chain, struct rp_endpoint endpoint);
 
+/* As RpChain_Append, for an agent of the service with this id. Returns false
+ * if the chain is full, or if it has several services and none has that id. */
+bool RpChain_AppendOf(struct rp_chain *chain, struct rp_endpoint endpoint,
+                      uint32_t service_id);
+
+/* Returns the tag of the service that hop[index] belongs to. `own` is the tag
+ * of the service that handles the packet now: a chain with one service belongs
+ * to it, and it replaces an older tag of the same service. */
+struct rp_service_tag RpChain_HopTag(const struct rp_chain *chain,
+                                     size_t index, struct rp_service_tag own);
+
 #endif
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -10,6 +10,7 @@
 
 #define TICK_MS 20
 #define REPORT_INTERVAL_US (1 * RP_US_PER_SECOND)
+#define FLOW_LIFETIME_MAX 31536000 /* seconds */
 
 #define TOLERATE_SETTING(name, member, text)                                  \
     {                                                                         \
@@ -59,6 +60,15 @@
                      "data centres that may fail at the same time"),
     TOLERATE_SETTING("tolerate-regions", tolerate_regions,
                      "regions that may fail at the same time"),
+    {.flag = "flow-lifetime-seconds",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct control_settings, flow_lifetime_seconds),
+     .value = "N",
+     .help = "no flow is open for longer than this; when an address moves to "
+             "another service, packets of open flows are also sent to the "
+             "service that had it before for this time; 0: no limit",
+     .fallback = "0",
+     .max = FLOW_LIFETIME_MAX},
     {.flag = "operator-http",
      .kind = RP_SETTING_ENDPOINT,
      .offset = offsetof(struct control_settings, operator_http),
@@ -156,8 +166,34 @@
     g_string_free(command, TRUE);
 }
 
-/* Runs the leader's own duties: gives a new system its hash key, and releases
- * the addresses in quarantine once no node uses them. */
+/* Forgets former targets of virtual addresses once the flows of their time
+ * must have ended. The flow lifetime is counted from when this leader first
+ * sees them, so a change of the leader only makes it longer. */
+static void
+expire_former_targets(struct control *control, int64_t now)
+{
+    uint64_t revision = RpCatalog_FormerRevision(get_catalog(control));
+    int64_t lifetime = control->settings.flow_lifetime_seconds *
+                       RP_US_PER_SECOND;
+
+    if (lifetime == 0) {
+        return;
+    }
+    if (control->former_revision == 0 && revision > 0) {
+        control->former_revision = revision;
+        control->former_deadline = now + lifetime;
+    }
+    if (control->former_revision == 0 || now < control->former_deadline) {
+        return;
+    }
+    propose_command(control,
+                    RpCatalog_EncodeExpireFormer(control->former_revision));
+    control->former_revision = 0;
+}
+
+/* Runs the leader's own duties: gives a new system its hash key, releases the
+ * addresses in quarantine once no node uses them, and forgets former targets
+ * of virtual addresses. */
 static void
 run_leader_duties(struct control *control, int64_t now)
 {
@@ -179,6 +215,7 @@
             quarantine_revision) {
         propose_command(control, RpCatalog_EncodeRelease(quarantine_revision));
     }
+    expire_former_targets(control, now);
 }
 
 /* Runs once per REPORT_INTERVAL_US: sends the other replicas the lowest
@@ -200,6 +237,9 @@
     if (RpReplica_Role(get_replica(control)) == RP_REPLICA_LEADER) {
         run_leader_duties(control, now);
     }
+    else {
+        control->former_revision = 0;
+    }
 }
 
 /* Updates whether this replica is fresh or cut off from the leader. After a
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -23,6 +23,7 @@
     uint32_t tolerate_zones;
     uint32_t tolerate_regions;
     uint32_t control_port;
+    uint32_t flow_lifetime_seconds;   /* 0: no limit */
     struct rp_endpoint operator_http; /* port 0: no HTTP endpoint for the
                                        * operator */
 };
@@ -44,7 +45,11 @@
     GSocketService *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
-    int64_t changed_at;  /* when the newest change was applied; 0: none */
+    /* Leader: former targets up to this revision are forgotten at the
+     * deadline; 0: none are waiting. */
+    uint64_t former_revision;
+    int64_t former_deadline;
+    int64_t changed_at; /* when the newest change was applied; 0: none */
     struct rp_disconnect_policy disconnect_policy;
     /* Role, leader and term in the last "replica_role" log line. */
     enum rp_replica_role logged_role;
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -145,6 +145,13 @@
     const struct pending_change *pending = g_hash_table_lookup(
         control->pending, &entry->index);
 
+    if (RpCatalog_IsExpireFormer((struct rp_str){.data = entry->data->str,
+                                                 .len = entry->data->len})) {
+        RpLog_Event(control->daemon.log, RP_LOG_INFO, "former_targets_expired",
+                    "index=%" G_GUINT64_FORMAT, entry->index);
+        RpDistribution_MarkEditionChanged(control->distribution,
+                                          RpClock_Now());
+    }
     if (reply->is_change) {
         publish_change(control, reply);
     }
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -31,7 +31,8 @@
  *   show PORT                        prints the flow's state and the load
  *
  * FLAGS are letters of S, A, F, R and P. PORT is the caller's port, at
- * 10.9.0.1. CHAIN lists member names; a '|' follows the visited ones. */
+ * 10.9.0.1. CHAIN lists member names; a '|' follows the visited ones, and
+ * those of the sibling service follow a '/'. */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -120,7 +121,9 @@
 {
     printf(" chain=");
     for (uint8_t i = 0; i < chain->count; i++) {
-        printf("%s%c", i == chain->visited ? "|" : "",
+        bool changes = chain->service_count > 0 && i > 0 &&
+                       chain->hop_service[i] != chain->hop_service[i - 1];
+        printf("%s%s%c", i == chain->visited ? "|" : "", changes ? "/" : "",
                member_name(chain->hop[i]));
     }
     if (chain->visited == chain->count) {
@@ -374,8 +377,18 @@
         if (*c == '|') {
             geneve.chain.visited = geneve.chain.count;
         }
+        else if (*c == '/') {
+            geneve.chain.service_count = 2;
+            geneve.chain.service[0] = geneve.tag;
+            geneve.chain.service[1] = (struct rp_service_tag){
+                .service_id = session->sibling.id,
+                .incarnation = session->sibling.incarnation};
+        }
         else {
-            RpChain_Append(&geneve.chain, member_endpoint(c));
+            const struct rp_service_tag *last =
+                &geneve.chain.service[geneve.chain.service_count > 0];
+            RpChain_AppendOf(&geneve.chain, member_endpoint(c),
+                             last->service_id);
         }
     }
     if (!strcmp(words[7], "best")) {
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "check.h"
+#include "rp_balancer.h"
 #include "rp_catalog.h"
 #include "rp_distribution.h"
 #include "rp_platform.h"
@@ -178,6 +179,7 @@
         "{\"version\":13,\"routes\":[],\"services\":[{\"name\":\"new\"}]}",
         RP_OK, false, 13);
     assert_int_equal(id_of(catalog, "lens"), 0);
+    assert_int_equal(id_of(catalog, "shelf"), 0);
     assert_int_not_equal(id_of(catalog, "new"), 0);
     assert_int_equal(RpCatalog_Revision(catalog), before + 1);
     RpCatalog_Free(catalog);
@@ -236,6 +238,19 @@
     RpCatalog_Free(catalog);
 }
 
+static void
+expire_former(struct rp_catalog *catalog, uint64_t revision)
+{
+    GString *command = RpCatalog_EncodeExpireFormer(revision);
+
+    assert_int_equal(RpCatalog_Apply(catalog,
+                                     (struct rp_str){.data = command->str,
+                                                     .len = command->len},
+                                     NULL),
+                     RP_OK);
+    g_string_free(command, TRUE);
+}
+
 /* The number of messages to a node, the list lengths of the last one, and the
  * node's table. */
 struct sent {
@@ -329,9 +344,18 @@
     assert_int_equal(sent[1].vips, 1);
     assert_int_equal(sent[1].removed_vips, 1);
     assert_int_equal(sent[1].services, 1);
-    assert_int_equal(sent[1].removed, 2);
+    /* The services stay for their open flows to the address that moved, and
+     * are removed once no flow of that time can be open. */
+    assert_int_equal(sent[1].removed, 0);
     assert_true(resolves_to(sent[1].table, 0x0a010001, 443, ""));
     assert_true(resolves_to(sent[1].table, 0x0a010002, 80, "new"));
+    expire_former(catalog, RpCatalog_FormerRevision(catalog));
+    RpDistribution_MarkEditionChanged(distribution, 3 * later);
+    RpDistribution_Flush(distribution, 4 * later);
+    assert_int_equal(sent[1].vips, 1);
+    assert_int_equal(sent[1].services, 0);
+    assert_int_equal(sent[1].removed, 2);
+    assert_int_equal(RpTable_CountServices(sent[1].table), 1);
     assert_int_equal(RpTable_Revision(sent[1].table),
                      RpCatalog_Revision(catalog));
     RpDistribution_Free(distribution);
@@ -406,6 +430,130 @@
     RpTable_Free(sent[1].table);
 }
 
+/* Announces one upstream with the address `ip` for the service. */
+static void
+announce(struct rp_registry *registry, const char *service, uint32_t ip)
+{
+    struct rp_msg_announce message = {.agent_ip = ip,
+                                      .agent_port = 1,
+                                      .slots = 2,
+                                      .state = RP_UPSTREAM_READY,
+                                      .incarnation = 1,
+                                      .sequence = 1,
+                                      .lease_ms = 2000};
+    gchar *name = g_strdup_printf("up-%u", ip);
+
+    RpName_Set(&message.upstream, RpStr_FromC(name));
+    RpName_Set(&message.service, RpStr_FromC(service));
+    assert_int_equal(RpRegistry_Merge(registry, 0, &message, NULL),
+                     RP_REGISTRY_CHANGED);
+    g_free(name);
+}
+
+/* Returns the agents that a balancer lists for a packet to 10.1.0.1:443, as
+ * their addresses in order. */
+static const char *
+routed_to(const struct rp_table *table, uint8_t flags)
+{
+    static char text[64];
+    struct rp_flow_key key = {.src_ip = 0x0a090001,
+                              .src_port = 4000,
+                              .dst_ip = 0x0a010001,
+                              .dst_port = 443};
+    struct test_packet test;
+    struct rp_route route;
+    size_t len = 0;
+
+    make_test_packet(&test, key, flags, 1, 1, 0);
+    RpBalancer_Route(table, &test.packet, &route);
+    text[0] = '\0';
+    for (size_t i = 0; i < route.chain.count; i++) {
+        len += (size_t)g_snprintf(text + len, sizeof text - len, "%s%u",
+                                  i ? " " : "", route.chain.hop[i].ip);
+    }
+    return text;
+}
+
+/* The pattern of a change of route under load: most flows to an address are
+ * open when an edition moves it to another service. New flows go to the new
+ * service; packets of open flows also to the services that had the address
+ * before, the latest first, until no flow of that time can be open. */
+static void
+test_moved_address(void **state)
+{
+    static const struct {
+        const char *edition;
+        bool expires; /* what the editions before have recorded */
+        const char *new_flow;
+        const char *open_flow;
+    } steps[] = {
+        {EDITION("1", ROUTE("10.1.0.1", "443", "9", "lens")), false, "1", "1"},
+        {EDITION("2", ROUTE("10.1.0.1", "443", "9", "shelf")), false, "2",
+         "2 1"},
+        /* Something else of the address changes. */
+        {EDITION("3", ROUTE("10.1.0.1", "443", "8", "shelf")), false, "2",
+         "2 1"},
+        /* It moves back, and then again. */
+        {EDITION("4", ROUTE("10.1.0.1", "443", "8", "lens")), false, "1",
+         "1 2"},
+        {EDITION("5", ROUTE("10.1.0.1", "443", "8", "shelf")), true, "2", "2"},
+        /* It is split, and then goes to a service that was not there; the
+         * edition no longer lists the others. */
+        {EDITION("6", SPLIT("10.1.0.1", "443", "1", "99")), false, "2", "2"},
+        {"{\"version\":7,\"routes\":[" ROUTE(
+             "10.1.0.1", "443", "9",
+             "new") "],\"services\":[{\"name\":\"new\"}]}",
+         false, "3", "3 2 1"},
+        {EDITION("8", ROUTE("10.1.0.1", "443", "9", "lens")), false, "1",
+         "1 3 2"},
+        /* The route is dropped, with its open flows, and comes back. */
+        {EDITION("9", ""), false, "", ""},
+        {EDITION("10", ROUTE("10.1.0.1", "443", "9", "shelf")), false, "2",
+         "2"},
+    };
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_registry *registry = RpRegistry_Create();
+
+    (void)state;
+    announce(registry, "lens", 1);
+    announce(registry, "shelf", 2);
+    announce(registry, "new", 3);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        struct sent sent[2] = {{.count = 0}, {.table = RpTable_Create()}};
+        struct rp_distribution *distribution;
+        struct rp_msg_change_reply reply = apply(catalog, steps[i].edition);
+        assert_int_equal(reply.code, RP_OK);
+        RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+        if (steps[i].expires) {
+            expire_former(catalog, RpCatalog_FormerRevision(catalog));
+            assert_int_equal(RpCatalog_FormerRevision(catalog), 0);
+        }
+        /* A replica that restarts from a snapshot knows the same. */
+        GString *bytes = RpCatalog_Snapshot(catalog);
+        assert_int_equal(
+            RpCatalog_Restore(catalog, (struct rp_str){.data = bytes->str,
+                                                       .len = bytes->len}),
+            RP_OK);
+        GString *again = RpCatalog_Snapshot(catalog);
+        assert_true(g_string_equal(bytes, again));
+        g_string_free(bytes, TRUE);
+        g_string_free(again, TRUE);
+        distribution = RpDistribution_Create(catalog, registry, record_message,
+                                             sent);
+        RpDistribution_SetFresh(distribution, 0, true);
+        subscribe(distribution, 1, "balancer-1", RP_ROLE_BALANCER, "");
+        RpDistribution_Flush(distribution, 0);
+        assert_string_equal(routed_to(sent[1].table, RP_TCP_SYN),
+                            steps[i].new_flow);
+        assert_string_equal(routed_to(sent[1].table, RP_TCP_ACK),
+                            steps[i].open_flow);
+        RpDistribution_Free(distribution);
+        RpTable_Free(sent[1].table);
+    }
+    RpRegistry_Free(registry);
+    RpCatalog_Free(catalog);
+}
+
 int
 main(void)
 {
@@ -418,6 +566,7 @@
         cmocka_unit_test(test_distribution),
         cmocka_unit_test(test_gathering_tables),
         cmocka_unit_test(test_weights),
+        cmocka_unit_test(test_moved_address),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/unit/test_route_moves.c
@@ -0,0 +1,450 @@
+/* Randomised simulation of editions that move virtual addresses between
+ * services while flows are open. Balancers and agents get their tables at
+ * different times, agents and control replicas restart, services leave the
+ * edition and come back. Hosts never fail, and no edition drops an address.
+ *
+ * Checked for every seed: once every table is up to date, a packet of each
+ * open flow reaches the host that has the flow, and a new flow goes to a
+ * service that the edition in force names.
+ *
+ * RP_SEED=N runs that seed alone; RP_SEEDS=N runs seeds 1 to N. */
+#include <glib.h>
+#include <string.h>
+
+#include "check.h"
+#include "rp_agent.h"
+#include "rp_balancer.h"
+#include "rp_bytes.h"
+#include "rp_distribution.h"
+#include "rp_flow_chart.h"
+#include "rp_platform.h"
+#include "rp_time.h"
+#include "seeds.h"
+
+#define SERVICES 3
+#define AGENTS 4 /* of each service */
+#define BALANCERS 3
+#define NODES (BALANCERS + SERVICES * AGENTS)
+#define ADDRESSES 2
+#define FLOWS 24
+#define STEPS 250
+#define DEFAULT_SEEDS 400
+#define MAX_HOPS 64
+#define FIRST_IP 0x0a010001 /* of the virtual addresses */
+#define HEADER_SIZE 31      /* of the platform's packets */
+
+static const char *const service_names[SERVICES] = {"lens", "shelf", "new"};
+
+/* A flow, and the agent whose host has it: -1 if it is not open. */
+struct open_flow {
+    struct rp_flow_key key;
+    int owner;
+    uint32_t sequence;
+};
+
+struct node {
+    struct rp_table *table;
+    struct rp_agent *agent; /* NULL: a balancer */
+};
+
+struct simulation {
+    GRand *random;
+    int64_t now;
+    uint32_t seed;
+    uint64_t version;
+    struct rp_chart chart;
+    struct rp_counters counters;
+    struct rp_catalog *catalog;
+    struct rp_registry *registry;
+    struct node nodes[NODES];
+    struct open_flow flows[FLOWS];
+    unsigned uses[ADDRESSES]; /* bit set: services that the edition names */
+    unsigned next_port;
+};
+
+#define CHECK(sim, condition, text)                                           \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            print_error("%s\nrepeat with: RP_SEED=%u "                        \
+                        "build/tests/test_route_moves\n",                     \
+                        text, (sim)->seed);                                   \
+            fail();                                                           \
+        }                                                                     \
+    } while (0)
+
+static int
+random_below(struct simulation *sim, int limit)
+{
+    return g_rand_int_range(sim->random, 0, limit);
+}
+
+static int
+service_of(int agent)
+{
+    return agent / AGENTS;
+}
+
+/* Applies a random edition: each address goes to one service or is split, and
+ * only the services that it names are listed. */
+static void
+apply_edition(struct simulation *sim)
+{
+    struct rp_edition edition;
+    struct rp_msg_change_reply reply = {0};
+    unsigned listed = 0;
+
+    RpEdition_Init(&edition);
+    edition.version = ++sim->version;
+    for (uint32_t i = 0; i < ADDRESSES; i++) {
+        struct rp_edition_vip vip = {
+            .name = g_string_new("r"),
+            .address = FIRST_IP + i,
+            .port = 443,
+            .timeout_ms = 500,
+            .targets = RpSchema_NewList(&rp_edition_target_schema)};
+        int count = random_below(sim, 4) ? 1 : 2;
+        int first = random_below(sim, SERVICES);
+        sim->uses[i] = 0;
+        for (int j = 0; j < count; j++) {
+            int service = (first + j) % SERVICES;
+            struct rp_edition_target target = {.weight = 1 + (uint32_t)j};
+            RpName_Set(&target.service, RpStr_FromC(service_names[service]));
+            g_array_append_val(vip.targets, target);
+            sim->uses[i] |= 1u << service;
+        }
+        listed |= sim->uses[i];
+        g_array_append_val(edition.vips, vip);
+    }
+    for (int i = 0; i < SERVICES; i++) {
+        struct rp_edition_service service = {.flows_per_upstream = 1000};
+        RpName_Set(&service.name, RpStr_FromC(service_names[i]));
+        if (listed >> i & 1) {
+            g_array_append_val(edition.services, service);
+        }
+    }
+    GString *command = RpCatalog_EncodeEdition(&edition);
+    RpCatalog_Apply(sim->catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    &reply);
+    CHECK(sim, reply.code == RP_OK, "an edition is refused");
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+    g_string_free(command, TRUE);
+    RpEdition_Clear(&edition);
+}
+
+static void
+record_table(void *user, uint64_t connection, const struct rp_msg *msg)
+{
+    (void)connection;
+    RpTable_Apply(user, &msg->table);
+}
+
+/* Gives one node the table of the present catalogue. */
+static void
+update_node(struct simulation *sim, int number)
+{
+    struct node *node = &sim->nodes[number];
+    struct rp_msg_hello hello = {.role = RP_ROLE_BALANCER};
+    struct rp_msg_subscribe subscription = {0};
+    struct rp_name name = {0};
+
+    RpName_Set(&hello.name, RpStr_FromC("node"));
+    if (node->agent) {
+        int service = service_of(number - BALANCERS);
+        hello.role = RP_ROLE_AGENT;
+        RpName_Set(&name, RpStr_FromC(service_names[service]));
+        subscription.service = name;
+    }
+    struct rp_distribution *distribution = RpDistribution_Create(
+        sim->catalog, sim->registry, record_table, node->table);
+    RpDistribution_SetFresh(distribution, 0, true);
+    RpDistribution_Subscribe(distribution, 0, 1, &hello, &subscription);
+    RpDistribution_Flush(distribution, 0);
+    RpDistribution_Free(distribution);
+    if (node->agent) {
+        RpAgent_SetTable(node->agent, node->table,
+                         RpTable_FindByName(node->table, &name));
+    }
+}
+
+static struct rp_endpoint
+agent_endpoint(int agent)
+{
+    return (struct rp_endpoint){.ip = 0x0a000000u + (uint32_t)agent,
+                                .port = 1};
+}
+
+/* Starts an agent that knows no flow; it keeps the table. */
+static void
+start_agent(struct simulation *sim, int agent)
+{
+    struct node *node = &sim->nodes[BALANCERS + agent];
+    const struct rp_agent_config config = {.codec = &rp_codec_platform,
+                                           .self = agent_endpoint(agent),
+                                           .started = sim->now,
+                                           .slots = 1000,
+                                           .seed = 1};
+
+    RpAgent_Free(node->agent);
+    node->agent = RpAgent_Create(
+        &config, &sim->chart, RpAdmission_CreateLeastBusy(), &sim->counters);
+    update_node(sim, BALANCERS + agent);
+}
+
+static void
+announce_agents(struct simulation *sim)
+{
+    for (int i = 0; i < SERVICES * AGENTS; i++) {
+        struct rp_msg_announce message = {.agent_ip = agent_endpoint(i).ip,
+                                          .agent_port = 1,
+                                          .slots = 2,
+                                          .state = RP_UPSTREAM_READY,
+                                          .incarnation = 1,
+                                          .sequence = 1,
+                                          .lease_ms = 2000};
+        gchar *name = g_strdup_printf("up-%d", i);
+        RpName_Set(&message.upstream, RpStr_FromC(name));
+        RpName_Set(&message.service,
+                   RpStr_FromC(service_names[service_of(i)]));
+        RpRegistry_Merge(sim->registry, 0, &message, NULL);
+        g_free(name);
+    }
+}
+
+static void
+make_packet(uint8_t bytes[HEADER_SIZE], struct rp_packet *packet,
+            const struct open_flow *flow, bool opens)
+{
+    enum rp_counter reason;
+
+    memset(bytes, 0, HEADER_SIZE);
+    RpBytes_Put32(bytes, flow->key.dst_ip);
+    RpBytes_Put16(bytes + 4, flow->key.dst_port);
+    RpBytes_Put32(bytes + 6, flow->key.src_ip);
+    RpBytes_Put16(bytes + 10, flow->key.src_port);
+    RpBytes_Put32(bytes + 16, flow->sequence);
+    RpBytes_Put32(bytes + 20, opens ? 0 : 501);
+    bytes[24] = opens ? 16 : 4;
+    assert_true(rp_codec_platform.ops->parse(bytes, HEADER_SIZE, packet,
+                                             &reason));
+}
+
+/* Lets the host of `agent` answer a packet. */
+static void
+answer(struct simulation *sim, int agent, const struct open_flow *flow,
+       bool opens, struct rp_actions *actions)
+{
+    const struct rp_packet reply = {
+        .data = (const uint8_t *)"",
+        .key = RpFlowKey_Reverse(flow->key),
+        .flags = opens ? RP_TCP_SYN | RP_TCP_ACK : RP_TCP_ACK,
+        .seq = opens ? 500 : 501,
+        .ack = flow->sequence + 1};
+
+    RpAgent_FromHost(sim->nodes[BALANCERS + agent].agent, sim->now, &reply,
+                     actions);
+}
+
+/* Sends one packet of a caller through a random balancer and follows it from
+ * agent to agent. Returns the agent whose host took it, or -1. */
+static int
+deliver(struct simulation *sim, struct open_flow *flow, bool opens)
+{
+    static struct rp_actions actions;
+    uint8_t bytes[HEADER_SIZE];
+    struct rp_packet packet;
+    struct rp_route route;
+
+    make_packet(bytes, &packet, flow, opens);
+    RpBalancer_Route(sim->nodes[random_below(sim, BALANCERS)].table, &packet,
+                     &route);
+    if (route.kind != RP_ROUTE_SEND) {
+        return -1;
+    }
+    struct rp_geneve geneve = {.has_tag = true,
+                               .has_chain = true,
+                               .tag = route.tag,
+                               .chain = route.chain};
+    int agent = (int)(route.chain.hop[0].ip & 0xff);
+    geneve.chain.visited = 1;
+    bool from_host = false;
+    for (unsigned hop = 0; hop < MAX_HOPS; hop++) {
+        struct rp_agent *engine = sim->nodes[BALANCERS + agent].agent;
+        if (from_host) {
+            RpAgent_FromHost(engine, sim->now, &packet, &actions);
+        }
+        else {
+            RpAgent_FromCaller(engine, sim->now, &packet, &geneve, &actions);
+        }
+        const struct rp_action *action = &actions.item[0];
+        if (actions.count == 0 || action->kind == RP_ACTION_DROP ||
+            action->kind == RP_ACTION_TO_CALLER) {
+            return -1;
+        }
+        from_host = action->kind == RP_ACTION_TO_HOST;
+        packet.returned = false;
+        if (from_host && (opens || flow->owner == agent)) {
+            answer(sim, agent, flow, opens, &actions);
+            return agent;
+        }
+        packet.returned = from_host;
+        if (!from_host) {
+            geneve.tag = action->tag;
+            geneve.chain = action->chain;
+            agent = (int)(action->next.ip & 0xff);
+        }
+    }
+    return -1;
+}
+
+static void
+open_flow(struct simulation *sim, unsigned number)
+{
+    struct open_flow *flow = &sim->flows[number];
+
+    *flow = (struct open_flow){
+        .key = {.src_ip = 0x0a090001,
+                .src_port = (uint16_t)(1024 + sim->next_port++),
+                .dst_ip = FIRST_IP + number % ADDRESSES,
+                .dst_port = 443},
+        .owner = -1,
+        .sequence = 100};
+    flow->owner = deliver(sim, flow, true);
+    flow->sequence++;
+    if (flow->owner >= 0) {
+        /* The packet that ends the handshake. */
+        deliver(sim, flow, false);
+    }
+}
+
+/* Restarts the control replica from a snapshot of its state. */
+static void
+restart_control(struct simulation *sim)
+{
+    GString *bytes = RpCatalog_Snapshot(sim->catalog);
+
+    RpCatalog_Free(sim->catalog);
+    sim->catalog = RpCatalog_Create();
+    CHECK(sim,
+          RpCatalog_Restore(sim->catalog,
+                            (struct rp_str){.data = bytes->str,
+                                            .len = bytes->len}) == RP_OK,
+          "a snapshot does not decode");
+    g_string_free(bytes, TRUE);
+}
+
+static void
+step(struct simulation *sim)
+{
+    unsigned number = (unsigned)random_below(sim, FLOWS);
+
+    sim->now += random_below(sim, 20) * RP_US_PER_MS;
+    switch (random_below(sim, 12)) {
+    case 0:
+        apply_edition(sim);
+        break;
+    case 1:
+        start_agent(sim, random_below(sim, SERVICES * AGENTS));
+        break;
+    case 2:
+        restart_control(sim);
+        break;
+    case 3:
+    case 4:
+    case 5:
+        update_node(sim, random_below(sim, NODES));
+        break;
+    default:
+        if (sim->flows[number].owner < 0) {
+            open_flow(sim, number);
+        }
+        else {
+            deliver(sim, &sim->flows[number], false);
+        }
+    }
+}
+
+/* Updates every table and checks each flow. */
+static unsigned
+check_flows(struct simulation *sim)
+{
+    unsigned open = 0;
+
+    for (int i = 0; i < NODES; i++) {
+        update_node(sim, i);
+    }
+    for (unsigned i = 0; i < FLOWS; i++) {
+        struct open_flow *flow = &sim->flows[i];
+        if (flow->owner >= 0) {
+            open++;
+            CHECK(sim, deliver(sim, flow, false) == flow->owner,
+                  "a packet of an open flow does not reach its host");
+        }
+    }
+    for (unsigned i = 0; i < ADDRESSES; i++) {
+        open_flow(sim, i);
+        CHECK(sim,
+              sim->flows[i].owner >= 0 &&
+                  (sim->uses[i] >> service_of(sim->flows[i].owner) & 1),
+              "a new flow does not go to a service of the edition");
+    }
+    return open;
+}
+
+static unsigned
+run_seed(uint32_t seed)
+{
+    static struct simulation sim;
+
+    memset(&sim, 0, sizeof sim);
+    sim.seed = seed;
+    sim.random = g_rand_new_with_seed(seed);
+    sim.catalog = RpCatalog_Create();
+    sim.registry = RpRegistry_Create();
+    assert_int_equal(RpFlowChart_Load(&sim.chart, NULL), RP_OK);
+    announce_agents(&sim);
+    apply_edition(&sim);
+    for (int i = 0; i < NODES; i++) {
+        sim.nodes[i].table = RpTable_Create();
+        if (i >= BALANCERS) {
+            start_agent(&sim, i - BALANCERS);
+        }
+        update_node(&sim, i);
+    }
+    for (unsigned i = 0; i < FLOWS; i++) {
+        sim.flows[i].owner = -1;
+    }
+    for (int i = 0; i < STEPS; i++) {
+        step(&sim);
+    }
+    unsigned open = check_flows(&sim);
+    for (int i = 0; i < NODES; i++) {
+        RpAgent_Free(sim.nodes[i].agent);
+        RpTable_Free(sim.nodes[i].table);
+    }
+    RpCatalog_Free(sim.catalog);
+    RpRegistry_Free(sim.registry);
+    g_rand_free(sim.random);
+    return open;
+}
+
+static void
+test_moved_addresses_keep_their_flows(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    unsigned open = run_seeds(run_seed, DEFAULT_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds, %u open flows, each reached\n", ran, open);
+    assert_true(open > ran * FLOWS / 2);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_moved_addresses_keep_their_flows),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -130,6 +130,45 @@
     assert_int_equal(geneve.inner_len, 20);
 }
 
+/* Candidates of several services: each keeps its tag, and the service that
+ * handles the packet replaces its own by a newer one. */
+static void
+test_geneve_services(void **state)
+{
+    struct rp_chain chain = {.visited = 1,
+                             .service_count = 2,
+                             .service = {{.service_id = 3, .incarnation = 4},
+                                         {.service_id = 7, .incarnation = 8}}};
+    const struct rp_service_tag own = {
+        .service_id = 7, .incarnation = 8, .generation = 9};
+    uint8_t data[RP_GENEVE_HEADROOM];
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+
+    (void)state;
+    for (uint8_t i = 0; i < RP_MAX_CHAIN; i++) {
+        assert_true(RpChain_AppendOf(
+            &chain, (struct rp_endpoint){.ip = i, .port = 1}, i % 2 ? 7 : 3));
+    }
+    assert_false(RpChain_AppendOf(&chain, (struct rp_endpoint){.ip = 99}, 3));
+    size_t len = RpGeneve_Write(data, RP_GENEVE_IPV4, &chain.service[0],
+                                &chain);
+    assert_in_range(len, 1, RP_GENEVE_HEADROOM);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_int_equal(geneve.chain.service_count, 2);
+    assert_int_equal(RpChain_HopTag(&geneve.chain, 2, own).service_id, 3);
+    assert_int_equal(RpChain_HopTag(&geneve.chain, 2, own).incarnation, 4);
+    assert_int_equal(RpChain_HopTag(&geneve.chain, 3, own).generation, 9);
+    geneve.chain.count = 1;
+    assert_false(
+        RpChain_AppendOf(&geneve.chain, (struct rp_endpoint){.ip = 99}, 5));
+    /* A candidate that refers to a service which the chain does not list. The
+     * index of the last candidate is before the option with the services. */
+    data[len - 2 * 16 - 4 - 2] = 2;
+    assert_false(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_int_equal(reason, RP_COUNT_DROP_BAD_OPTION);
+}
+
 static void
 test_bad_geneve(void **state)
 {
@@ -427,6 +466,7 @@
         cmocka_unit_test(test_bad_packets),
         cmocka_unit_test(test_trim_payload_and_make_reset),
         cmocka_unit_test(test_geneve_round_trip),
+        cmocka_unit_test(test_geneve_services),
         cmocka_unit_test(test_bad_geneve),
         cmocka_unit_test(test_unknown_option),
         cmocka_unit_test(test_session_handshake),
