Agents: beside no host an agent is no upstream, and presumes nothing

- An agent that has not heard its host announces 'unheard'.
Control keeps an upstream that it knows at that address and service (a host may live on beside a new agent), and ignores it otherwise.
After three report intervals without a host it announces nothing.
- querying_host without a living host: the packet goes on to the next agent (timer_no_host); a late answer of the host still takes the flow.
- A stop request after the host has deregistered resets the flows that are still open: they have ended with their host.
An agent that is stopped beside a draining host no longer signs off: only the agent is being replaced.

Ruled out: announcing nothing at all before the host is heard; a new agent beside a living host would be unreachable until its lease ends.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -142,6 +142,8 @@
     X(ANNOUNCE_ACCEPTED, "announce_accepted", "announcements accepted")       \
     X(ANNOUNCE_STALE, "announce_stale",                                       \
       "announcements ignored: stale or refused")                              \
+    X(ANNOUNCE_UNHEARD, "announce_unheard",                                   \
+      "announcements ignored: agent without a host of an unknown upstream")   \
     X(LEASE_EXPIRED, "lease_expired", "upstreams whose lease expired")        \
     X(TABLE_SENT, "table_sent", "tables and table updates sent")              \
     X(TABLE_WITHHELD, "table_withheld",                                       \
--- a/lib/control/rp_catalog_former.c
+++ b/lib/control/rp_catalog_former.c
@@ -156,10 +156,9 @@
         const GArray *list = value;
         for (guint i = 0; i < list->len; i++) {
             g_hash_table_add(
-                used,
-                GUINT_TO_POINTER(
-                    g_array_index(list, struct rp_former_target, i)
-                        .service_id));
+                used, GUINT_TO_POINTER(
+                          g_array_index(list, struct rp_former_target, i)
+                              .service_id));
         }
     }
     g_hash_table_iter_init(&iter, catalog->entries);
--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -23,6 +23,30 @@
            now < RpHost_TimeoutDeadline(host);
 }
 
+enum rp_upstream_state
+RpHost_UpstreamState(const struct rp_host *host, int64_t now, int64_t started)
+{
+    if (!host->has_report) {
+        return now < started +
+                           RP_HOST_TIMEOUT_INTERVALS * host->report_interval
+                   ? RP_UPSTREAM_UNHEARD
+                   : RP_UPSTREAM_LOST;
+    }
+    return RpHost_IsAlive(host, now) && !host->last_report.draining
+               ? RP_UPSTREAM_READY
+               : RP_UPSTREAM_DRAINING;
+}
+
+enum rp_host_stop
+RpHost_ClassifyStop(const struct rp_host *host, int64_t now)
+{
+    if (host->has_report && host->is_deregistered) {
+        return RP_HOST_STOP_ENDED;
+    }
+    return RpHost_IsAlive(host, now) ? RP_HOST_STOP_REPLACED
+                                     : RP_HOST_STOP_SILENT;
+}
+
 /* Returns whether the report belongs to another run than the last report. The
  * ids decide if one of the start times is unknown. */
 static bool
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -15,7 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "rp_endpoint.h"
+#include "rp_msg.h"
 #include "rp_str.h"
 #include "rp_time.h"
 
@@ -44,6 +44,13 @@
     RP_HOST_REPORT_NEW_RUN  /* accepted; first report of a run */
 };
 
+/* What a request to stop the agent means for the upstream. */
+enum rp_host_stop {
+    RP_HOST_STOP_REPLACED, /* the host lives: only the agent is replaced */
+    RP_HOST_STOP_ENDED,    /* the host has deregistered: its flows are over */
+    RP_HOST_STOP_SILENT    /* the host is silent, or was never heard */
+};
+
 struct rp_host {
     struct rp_name service; /* reports of other services are ignored */
     int64_t report_interval;
@@ -71,6 +78,17 @@
 /* Returns whether the host has reported recently enough to get new flows. */
 bool RpHost_IsAlive(const struct rp_host *host, int64_t now);
 
+/* Returns the state to announce for the upstream at `now`: READY or DRAINING
+ * once the host has been heard. An agent that has not heard its host announces
+ * RP_UPSTREAM_UNHEARD for as long as a host that lives could take to report,
+ * counted from `started`, and RP_UPSTREAM_LOST, which means no announcement,
+ * after that. */
+enum rp_upstream_state RpHost_UpstreamState(const struct rp_host *host,
+                                            int64_t now, int64_t started);
+
+/* Returns what a stop request at `now` means. */
+enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host, int64_t now);
+
 /* Returns when the host times out if it sends no report before. */
 int64_t RpHost_TimeoutDeadline(const struct rp_host *host);
 
--- a/lib/control/rp_registry.c
+++ b/lib/control/rp_registry.c
@@ -195,6 +195,28 @@
     return (last_message ? *last_message : 0) + RP_REGISTRY_RECONNECT_US;
 }
 
+bool
+RpRegistry_ResolveUnheard(const struct rp_registry *registry,
+                          const struct rp_msg_announce *announce,
+                          struct rp_msg_announce *resolved)
+{
+    const struct rp_upstream *known = RpRegistry_Find(registry,
+                                                      &announce->upstream);
+
+    if (!known || known->state == RP_UPSTREAM_GONE ||
+        known->last_announce.agent_ip != announce->agent_ip ||
+        known->last_announce.agent_port != announce->agent_port ||
+        !RpName_Equal(&known->last_announce.service, &announce->service)) {
+        return false;
+    }
+    *resolved = *announce;
+    resolved->state = RP_UPSTREAM_DRAINING;
+    /* A table must not change only because the new agent does not know the
+     * host's slots yet. */
+    resolved->slots = known->last_announce.slots;
+    return true;
+}
+
 enum rp_registry_change
 RpRegistry_Merge(struct rp_registry *registry, int64_t now,
                  const struct rp_msg_announce *announce,
--- a/lib/control/rp_registry.h
+++ b/lib/control/rp_registry.h
@@ -57,6 +57,17 @@
 
 void RpRegistry_Free(struct rp_registry *registry);
 
+/* Decides what an announcement means that an agent sends before it has heard
+ * its host (RP_UPSTREAM_UNHEARD): if the same upstream is known to serve or to
+ * be lost, its host may live on beside a new agent, and it is draining until
+ * the host is heard. Writes that announcement to `*resolved` and returns true.
+ * Returns false if nothing is known, or if the upstream has signed off or
+ * belonged to another service or address: an agent without a host is no
+ * upstream. */
+bool RpRegistry_ResolveUnheard(const struct rp_registry *registry,
+                               const struct rp_msg_announce *announce,
+                               struct rp_msg_announce *resolved);
+
 /* Merges an announcement. `source_replica` is the replica that forwarded it,
  * or NULL if it came from the agent itself. */
 enum rp_registry_change
--- a/lib/control/rp_status.c
+++ b/lib/control/rp_status.c
@@ -21,6 +21,7 @@
         row->lost++;
         return;
     case RP_UPSTREAM_GONE:
+    case RP_UPSTREAM_UNHEARD:
         return;
     }
     row->flows += upstream->last_announce.flows;
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -8,13 +8,25 @@
 #define SCANS_PER_TABLE 50    /* one scan covers 1/50 of the table */
 #define MIN_SCAN_BUCKETS 4096 /* but at least this many buckets */
 
+/* Whether the flow's timer event is the one without a living host. An agent
+ * that has started beside no host must not hold on to flows of others. */
+static bool
+lacks_host(const struct rp_agent *agent, const struct rp_flow *flow)
+{
+    return flow->state == RP_FLOW_QUERYING_HOST &&
+           (agent->host_state == RP_HOST_UNKNOWN ||
+            agent->host_state == RP_HOST_GONE);
+}
+
 /* Performs the action of the flow chart for the timer event. */
 static void
 handle_expired_flow(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
                     struct rp_actions *actions)
 {
+    bool no_host = lacks_host(agent, flow);
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state,
-                                             RP_FLOW_EV_TIMER);
+                                             no_host ? RP_FLOW_EV_TIMER_NO_HOST
+                                                     : RP_FLOW_EV_TIMER);
 
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_RETRY_SYN:
@@ -24,6 +36,12 @@
     case RP_FLOW_DO_PRESUME_OWNED:
         RpAgent_EnterState(agent, flow, step.next, now);
         break;
+    case RP_FLOW_DO_RELEASE_TO_NEXT_AGENT:
+        /* The host may be there all the same and answer late: then its answer
+         * proves that the flow is its own. */
+        flow->flags |= RP_FLOW_MAYBE_AT_HOST;
+        RpAgent_ReleaseToNextAgent(agent, now, flow, actions);
+        break;
     case RP_FLOW_DO_CHECK_SILENCE:
         RpAgent_CheckSilence(agent, now, flow, actions);
         break;
--- a/lib/flow/rp_flow_chart.h
+++ b/lib/flow/rp_flow_chart.h
@@ -35,6 +35,7 @@
     RP_FLOW_EV_HOST_RST,
     RP_FLOW_EV_HOST_RETURNED,
     RP_FLOW_EV_TIMER,
+    RP_FLOW_EV_TIMER_NO_HOST,
     RP_FLOW_EVENT_COUNT
 };
 
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -492,6 +492,8 @@
         return "lost";
     case RP_UPSTREAM_GONE:
         return "gone";
+    case RP_UPSTREAM_UNHEARD:
+        return "unheard";
     }
     return "unknown";
 }
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -40,7 +40,10 @@
     RP_UPSTREAM_READY = 1, /* takes new flows */
     RP_UPSTREAM_DRAINING,  /* finishes its open flows, takes no new ones */
     RP_UPSTREAM_LOST,      /* its lease has expired */
-    RP_UPSTREAM_GONE       /* has signed off; its entry will be removed */
+    RP_UPSTREAM_GONE,      /* has signed off; its entry will be removed */
+    /* Only in announcements: the agent has started and not heard its host yet,
+     * so it cannot tell whether there is a host. */
+    RP_UPSTREAM_UNHEARD
 };
 
 /* First message in each direction of a connection. */
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -291,14 +291,18 @@
 }
 
 static enum rp_upstream_state
-choose_announced_state(const struct agent *agent)
+choose_announced_state(const struct agent *agent, int64_t now)
 {
+    enum rp_upstream_state state = RP_UPSTREAM_READY;
+
     if (agent->gone_announced) {
         return RP_UPSTREAM_GONE;
     }
-    return agent->draining || agent->host_state != RP_HOST_READY
-               ? RP_UPSTREAM_DRAINING
-               : RP_UPSTREAM_READY;
+    if (agent->settings.host_reports.port != 0) {
+        state = RpHost_UpstreamState(&agent->host, now, agent->started);
+    }
+    return agent->draining && state == RP_UPSTREAM_READY ? RP_UPSTREAM_DRAINING
+                                                         : state;
 }
 
 void
@@ -307,6 +311,7 @@
     int64_t now = RpClock_Now();
     const struct agent_settings *settings = &agent->settings;
     struct rp_agent_load load = RpAgent_Load(agent->flows, now);
+    enum rp_upstream_state state = choose_announced_state(agent, now);
     const struct rp_msg msg = {
         .type = RP_MSG_ANNOUNCE,
         .announce = {.upstream = settings->common.name,
@@ -315,14 +320,16 @@
                      .agent_ip = settings->listen.ip,
                      .agent_port = settings->listen.port,
                      .slots = load.slots,
-                     .state = (uint8_t)choose_announced_state(agent),
+                     .state = (uint8_t)state,
                      .incarnation = agent->incarnation,
                      .sequence = ++agent->sequence,
                      .lease_ms = settings->lease_ms,
                      .flows = load.flows,
                      .busy = load.busy}};
 
-    RpUplink_Send(agent->uplink, &msg);
+    if (state != RP_UPSTREAM_LOST) {
+        RpUplink_Send(agent->uplink, &msg);
+    }
     agent->announce_deadline = now + settings->lease_ms * RP_US_PER_MS /
                                          ANNOUNCES_PER_LEASE;
 }
@@ -396,27 +403,37 @@
 /* Handles a stop request. If the host sends no reports, the agent drains the
  * upstream first.
  *
- * A host that sends reports drains on its own. If it is ready, only the agent
- * is being replaced: the agent exits at once, and the next agent learns the
- * flows from the host. Otherwise the agent announces at once that the upstream
- * is gone, and exits.
+ * A host that sends reports drains on its own. If it lives, only the agent is
+ * being replaced: the agent exits at once, and the next agent learns the flows
+ * from the host. Otherwise the agent announces at once that the upstream is
+ * gone, and exits. If the host has deregistered, flows that are still open
+ * have ended with it: their callers are reset, so that their next request does
+ * not go to a host that is no longer there.
  */
 static void
 on_stop(void *user)
 {
     struct agent *agent = user;
+    int64_t now = RpClock_Now();
 
-    if (agent->host_state == RP_HOST_READY &&
-        agent->settings.host_reports.port != 0) {
+    if (agent->settings.host_reports.port == 0) {
+        agent->drain_deadline = now + agent->settings.drain_seconds *
+                                          RP_US_PER_SECOND;
+        set_draining(agent, true);
+        RpTimer_RunBy(agent->timer, 0);
+        return;
+    }
+    enum rp_host_stop stop = RpHost_ClassifyStop(&agent->host, now);
+    if (stop == RP_HOST_STOP_REPLACED) {
         RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
         return;
     }
-    agent->drain_deadline = RpClock_Now() +
-                            agent->settings.drain_seconds * RP_US_PER_SECOND;
-    set_draining(agent, true);
-    if (agent->settings.host_reports.port != 0) {
-        agent->drain_deadline = RpClock_Now();
+    if (stop == RP_HOST_STOP_ENDED) {
+        RpAgent_HostRestarted(agent->flows, now);
+        RpAgentRole_RunTimers(agent, now);
     }
+    agent->drain_deadline = now;
+    set_draining(agent, true);
     RpTimer_RunBy(agent->timer, 0);
 }
 
@@ -578,6 +595,7 @@
     }
     agent->incarnation = (uint64_t)g_get_real_time();
     agent->drain_deadline = RP_NEVER;
+    agent->started = RpClock_Now();
     agent->started_ms = g_get_real_time() / RP_US_PER_MS;
     agent->timer = RpTimer_Create(on_deadline, agent);
     create_flow_engine(agent);
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -219,6 +219,15 @@
 {
     int64_t now = RpClock_Now();
     struct rp_counters *counters = &control->daemon.counters;
+    struct rp_msg_announce resolved;
+    if (announce->state == RP_UPSTREAM_UNHEARD) {
+        if (!RpRegistry_ResolveUnheard(control->registry, announce,
+                                       &resolved)) {
+            RpCounters_Add(counters, RP_COUNT_ANNOUNCE_UNHEARD);
+            return RP_REGISTRY_REFUSED;
+        }
+        announce = &resolved;
+    }
     const struct rp_upstream *known = RpRegistry_Find(control->registry,
                                                       &announce->upstream);
     struct rp_name old_service = {0};
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -179,6 +179,8 @@
                                from != RP_FLOW_REDIRECTED) ||
                               (event == RP_FLOW_EV_SYN_SENT_BACK &&
                                from != RP_FLOW_REDIRECTED) ||
+                              (event == RP_FLOW_EV_TIMER_NO_HOST &&
+                               from != RP_FLOW_QUERYING_HOST) ||
                               (event == RP_FLOW_EV_LATE &&
                                (from == RP_FLOW_QUERYING_HOST ||
                                 from == RP_FLOW_PRESUMED_OWNED));
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -190,6 +190,43 @@
     return announce;
 }
 
+/* The pattern of a loss of all power after hosts have left: their agents start
+ * again beside no host. An agent that has not heard its host keeps an upstream
+ * that is known, so that a host which lives on beside it stays reachable, but
+ * never adds or revives one. */
+static void
+test_registry_unheard(void **state)
+{
+    struct rp_registry *registry = RpRegistry_Create();
+    struct rp_msg_announce unheard = make_announce(9, 1, RP_UPSTREAM_UNHEARD);
+    struct rp_msg_announce resolved;
+
+    (void)state;
+    assert_int_equal(RpRegistry_Merge(registry, 0, &unheard, NULL),
+                     RP_REGISTRY_REFUSED);
+    assert_false(RpRegistry_ResolveUnheard(registry, &unheard, &resolved));
+    /* The agent of a known upstream has been replaced. */
+    static const enum rp_upstream_state states[] = {
+        RP_UPSTREAM_READY, RP_UPSTREAM_DRAINING, RP_UPSTREAM_GONE};
+    for (uint64_t i = 0; i < G_N_ELEMENTS(states); i++) {
+        struct rp_msg_announce known = make_announce(5, 1 + i, states[i]);
+        assert_int_equal(RpRegistry_Merge(registry, 0, &known, NULL),
+                         RP_REGISTRY_CHANGED);
+        assert_int_equal(
+            RpRegistry_ResolveUnheard(registry, &unheard, &resolved),
+            states[i] != RP_UPSTREAM_GONE);
+        assert_int_equal(resolved.state, RP_UPSTREAM_DRAINING);
+        assert_int_equal(resolved.incarnation, 9);
+    }
+    /* The machine has been given to another service meanwhile. */
+    struct rp_msg_announce back = make_announce(6, 1, RP_UPSTREAM_READY);
+    RpRegistry_Merge(registry, 0, &back, NULL);
+    assert_true(RpRegistry_ResolveUnheard(registry, &unheard, &resolved));
+    RpName_Set(&unheard.service, RP_STR("photo-shelf"));
+    assert_false(RpRegistry_ResolveUnheard(registry, &unheard, &resolved));
+    RpRegistry_Free(registry);
+}
+
 static void
 test_registry_leases(void **state)
 {
@@ -343,6 +380,7 @@
         cmocka_unit_test(test_documents),
         cmocka_unit_test(test_catalog_changes),
         cmocka_unit_test(test_restore_after_each_change),
+        cmocka_unit_test(test_registry_unheard),
         cmocka_unit_test(test_registry_leases),
         cmocka_unit_test(test_registry_forwarded),
         cmocka_unit_test(test_registry_merge_order),
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -217,12 +217,70 @@
                      RP_ERR_FORMAT);
 }
 
+/* What an agent announces from its start on, while its host is not there, is
+ * heard, drains and falls silent. */
+static void
+test_announced_state(void **state)
+{
+    struct rp_name service = make_name("lens-desk");
+    struct rp_host_report report = {
+        .id = make_name("i-1"), .service = service, .sequence = 4};
+    struct rp_host host;
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    assert_int_equal(RpHost_UpstreamState(&host, 5, 5), RP_UPSTREAM_UNHEARD);
+    assert_int_equal(RpHost_UpstreamState(&host, 4 + 3 * INTERVAL_US, 5),
+                     RP_UPSTREAM_UNHEARD);
+    assert_int_equal(RpHost_UpstreamState(&host, 5 + 3 * INTERVAL_US, 5),
+                     RP_UPSTREAM_LOST);
+    RpHost_HandleReport(&host, 4 * INTERVAL_US, &report);
+    assert_int_equal(RpHost_UpstreamState(&host, 4 * INTERVAL_US, 5),
+                     RP_UPSTREAM_READY);
+    /* A host that was heard and is silent may be slow: it keeps its flows. */
+    assert_int_equal(RpHost_UpstreamState(&host, 9 * INTERVAL_US, 5),
+                     RP_UPSTREAM_DRAINING);
+    report.draining = true;
+    report.sequence++;
+    RpHost_HandleReport(&host, 9 * INTERVAL_US, &report);
+    assert_int_equal(RpHost_UpstreamState(&host, 9 * INTERVAL_US, 5),
+                     RP_UPSTREAM_DRAINING);
+}
+
+/* A stop request resets open flows only if the host has ended by its own
+ * word. */
+static void
+test_stop(void **state)
+{
+    struct rp_name service = make_name("lens-desk");
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = service,
+                                    .sequence = 4,
+                                    .draining = true};
+    struct rp_host host;
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    assert_int_equal(RpHost_ClassifyStop(&host, 1), RP_HOST_STOP_SILENT);
+    RpHost_HandleReport(&host, 1, &report);
+    assert_int_equal(RpHost_ClassifyStop(&host, 2), RP_HOST_STOP_REPLACED);
+    assert_int_equal(RpHost_ClassifyStop(&host, 4 * INTERVAL_US),
+                     RP_HOST_STOP_SILENT);
+    struct rp_name other = make_name("i-2");
+    RpHost_HandleDeregistration(&host, 2, &other);
+    assert_int_equal(RpHost_ClassifyStop(&host, 2), RP_HOST_STOP_REPLACED);
+    RpHost_HandleDeregistration(&host, 2, &report.id);
+    assert_int_equal(RpHost_ClassifyStop(&host, 2), RP_HOST_STOP_ENDED);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_report_sequences),
         cmocka_unit_test(test_timeout),
+        cmocka_unit_test(test_announced_state),
+        cmocka_unit_test(test_stop),
         cmocka_unit_test(test_decode_reports),
         cmocka_unit_test(test_invalid_json),
     };
--- a/tests/unit/test_route_moves.c
+++ b/tests/unit/test_route_moves.c
@@ -225,8 +225,8 @@
     RpBytes_Put32(bytes + 16, flow->sequence);
     RpBytes_Put32(bytes + 20, opens ? 0 : 501);
     bytes[24] = opens ? 16 : 4;
-    assert_true(rp_codec_platform.ops->parse(bytes, HEADER_SIZE, packet,
-                                             &reason));
+    assert_true(
+        rp_codec_platform.ops->parse(bytes, HEADER_SIZE, packet, &reason));
 }
 
 /* Lets the host of `agent` answer a packet. */
@@ -234,12 +234,12 @@
 answer(struct simulation *sim, int agent, const struct open_flow *flow,
        bool opens, struct rp_actions *actions)
 {
-    const struct rp_packet reply = {
-        .data = (const uint8_t *)"",
-        .key = RpFlowKey_Reverse(flow->key),
-        .flags = opens ? RP_TCP_SYN | RP_TCP_ACK : RP_TCP_ACK,
-        .seq = opens ? 500 : 501,
-        .ack = flow->sequence + 1};
+    const struct rp_packet reply = {.data = (const uint8_t *)"",
+                                    .key = RpFlowKey_Reverse(flow->key),
+                                    .flags = opens ? RP_TCP_SYN | RP_TCP_ACK
+                                                   : RP_TCP_ACK,
+                                    .seq = opens ? 500 : 501,
+                                    .ack = flow->sequence + 1};
 
     RpAgent_FromHost(sim->nodes[BALANCERS + agent].agent, sim->now, &reply,
                      actions);
@@ -326,9 +326,9 @@
     RpCatalog_Free(sim->catalog);
     sim->catalog = RpCatalog_Create();
     CHECK(sim,
-          RpCatalog_Restore(sim->catalog,
-                            (struct rp_str){.data = bytes->str,
-                                            .len = bytes->len}) == RP_OK,
+          RpCatalog_Restore(
+              sim->catalog,
+              (struct rp_str){.data = bytes->str, .len = bytes->len}) == RP_OK,
           "a snapshot does not decode");
     g_string_free(bytes, TRUE);
 }
