Balancers: packets without a table wait up to 400 ms for it

The copy of a dropped SYN comes 200 or 400 ms later, and callers have 500 ms.

Such packets, and those that find no member in a table which may still lack members, wait in a queue bounded in number, bytes and age; only the latest copy of a SYN stays. The next table routes them in the order of their arrival. Counters packet_waited, drop_waited_too_long, drop_waiting_full; events flow_waits and waiting_expired.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -46,6 +46,12 @@
       "dropped: no room to hold the packet")                                  \
     /* Balancer. */                                                           \
     X(ROUTED, "routed", "packets sent to an agent")                           \
+    X(PACKET_WAITED, "packet_waited",                                         \
+      "packets that waited for a table or for members")                       \
+    X(DROP_WAITED_TOO_LONG, "drop_waited_too_long",                           \
+      "dropped: no table or members before the deadline")                     \
+    X(DROP_WAITING_FULL, "drop_waiting_full",                                 \
+      "dropped: too many newer packets wait for a table")                     \
     X(RESET_NO_MEMBER, "reset_no_member",                                     \
       "new flows reset by a balancer: no upstream is ready")                  \
     /* New flows at an agent. */                                              \
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -87,6 +87,7 @@
         .kind = RP_ROUTE_DROP,
         .chain = {.lowest_utilisation = RP_CHAIN_NO_UTILISATION}};
     if (RpTable_Revision(table) == 0) {
+        route->kind = RP_ROUTE_WAIT;
         route->reason = RP_COUNT_DROP_NO_TABLE;
         return;
     }
@@ -122,7 +123,11 @@
         route->kind = RP_ROUTE_SEND;
         route->reason = RP_COUNT_ROUTED;
     }
-    else if (opens && !RpTable_MayLackMembers(table)) {
+    else if (RpTable_MayLackMembers(table)) {
+        route->kind = RP_ROUTE_WAIT;
+        route->reason = RP_COUNT_DROP_NO_MEMBER;
+    }
+    else if (opens) {
         route->kind = RP_ROUTE_RESET;
         route->reason = RP_COUNT_RESET_NO_MEMBER;
     }
--- a/lib/flow/rp_balancer.h
+++ b/lib/flow/rp_balancer.h
@@ -10,7 +10,8 @@
 enum rp_route_kind {
     RP_ROUTE_SEND,  /* send it to chain.hop[0], with the tag and the chain */
     RP_ROUTE_RESET, /* answer the caller with a reset */
-    RP_ROUTE_DROP
+    RP_ROUTE_DROP,
+    RP_ROUTE_WAIT /* no route, but the next table may have one */
 };
 
 struct rp_route {
@@ -28,8 +29,9 @@
  * If the address has former targets, its flows may have been opened with
  * these: their best members follow, and the chain names the services.
  *
- * Without candidates, a packet that opens a flow is answered with a reset,
- * unless the table may still lack members. All other packets are dropped. */
+ * Without a table, or without candidates in a table that may still lack
+ * members, the packet waits. Else, without candidates, a packet that opens a
+ * flow is answered with a reset, and any other is dropped. */
 void RpBalancer_Route(const struct rp_table *table,
                       const struct rp_packet *packet, struct rp_route *route);
 
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -1,10 +1,13 @@
 /* The balancer role: receives packets from the fabric, looks up the agent of
  * each in the table and forwards the packet to it. */
-#include "rp_daemon.h"
 #include "rp_balancer.h"
+#include "rp_clock.h"
+#include "rp_daemon.h"
 #include "rp_platform.h"
+#include "rp_timer.h"
 #include "rp_udp.h"
 #include "rp_uplink.h"
+#include "rp_waiting.h"
 
 #define STOP_LINGER_MAX 300 /* seconds */
 #define ZONE_WEIGHT_MAX 100
@@ -30,6 +33,8 @@
     struct rp_uplink *uplink;
     const struct rp_codec *codec;
     struct rp_platform *platform;
+    struct rp_waiting *waiting;  /* packets that cannot be routed yet */
+    struct rp_timer *wait_timer; /* drops those that wait too long */
     bool stopping;
 };
 
@@ -131,7 +136,9 @@
     RpEndpoint_Format(RpFlowKey_Destination(packet->key), address);
     RpEndpoint_Format(route->chain.hop[0], next);
     RpLog_Event(balancer->daemon.log, RP_LOG_INFO,
-                route->kind == RP_ROUTE_SEND ? "flow_routed" : "flow_unrouted",
+                route->kind == RP_ROUTE_SEND   ? "flow_routed"
+                : route->kind == RP_ROUTE_WAIT ? "flow_waits"
+                                               : "flow_unrouted",
                 "flow=%s>%s reason=%s copy=%u service=%u next=%s "
                 "candidates=%u revision=%" G_GUINT64_FORMAT " gathering=%d",
                 caller, address, RpCounter_Name(route->reason),
@@ -141,37 +148,123 @@
 }
 
 static void
-on_datagram(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
+add_to_counter(struct balancer *balancer, enum rp_counter counter,
+               size_t count)
+{
+    balancer->daemon.counters.value[counter] += count;
+}
+
+/* Drops the packets that have waited too long for a table. */
+static void
+expire_waiting(void *user)
 {
     struct balancer *balancer = user;
+    size_t expired = RpWaiting_Expire(balancer->waiting, RpClock_Now());
+
+    add_to_counter(balancer, RP_COUNT_DROP_WAITED_TOO_LONG, expired);
+    if (expired > 0) {
+        RpLog_Event(balancer->daemon.log, RP_LOG_WARN, "waiting_expired",
+                    "packets=%zu waiting=%zu", expired,
+                    RpWaiting_Count(balancer->waiting));
+    }
+    if (RpWaiting_Count(balancer->waiting) > 0) {
+        RpTimer_RunBy(balancer->wait_timer,
+                      RpClock_Now() + RP_WAITING_LIFETIME_US);
+    }
+}
+
+static void
+keep_waiting(struct balancer *balancer, const struct rp_packet *packet,
+             struct rp_endpoint from)
+{
+    int64_t now = RpClock_Now();
+    size_t dropped = RpWaiting_Put(balancer->waiting, now, packet, from);
+
+    RpCounters_Add(&balancer->daemon.counters, RP_COUNT_PACKET_WAITED);
+    add_to_counter(balancer, RP_COUNT_DROP_WAITING_FULL, dropped);
+    RpTimer_RunBy(balancer->wait_timer, now + RP_WAITING_LIFETIME_US);
+}
+
+/* Routes a packet. `waited` says that it comes from the queue: it does not
+ * stay valid until the end of a batch of received packets. Returns false if it
+ * has no route but the next table may have one. */
+static bool
+route_packet(struct balancer *balancer, const struct rp_packet *packet,
+             struct rp_endpoint from, bool waited)
+{
     const struct rp_codec_ops *ops = balancer->codec->ops;
-    struct rp_packet packet;
+    uint8_t header[RP_GENEVE_HEADROOM];
     struct rp_route route;
-    enum rp_counter reason;
 
-    if (!parse_datagram(ops, data, len, &packet, &reason)) {
-        count_and_log_drop(balancer, reason, from);
-        return;
+    RpBalancer_Route(RpUplink_Table(balancer->uplink), packet, &route);
+    if (RpPacket_Opens(packet) && (!waited || route.kind == RP_ROUTE_SEND)) {
+        log_route(balancer, packet, &route);
     }
-    RpBalancer_Route(RpUplink_Table(balancer->uplink), &packet, &route);
-    if (RpPacket_Opens(&packet)) {
-        log_route(balancer, &packet, &route);
+    if (route.kind == RP_ROUTE_WAIT) {
+        return false;
     }
+    RpCounters_Add(&balancer->daemon.counters, route.reason);
     if (route.kind == RP_ROUTE_DROP) {
-        RpCounters_Add(&balancer->daemon.counters, route.reason);
-        return;
+        return true;
     }
-    RpCounters_Add(&balancer->daemon.counters, route.reason);
     if (route.kind == RP_ROUTE_RESET) {
-        reset_caller(balancer, &packet, from);
-        return;
+        reset_caller(balancer, packet, from);
+        return true;
     }
-    uint8_t header[RP_GENEVE_HEADROOM];
     route.chain.visited = 1;
     size_t header_len = RpGeneve_Write(header, ops->protocol, &route.tag,
                                        &route.chain);
-    RpUdp_Send(balancer->udp, route.chain.hop[0], header, header_len,
-               packet.data, packet.len);
+    if (waited) {
+        RpUdp_SendCopy(balancer->udp, route.chain.hop[0], header, header_len,
+                       packet->data, packet->len);
+    }
+    else {
+        RpUdp_Send(balancer->udp, route.chain.hop[0], header, header_len,
+                   packet->data, packet->len);
+    }
+    return true;
+}
+
+static void
+on_datagram(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
+{
+    struct balancer *balancer = user;
+    struct rp_packet packet;
+    enum rp_counter reason;
+
+    if (!parse_datagram(balancer->codec->ops, data, len, &packet, &reason)) {
+        count_and_log_drop(balancer, reason, from);
+        return;
+    }
+    if (!route_packet(balancer, &packet, from, false)) {
+        keep_waiting(balancer, &packet, from);
+    }
+}
+
+/* Routes the packets that wait, with a table that has just changed. Those that
+ * still have no route go on waiting until their deadline. */
+static void
+route_waiting(void *user)
+{
+    struct balancer *balancer = user;
+    expire_waiting(balancer);
+    size_t count = RpWaiting_Count(balancer->waiting);
+    while (count-- > 0) {
+        struct rp_waiting_packet *waiting = RpWaiting_Take(balancer->waiting);
+        struct rp_packet packet;
+        enum rp_counter reason;
+        if (!balancer->codec->ops->parse(waiting->data, waiting->len, &packet,
+                                         &reason)) {
+            count_and_log_drop(balancer, reason, waiting->from);
+            g_free(waiting);
+        }
+        else if (route_packet(balancer, &packet, waiting->from, true)) {
+            g_free(waiting);
+        }
+        else {
+            RpWaiting_Return(balancer->waiting, waiting);
+        }
+    }
 }
 
 static void
@@ -181,7 +274,7 @@
 }
 
 static const struct rp_uplink_ops uplink_ops = {
-    .connected = ignore_uplink_event, .table_changed = ignore_uplink_event};
+    .connected = ignore_uplink_event, .table_changed = route_waiting};
 
 static bool
 is_healthy(void *user, GString *why)
@@ -325,6 +418,9 @@
     }
     RpLog_SetBudget(daemon->log, "flow_routed", FLOW_LINES_PER_SECOND);
     RpLog_SetBudget(daemon->log, "flow_unrouted", FLOW_LINES_PER_SECOND);
+    RpLog_SetBudget(daemon->log, "flow_waits", FLOW_LINES_PER_SECOND);
+    balancer.waiting = RpWaiting_Create();
+    balancer.wait_timer = RpTimer_Create(expire_waiting, &balancer);
     balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
                                       &all_services, &uplink_ops, &balancer);
     RpUplink_PreferZone(balancer.uplink, &balancer.settings.common.zone,
@@ -339,6 +435,8 @@
     RpPlatform_Close(balancer.platform);
     RpUdp_Close(balancer.udp);
     RpUplink_Free(balancer.uplink);
+    RpTimer_Free(balancer.wait_timer);
+    RpWaiting_Free(balancer.waiting);
     RpDaemon_Clear(daemon);
     return exit_code;
 }
--- a/tests/unit/test_tables.c
+++ b/tests/unit/test_tables.c
@@ -179,6 +179,7 @@
     struct rp_flow_key key = {0x0a090001, 0x0a500001, 4000, 7000};
     make_test_packet(&test, key, RP_TCP_SYN, 1, 0, 0);
     RpBalancer_Route(table, &test.packet, &route);
+    assert_int_equal(route.kind, RP_ROUTE_WAIT);
     assert_int_equal(route.reason, RP_COUNT_DROP_NO_TABLE);
 
     RpTable_Apply(table, &msg.table);
