Agents: search the owner of a flow, and reset one that has certainly died

And in a service of more than 15 members the walk along the chain may never reach the owner of a flow.

The last agent of a walk now sends the packet to every agent that may own the flow: all members, ready, draining and lost, of each service that the address has or had. The owner handles it; the others answer. Only if all say that they do not own the flow, its caller is reset. No reset if one is silent or not sure, if the chain names an agent that the table lacks, if the table got members or a configuration in the last 500 ms, without a connection to control, while control gathers or is cut off (new in tables), or if a replica that lost its memory has dropped a member that nobody signed off.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -100,6 +100,10 @@
       "dropped: owner not found yet, tables may be stale")                    \
     X(RESET_OWNER_GONE, "reset_owner_gone",                                   \
       "flows reset: no agent owns them any more")                             \
+    X(OWNER_SEARCHED, "owner_searched",                                       \
+      "searches for the owner of a flow, one for each service asked")         \
+    X(SEARCH_ANSWERED, "search_answered",                                     \
+      "searches of other agents that this agent answered")                    \
     X(RESET_HOST_LOST, "reset_host_lost",                                     \
       "flows reset: the host no longer has them")                             \
     X(HOST_GAVE_BACK, "host_gave_back", "packets that the host returned")     \
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -142,6 +142,7 @@
     msg->table.services = RpSchema_NewList(&rp_msg_service_schema);
     msg->table.removed = RpSchema_NewList(&rp_msg_removed_schema);
     msg->table.gathering = distribution->gathering_until != 0;
+    msg->table.cut_off = !distribution->fresh;
     msg->table.vips = RpSchema_NewList(&rp_msg_vip_schema);
     msg->table.removed_vips = RpSchema_NewList(&rp_msg_removed_vip_schema);
 }
@@ -230,7 +231,7 @@
                         pending->removed_vips->len);
     if (msg.table.services->len || msg.table.removed->len ||
         msg.table.vips->len || msg.table.removed_vips->len ||
-        pending->revision_changed) {
+        pending->revision_changed || pending->fresh_changed) {
         distribution->send(distribution->user, node->connection, &msg);
     }
     RpMsg_Clear(&msg);
@@ -397,11 +398,9 @@
 RpDistribution_SetFresh(struct rp_distribution *distribution, int64_t now,
                         bool fresh)
 {
+    distribution->pending.fresh_changed |= distribution->fresh != fresh;
     distribution->fresh = fresh;
-    if (fresh) {
-        distribution->pending.deadline = MIN(distribution->pending.deadline,
-                                             now);
-    }
+    distribution->pending.deadline = MIN(distribution->pending.deadline, now);
 }
 
 /* Updates the time since which each node is behind, and removes nodes that
@@ -504,6 +503,7 @@
     g_array_set_size(pending->removed_vips, 0);
     pending->edition_changed = false;
     pending->resend_all = false;
+    pending->fresh_changed = false;
     pending->revision_changed = false;
     pending->deadline = RP_NEVER;
     distribution->sent_revision = RpCatalog_Revision(distribution->catalog);
--- a/lib/control/rp_distribution_internal.h
+++ b/lib/control/rp_distribution_internal.h
@@ -28,6 +28,7 @@
     GArray *removed_vips;     /* of struct rp_msg_removed_vip */
     bool edition_changed;
     bool resend_all;       /* send full tables to all nodes */
+    bool fresh_changed;    /* every node must learn `cut_off` */
     bool revision_changed; /* every node must learn the new revision */
     int64_t deadline;      /* of the next flush; RP_NEVER: none scheduled */
 };
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -28,6 +28,9 @@
     agent->counters = counters;
     agent->flows = RpFlowTable_Create(config->seed);
     agent->hold = RpHold_Create();
+    agent->searches = RpOwnerSearch_Create();
+    agent->search_targets = g_array_new(FALSE, FALSE,
+                                        sizeof(struct rp_endpoint));
     RpAgent_CreateRequestQueue(agent);
     if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
         RpAgent_Free(agent);
@@ -49,6 +52,8 @@
     RpAgent_FreeRequestQueue(agent);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
+    RpOwnerSearch_Free(agent->searches);
+    g_array_free(agent->search_targets, TRUE);
     g_free(agent->action_packet);
     RpAdmission_Free(agent->policy);
     g_free(agent);
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -26,7 +26,7 @@
 #include "rp_packet.h"
 #include "rp_table.h"
 
-#define RP_MAX_ACTIONS 4 /* of one call */
+#define RP_MAX_ACTIONS 6 /* of one call */
 /* Bytes that a packet made by the agent fits into. */
 #define RP_SCRATCH_SIZE RP_CODEC_SCRATCH
 
@@ -34,7 +34,9 @@
     RP_ACTION_DROP,
     RP_ACTION_TO_HOST,
     RP_ACTION_TO_CALLER,
-    RP_ACTION_TO_NEXT_AGENT /* to the agent at `next` */
+    RP_ACTION_TO_NEXT_AGENT, /* to the agent at `next` */
+    RP_ACTION_SEARCH,        /* to each of `targets`, as a search */
+    RP_ACTION_SEARCH_ANSWER  /* the verdict, to the agent at `next` */
 };
 
 /* One action. `data` is borrowed: it points into the packet that was passed
@@ -48,7 +50,12 @@
     /* Only with RP_ACTION_TO_NEXT_AGENT: */
     struct rp_endpoint next;
     struct rp_chain chain;
-    struct rp_service_tag tag;
+    struct rp_service_tag tag; /* also with RP_ACTION_SEARCH */
+    /* Only with RP_ACTION_SEARCH, and `search_id` also with an answer: */
+    uint32_t search_id;
+    const struct rp_endpoint *targets; /* borrowed, as `data` */
+    size_t target_count;
+    enum rp_search_verdict verdict; /* only with RP_ACTION_SEARCH_ANSWER */
 };
 
 struct rp_actions {
@@ -110,6 +117,12 @@
 void RpAgent_SetTable(struct rp_agent *agent, const struct rp_table *table,
                       const struct rp_service *service);
 
+/* Tells the agent that an update has been applied to the table, and whether
+ * there is a connection to control, which would bring further ones. An agent
+ * whose table may be out of date never takes a flow for dead. */
+void RpAgent_TableUpdated(struct rp_agent *agent, int64_t now);
+void RpAgent_SetControlConnected(struct rp_agent *agent, bool connected);
+
 /* Sets whether the agent is draining: it then admits no new flows. */
 void RpAgent_SetDraining(struct rp_agent *agent, bool draining);
 
@@ -144,6 +157,21 @@
                         const struct rp_geneve *geneve,
                         struct rp_actions *actions);
 
+/* Handles a packet of a flow whose owner another agent searches
+ * (`geneve->has_search`): answers whether this agent owns the flow, and
+ * handles the packet if it does. */
+void RpAgent_OnSearch(struct rp_agent *agent, int64_t now,
+                      const struct rp_packet *packet,
+                      const struct rp_geneve *geneve,
+                      struct rp_actions *actions);
+
+/* Handles the answer of the agent at `from` to a search of this agent
+ * (`geneve->has_answer`). If no agent owns the flow, resets its caller. */
+void RpAgent_OnSearchAnswer(struct rp_agent *agent, int64_t now,
+                            struct rp_endpoint from,
+                            const struct rp_geneve *geneve,
+                            struct rp_actions *actions);
+
 /* Handles a packet from the host, or a caller's packet that the host returned
  * (`packet->returned`). */
 void RpAgent_FromHost(struct rp_agent *agent, int64_t now,
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -10,6 +10,7 @@
 #include "rp_request_queue.h"
 #include "rp_health.h"
 #include "rp_hold.h"
+#include "rp_owner_search.h"
 #include "rp_time.h"
 #include "rp_service_time.h"
 
@@ -77,6 +78,12 @@
     struct rp_service_time service_time; /* of the host's requests */
     int32_t retry_budget_cents; /* retry budget, in hundredths of a retry */
     int64_t next_scan;          /* when the flow table is scanned next */
+    struct rp_owner_search *searches;
+    GArray *search_targets;   /* of struct rp_endpoint, for the last actions */
+    uint64_t table_additions; /* at the last update of the table */
+    uint64_t table_revision;
+    int64_t table_changed_at; /* when one of these changed last */
+    bool control_connected;
 };
 
 /* Starts a call: empties `actions` and frees the packet that the actions of
@@ -232,6 +239,15 @@
                                 const struct rp_chain *chain,
                                 struct rp_actions *actions);
 
+/* rp_agent_search.c: asks every agent that may own the packet's flow whether
+ * it does, and the owner to handle the packet. Returns false if nothing is
+ * sent: the table may lack agents, or there are too many searches. */
+bool RpAgent_BeginSearch(struct rp_agent *agent, int64_t now,
+                         const struct rp_flow *flow,
+                         const struct rp_packet *packet,
+                         const struct rp_chain *chain,
+                         struct rp_actions *actions);
+
 /* rp_agent_learn.c: queries the host about a flow without an entry: sends it
  * the packet and keeps a copy. */
 void RpAgent_QueryHost(struct rp_agent *agent, int64_t now,
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -416,8 +416,14 @@
 static void
 handle_missing_owner(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
                      const struct rp_packet *packet,
-                     struct rp_actions *actions)
+                     const struct rp_chain *chain, struct rp_actions *actions)
 {
+    /* Where segments can be made, a search over time takes the place of one
+     * that asks every agent. */
+    if (!RpAgent_CanMakeSegments(agent) &&
+        RpAgent_BeginSearch(agent, now, flow, packet, chain, actions)) {
+        return;
+    }
     if (flow && !(flow->flags & RP_FLOW_OWNER_UNKNOWN)) {
         flow->flags |= RP_FLOW_OWNER_UNKNOWN;
         flow->host_seen = now;
@@ -460,7 +466,7 @@
     }
     if (!found) {
         if (!forward_to_sibling(agent, packet, chain, actions)) {
-            handle_missing_owner(agent, now, flow, packet, actions);
+            handle_missing_owner(agent, now, flow, packet, chain, actions);
         }
         return;
     }
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -23,6 +23,10 @@
     struct rp_name preferred_zone;
     uint32_t zone_weight;  /* factor for members in the preferred zone */
     bool may_lack_members; /* the sender has just started */
+    bool cut_off;          /* the sender may be stale */
+    /* Names of members that were dropped at the end of `may_lack_members`. */
+    GHashTable *unaccounted;
+    uint64_t additions; /* members that updates have added */
 };
 
 /* Entry i is log2(1 + i / LOG_TABLE_SIZE) in fixed point. */
@@ -68,6 +72,8 @@
     table->by_id = g_hash_table_new_full(NULL, NULL, NULL, free_service);
     table->vips = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                         free_vip);
+    table->unaccounted = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
+                                               g_free, NULL);
     table->zone_weight = 1;
     return table;
 }
@@ -87,6 +93,7 @@
         g_hash_table_destroy(table->by_address);
         g_hash_table_destroy(table->by_id);
         g_hash_table_destroy(table->vips);
+        g_hash_table_destroy(table->unaccounted);
         g_free(table);
     }
 }
@@ -180,8 +187,26 @@
     g_hash_table_remove(table->by_id, GUINT_TO_POINTER(id));
 }
 
+/* Records the members of `old` that `service` lacks because the replica that
+ * sends it never heard of them: it has not been told that they are gone. */
 static void
-put_service(struct rp_table *table, const struct rp_msg_service *from)
+record_unaccounted(struct rp_table *table, const struct rp_service *service,
+                   const struct rp_service *old)
+{
+    for (size_t i = 0; i < old->count; i++) {
+        const struct rp_name *name = &old->members[i].name;
+        if (!has_member(service, name)) {
+            g_hash_table_add(table->unaccounted,
+                             g_memdup2(name, sizeof *name));
+        }
+    }
+}
+
+/* `had_gathered` says that the table may have lacked members until this
+ * update, which does not. */
+static void
+put_service(struct rp_table *table, const struct rp_msg_service *from,
+            bool had_gathered)
 {
     struct rp_service *service = create_service(table, from);
     guint64 key = RpEndpoint_Key(service->address);
@@ -191,6 +216,14 @@
     if (old && table->may_lack_members) {
         add_missing_members(service, old);
     }
+    if (old && had_gathered) {
+        record_unaccounted(table, service, old);
+    }
+    for (size_t i = 0; i < service->count; i++) {
+        const struct rp_name *name = &service->members[i].name;
+        g_hash_table_remove(table->unaccounted, name);
+        table->additions += !old || !has_member(old, name);
+    }
     remove_service(table, from->id);
     g_hash_table_insert(table->by_id, GUINT_TO_POINTER(from->id), service);
     if (service->address.port != 0) {
@@ -277,13 +310,28 @@
     return table->may_lack_members;
 }
 
+uint64_t
+RpTable_CountAdditions(const struct rp_table *table)
+{
+    return table->additions;
+}
+
+bool
+RpTable_IsAuthoritative(const struct rp_table *table)
+{
+    return table->revision > 0 && !table->may_lack_members &&
+           !table->cut_off && g_hash_table_size(table->unaccounted) == 0;
+}
+
 enum rp_code
 RpTable_Apply(struct rp_table *table, const struct rp_msg_table *update)
 {
     if (update->revision < table->revision) {
         return RP_ERR_CONFLICT;
     }
+    bool had_gathered = table->may_lack_members && !update->gathering;
     table->may_lack_members = update->gathering;
+    table->cut_off = update->cut_off;
     if (update->complete) {
         remove_unlisted(table, update);
     }
@@ -293,8 +341,9 @@
             g_array_index(update->removed, struct rp_msg_removed, i).id);
     }
     for (guint i = 0; update->services && i < update->services->len; i++) {
-        put_service(
-            table, &g_array_index(update->services, struct rp_msg_service, i));
+        put_service(table,
+                    &g_array_index(update->services, struct rp_msg_service, i),
+                    had_gathered);
     }
     apply_vips(table, update);
     memcpy(table->hash_key, update->hash_key, RP_HASH_KEY_SIZE);
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -99,6 +99,15 @@
  * that sent it has just started and has not heard from all upstreams yet. */
 bool RpTable_MayLackMembers(const struct rp_table *table);
 
+/* Returns whether the table surely lists every upstream that may have open
+ * flows. It does not if the control replica that sent it has just started or
+ * is cut off from the others, or if a replica that lost its memory has not
+ * heard again of an upstream that the table had before. */
+bool RpTable_IsAuthoritative(const struct rp_table *table);
+
+/* Returns how many members updates have added in all. */
+uint64_t RpTable_CountAdditions(const struct rp_table *table);
+
 /* Returns the configuration revision in force; 0 before the first table. */
 uint64_t RpTable_Revision(const struct rp_table *table);
 
--- a/lib/flow/rp_waiting.c
+++ b/lib/flow/rp_waiting.c
@@ -101,9 +101,10 @@
 
     /* All packets wait equally long, so they are in the order of their
      * deadlines. */
-    while (waiting->packets.head &&
-           ((struct rp_waiting_packet *)waiting->packets.head->data)
-                   ->deadline <= now) {
+    while (
+        waiting->packets.head &&
+        ((struct rp_waiting_packet *)waiting->packets.head->data)->deadline <=
+            now) {
         g_free(RpWaiting_Take(waiting));
         expired++;
     }
--- a/lib/flow/rp_waiting.h
+++ b/lib/flow/rp_waiting.h
@@ -24,7 +24,8 @@
 #include "rp_time.h"
 
 #define RP_WAITING_MAX_PACKETS 1024
-#define RP_WAITING_MAX_BYTES (512 * 1024) /* of packets, without their records */
+#define RP_WAITING_MAX_BYTES                                                  \
+    (512 * 1024) /* of packets, without their records */
 /* The longest gap between two copies of a SYN. A packet that has waited longer
  * has been repeated or given up. */
 #define RP_WAITING_LIFETIME_US (400 * RP_US_PER_MS)
@@ -45,8 +46,9 @@
 
 void RpWaiting_Free(struct rp_waiting *waiting);
 
-/* Keeps a copy of the packet, which came from `from`. Returns the number of packets that were dropped
- * to make room, which includes the packet itself if it is too large. */
+/* Keeps a copy of the packet, which came from `from`. Returns the number of
+ * packets that were dropped to make room, which includes the packet itself if
+ * it is too large. */
 size_t RpWaiting_Put(struct rp_waiting *waiting, int64_t now,
                      const struct rp_packet *packet, struct rp_endpoint from);
 
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -12,7 +12,11 @@
 #define OPTION_SERVICE 0x81
 #define OPTION_CHAIN 0x82
 #define OPTION_SERVICES 0x03
+#define OPTION_SEARCH 0x84
+#define OPTION_ANSWER 0x85
 #define SERVICE_SIZE 16
+#define SEARCH_SIZE 12
+#define ANSWER_SIZE 8
 #define CHAIN_HEADER_SIZE 4
 #define CHAIN_HOP_SIZE 8
 #define CHAIN_FORCED 0x80 /* flag in the byte of the best candidate */
@@ -53,6 +57,32 @@
     return true;
 }
 
+static bool
+parse_search(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    if (len != SEARCH_SIZE || out->has_search || out->has_answer) {
+        return false;
+    }
+    out->has_search = true;
+    out->searcher.ip = RpBytes_Get32(data);
+    out->searcher.port = RpBytes_Get16(data + 4);
+    out->search_id = RpBytes_Get32(data + 8);
+    return true;
+}
+
+static bool
+parse_answer(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    if (len != ANSWER_SIZE || out->has_search || out->has_answer ||
+        data[4] < RP_SEARCH_OWNS || data[4] > RP_SEARCH_UNSURE) {
+        return false;
+    }
+    out->has_answer = true;
+    out->search_id = RpBytes_Get32(data);
+    out->verdict = (enum rp_search_verdict)data[4];
+    return true;
+}
+
 /* Whether every candidate refers to a service of the chain. */
 static bool
 has_valid_services(const struct rp_chain *chain)
@@ -121,6 +151,12 @@
         else if (class == OPTION_CLASS && type == OPTION_SERVICES) {
             accepted = parse_services(value, body_size, out);
         }
+        else if (class == OPTION_CLASS && type == OPTION_SEARCH) {
+            accepted = parse_search(value, body_size, out);
+        }
+        else if (class == OPTION_CLASS && type == OPTION_ANSWER) {
+            accepted = parse_answer(value, body_size, out);
+        }
         else {
             accepted = !(type & OPTION_CRITICAL);
         }
@@ -139,6 +175,8 @@
 {
     out->has_tag = false;
     out->has_chain = false;
+    out->has_search = false;
+    out->has_answer = false;
     out->chain.count = 0;
     out->chain.visited = 0;
     out->chain.best = 0;
@@ -225,6 +263,19 @@
     return p;
 }
 
+/* Writes the fixed part of the header, whose options end at `end`. Returns the
+ * size of the header. */
+static size_t
+finish_header(uint8_t *out, const uint8_t *end, uint16_t protocol)
+{
+    size_t options = (size_t)(end - out) - RP_GENEVE_HEADER;
+
+    out[0] = (uint8_t)(options / 4);
+    out[1] = options ? 0x40 : 0; /* the "critical options present" bit */
+    RpBytes_Put16(out + 2, protocol);
+    return RP_GENEVE_HEADER + options;
+}
+
 size_t
 RpGeneve_Write(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
                const struct rp_service_tag *tag, const struct rp_chain *chain)
@@ -241,11 +292,38 @@
     if (chain && chain->service_count > 0) {
         p = write_services(p, chain);
     }
-    size_t options = (size_t)(p - out) - RP_GENEVE_HEADER;
-    out[0] = (uint8_t)(options / 4);
-    out[1] = options ? 0x40 : 0; /* the "critical options present" bit */
-    RpBytes_Put16(out + 2, protocol);
-    return (size_t)(p - out);
+    return finish_header(out, p, protocol);
+}
+
+size_t
+RpGeneve_WriteSearch(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                     const struct rp_service_tag *tag,
+                     struct rp_endpoint searcher, uint32_t search_id)
+{
+    uint8_t *p = out + RP_GENEVE_HEADER;
+
+    memset(out, 0, RP_GENEVE_HEADER);
+    p = write_service(p, tag);
+    p = write_option_header(p, OPTION_SEARCH, SEARCH_SIZE);
+    RpBytes_Put32(p, searcher.ip);
+    RpBytes_Put16(p + 4, searcher.port);
+    RpBytes_Put16(p + 6, 0);
+    RpBytes_Put32(p + 8, search_id);
+    return finish_header(out, p + SEARCH_SIZE, protocol);
+}
+
+size_t
+RpGeneve_WriteAnswer(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                     uint32_t search_id, enum rp_search_verdict verdict)
+{
+    uint8_t *p = out + RP_GENEVE_HEADER;
+
+    memset(out, 0, RP_GENEVE_HEADER);
+    p = write_option_header(p, OPTION_ANSWER, ANSWER_SIZE);
+    memset(p, 0, ANSWER_SIZE);
+    RpBytes_Put32(p, search_id);
+    p[4] = (uint8_t)verdict;
+    return finish_header(out, p + ANSWER_SIZE, protocol);
 }
 
 bool
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -1,7 +1,8 @@
 /* Encapsulation between fabric, balancers, agents and hosts: Geneve over UDP
  * (RFC 8926) with one inner packet.
  *
- * Three options of the experimental class carry the balancer's decision:
+ * Options of the experimental class carry the decisions of balancers and
+ * agents:
  *
  * - service (critical, 16 bytes): id, incarnation and table generation of
  *   the service that the packet is for;
@@ -9,7 +10,11 @@
  *   many of them have seen the packet already, and, for a new flow, which
  *   of these was the least busy and its utilisation;
  * - services (16 * n bytes), only if the candidates belong to more than one
- *   service: the services' tags, which the candidates refer to by their index.
+ *   service: the services' tags, which the candidates refer to by their index;
+ * - search (critical, 12 bytes): the agent that searches the owner of the
+ *   packet's flow, and the id of its search;
+ * - answer (critical, 8 bytes): the id of a search and the verdict of the
+ *   agent that sends this; there is no inner packet.
  *
  * Unknown options are skipped unless they are marked critical.
  */
@@ -64,10 +69,22 @@
     struct rp_service_tag service[RP_CHAIN_MAX_SERVICES];
 };
 
+/* What an agent answers to another one that searches the owner of a flow. */
+enum rp_search_verdict {
+    RP_SEARCH_OWNS = 1,
+    RP_SEARCH_NOT_OWNED,
+    RP_SEARCH_UNSURE /* it may have lost the entry of the flow */
+};
+
 /* A parsed datagram; `inner` points into the datagram. */
 struct rp_geneve {
     bool has_tag;
     bool has_chain;
+    bool has_search;
+    bool has_answer;
+    uint32_t search_id;             /* with a search or an answer */
+    struct rp_endpoint searcher;    /* with a search */
+    enum rp_search_verdict verdict; /* with an answer */
     struct rp_service_tag tag;
     struct rp_chain chain;
     const uint8_t *inner;
@@ -87,6 +104,15 @@
                       const struct rp_service_tag *tag,
                       const struct rp_chain *chain);
 
+/* Write the header of a search for the owner of the inner packet's flow, and
+ * of an answer to a search. The size is as for RpGeneve_Write. */
+size_t RpGeneve_WriteSearch(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                            const struct rp_service_tag *tag,
+                            struct rp_endpoint searcher, uint32_t search_id);
+size_t RpGeneve_WriteAnswer(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                            uint32_t search_id,
+                            enum rp_search_verdict verdict);
+
 /* Returns whether `endpoint` is one of the candidates. */
 bool RpChain_Contains(const struct rp_chain *chain,
                       struct rp_endpoint endpoint);
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -156,9 +156,14 @@
     LIST(rp_msg_table, vips, rp_msg_vip_schema),
     LIST(rp_msg_table, removed_vips, rp_msg_removed_vip_schema),
     UINT(rp_msg_table, gathering),
-};
-static const struct rp_schema rp_msg_table_schema = RP_SCHEMA(rp_msg_table,
-                                                              table_fields);
+    UINT(rp_msg_table, cut_off),
+};
+/* Replicas of earlier versions do not send the last field. */
+static const struct rp_schema rp_msg_table_schema = {
+    .fields = table_fields,
+    .count = G_N_ELEMENTS(table_fields),
+    .required = G_N_ELEMENTS(table_fields) - 1,
+    .size = sizeof(struct rp_msg_table)};
 
 static const struct rp_field confirm_fields[] = {
     UINT(rp_msg_confirm, revision),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -154,6 +154,9 @@
      * A node keeps the members that it knows until it gets a table with 0
      * here. */
     uint8_t gathering;
+    /* 1: this replica is cut off from the majority, so there may be upstreams
+     * that it does not know. */
+    uint8_t cut_off;
 };
 
 /* A service in an edition. */
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -166,6 +166,20 @@
         send_action(agent, agent->balancer_side, action->next, header, len,
                     action);
         break;
+    case RP_ACTION_SEARCH:
+        len = RpGeneve_WriteSearch(header, ops->protocol, &action->tag,
+                                   agent->settings.listen, action->search_id);
+        for (size_t i = 0; i < action->target_count; i++) {
+            send_action(agent, agent->balancer_side, action->targets[i],
+                        header, len, action);
+        }
+        break;
+    case RP_ACTION_SEARCH_ANSWER:
+        len = RpGeneve_WriteAnswer(header, ops->protocol, action->search_id,
+                                   action->verdict);
+        RpUdp_SendCopy(agent->balancer_side, action->next, header, len, NULL,
+                       0);
+        break;
     }
 }
 
@@ -186,7 +200,11 @@
     enum rp_counter reason;
 
     agent->received = NULL;
-    if (RpGeneve_Parse(data, len, ops->protocol, geneve, &reason) &&
+    bool parsed = RpGeneve_Parse(data, len, ops->protocol, geneve, &reason);
+    if (parsed && geneve->has_answer) {
+        return true;
+    }
+    if (parsed &&
         ops->parse(geneve->inner, geneve->inner_len, packet, &reason)) {
         agent->received = packet->data;
         agent->received_flow = packet->key;
@@ -252,8 +270,20 @@
 
     if (parse_encapsulated(agent, data, len, from, &geneve, &packet)) {
         int64_t now = RpClock_Now();
-        RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
-                           &agent->actions);
+        RpAgent_SetControlConnected(agent->flows,
+                                    RpUplink_IsConnected(agent->uplink));
+        if (geneve.has_answer) {
+            RpAgent_OnSearchAnswer(agent->flows, now, from, &geneve,
+                                   &agent->actions);
+        }
+        else if (geneve.has_search) {
+            RpAgent_OnSearch(agent->flows, now, &packet, &geneve,
+                             &agent->actions);
+        }
+        else {
+            RpAgent_FromCaller(agent->flows, now, &packet, &geneve,
+                               &agent->actions);
+        }
         if (agent->actions.begins_request) {
             RpAgentLog_Request(agent, &packet);
         }
@@ -348,6 +378,7 @@
 
     agent->service = RpTable_FindByName(table, &agent->settings.service);
     RpAgent_SetTable(agent->flows, table, agent->service);
+    RpAgent_TableUpdated(agent->flows, RpClock_Now());
 }
 
 static void
--- a/tests/unit/test_tables.c
+++ b/tests/unit/test_tables.c
@@ -195,6 +195,56 @@
     RpTable_Free(table);
 }
 
+static void
+apply_service_two(struct rp_table *table, uint8_t gathering, uint8_t cut_off,
+                  unsigned first, unsigned last)
+{
+    struct rp_msg msg = {.type = RP_MSG_TABLE};
+    struct rp_msg_service service = {
+        .id = 2, .members = RpSchema_NewList(&rp_msg_member_schema)};
+
+    for (unsigned i = first; i <= last; i++) {
+        add_member(service.members, i, 2, RP_UPSTREAM_READY);
+    }
+    msg.table.revision = 1;
+    msg.table.gathering = gathering;
+    msg.table.cut_off = cut_off;
+    msg.table.services = RpSchema_NewList(&rp_msg_service_schema);
+    g_array_append_val(msg.table.services, service);
+    assert_int_equal(RpTable_Apply(table, &msg.table), RP_OK);
+    RpMsg_Clear(&msg);
+}
+
+/* When a table surely lists every upstream: not while its replica gathers or
+ * is cut off, and not while it lacks an upstream that only a replica which
+ * lost its memory has dropped. */
+static void
+test_authoritative_tables(void **state)
+{
+    struct rp_table *table = RpTable_Create();
+
+    (void)state;
+    assert_false(RpTable_IsAuthoritative(table));
+    apply_service_two(table, 0, 0, 1, 3);
+    assert_true(RpTable_IsAuthoritative(table));
+    assert_int_equal(RpTable_CountAdditions(table), 3);
+    apply_service_two(table, 0, 1, 1, 3);
+    assert_false(RpTable_IsAuthoritative(table));
+    /* Member 3 leaves in the ordinary way, member 4 comes. */
+    apply_service_two(table, 0, 0, 1, 2);
+    assert_true(RpTable_IsAuthoritative(table));
+    apply_service_two(table, 0, 0, 1, 4);
+    assert_int_equal(RpTable_CountAdditions(table), 5);
+    /* Control has lost its memory, and hears only of 1 to 3 again. */
+    apply_service_two(table, 1, 0, 1, 2);
+    assert_false(RpTable_IsAuthoritative(table));
+    apply_service_two(table, 0, 0, 1, 3);
+    assert_false(RpTable_IsAuthoritative(table));
+    apply_service_two(table, 0, 0, 2, 4);
+    assert_true(RpTable_IsAuthoritative(table));
+    RpTable_Free(table);
+}
+
 /* Compares the flow table with a plain hash table under random insertions and
  * removals. */
 static void
@@ -320,6 +370,7 @@
         cmocka_unit_test(test_flows_in_proportion_to_slots),
         cmocka_unit_test(test_revision_never_decreases),
         cmocka_unit_test(test_routes),
+        cmocka_unit_test(test_authoritative_tables),
         cmocka_unit_test(test_flow_table_model),
         cmocka_unit_test(test_keeps_members_while_gathering),
     };
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -130,6 +130,37 @@
     assert_int_equal(geneve.inner_len, 20);
 }
 
+/* The headers of a search for a flow's owner and of an answer to it, and
+ * damaged ones. */
+static void
+test_geneve_search(void **state)
+{
+    const struct rp_service_tag tag = {.service_id = 3, .incarnation = 4};
+    const struct rp_endpoint searcher = {.ip = 0x0a000001, .port = 8172};
+    uint8_t data[RP_GENEVE_HEADROOM];
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+
+    (void)state;
+    size_t len = RpGeneve_WriteSearch(data, RP_GENEVE_IPV4, &tag, searcher, 7);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_true(geneve.has_search && geneve.has_tag && !geneve.has_answer);
+    assert_true(RpEndpoint_Equal(geneve.searcher, searcher));
+    assert_int_equal(geneve.search_id, 7);
+    len = RpGeneve_WriteAnswer(data, RP_GENEVE_IPV4, 9, RP_SEARCH_NOT_OWNED);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_true(geneve.has_answer && !geneve.has_search && !geneve.has_tag);
+    assert_int_equal(geneve.search_id, 9);
+    assert_int_equal(geneve.verdict, RP_SEARCH_NOT_OWNED);
+    for (size_t cut = 1; cut < len; cut++) {
+        assert_false(
+            RpGeneve_Parse(data, len - cut, RP_GENEVE_IPV4, &geneve, &reason));
+    }
+    data[len - 4] = RP_SEARCH_UNSURE + 1;
+    assert_false(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_int_equal(reason, RP_COUNT_DROP_BAD_OPTION);
+}
+
 /* Candidates of several services: each keeps its tag, and the service that
  * handles the packet replaces its own by a newer one. */
 static void
@@ -466,6 +497,7 @@
         cmocka_unit_test(test_bad_packets),
         cmocka_unit_test(test_trim_payload_and_make_reset),
         cmocka_unit_test(test_geneve_round_trip),
+        cmocka_unit_test(test_geneve_search),
         cmocka_unit_test(test_geneve_services),
         cmocka_unit_test(test_bad_geneve),
         cmocka_unit_test(test_unknown_option),
