Agents: a late packet of an earlier flow does not reach the caller

The agent took the host's packet for one of the new flow: it sent the old answer to the caller, and an old FIN closed the new flow's entry. A redirected entry was even overridden, as if the packet proved that the host owns the new flow.

--- a/lib/flow/rp_agent_classify.c
+++ b/lib/flow/rp_agent_classify.c
@@ -4,6 +4,8 @@
 /* Once an end has sent this many bytes, its sequence numbers may have wrapped
  * around, so comparisons with its initial sequence number are not reliable. */
 #define MAX_COMPARABLE_SPAN (INT32_C(1) << 30)
+/* Sequence numbers that a FIN or a probe may take beyond the bytes counted. */
+#define MAX_UNCOUNTED 2
 
 /* Whether a segment is older than the SYN that opened the flow. */
 static bool
@@ -83,6 +85,23 @@
                                       : RP_FLOW_EV_HOST_DATA;
 }
 
+bool
+RpAgent_IsLateHostPacket(const struct rp_flow *flow,
+                         const struct rp_packet *packet)
+{
+    int32_t span = RpSeq_Distance(flow->caller_isn, flow->caller_next);
+    int32_t acked = RpSeq_Distance(flow->caller_isn, packet->ack);
+
+    if (!(flow->flags & RP_FLOW_KNOWS_CALLER_ISN) ||
+        !(packet->flags & RP_TCP_ACK) || packet->returned || span < 0 ||
+        span >= MAX_COMPARABLE_SPAN) {
+        return false;
+    }
+    /* The bytes of a redirected flow are not counted here. */
+    return acked <= 0 ||
+           (flow->state != RP_FLOW_REDIRECTED && acked > span + MAX_UNCOUNTED);
+}
+
 bool
 RpAgent_IsForeignReset(const struct rp_flow *flow,
                        const struct rp_packet *packet)
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -176,6 +176,12 @@
 bool RpAgent_IsForeignReset(const struct rp_flow *flow,
                             const struct rp_packet *packet);
 
+/* Whether a host's packet belongs to an earlier flow with the same addresses
+ * and ports: it acknowledges bytes that the caller has not sent on this one.
+ */
+bool RpAgent_IsLateHostPacket(const struct rp_flow *flow,
+                              const struct rp_packet *packet);
+
 /* rp_agent_chain.c: advances `chain` to the next candidate and sets `*next`.
  * `is_new_flow` says whether the packet opens a flow, as only ready upstreams
  * take new flows. Returns false if no candidate is left. */
--- a/lib/flow/rp_agent_search.c
+++ b/lib/flow/rp_agent_search.c
@@ -3,9 +3,10 @@
  * certainly has no owner. */
 #include "rp_agent_internal.h"
 
-/* How long the table must not have got new members or a new configuration before it is taken to list every
- * agent that may own a flow: longer than an update takes to every node, and
- * than a replica takes to find that it is cut off. */
+/* How long the table must not have got new members or a new configuration
+ * before it is taken to list every agent that may own a flow: longer than an
+ * update takes to every node, and than a replica takes to find that it is cut
+ * off. */
 #define TABLE_SETTLE_US (500 * RP_US_PER_MS)
 
 /* The services whose agents are asked, and the agents in groups by service. */
--- a/lib/flow/rp_owner_search.c
+++ b/lib/flow/rp_owner_search.c
@@ -12,7 +12,8 @@
     GQueue pending; /* of struct search, oldest first */
     uint32_t last_id;
     int64_t refilled_at;
-    int64_t budget_us; /* each search takes RP_US_PER_SECOND / RP_SEARCH_RATE */
+    int64_t
+        budget_us; /* each search takes RP_US_PER_SECOND / RP_SEARCH_RATE */
 };
 
 #define SEARCH_COST_US (RP_US_PER_SECOND / RP_SEARCH_RATE)
--- a/lib/flow/rp_owner_search.h
+++ b/lib/flow/rp_owner_search.h
@@ -19,10 +19,10 @@
 #include "rp_packet.h"
 #include "rp_time.h"
 
-#define RP_SEARCH_MAX 128           /* searches at a time */
-#define RP_SEARCH_MAX_AGENTS 512    /* agents asked in one search */
-#define RP_SEARCH_RATE 50           /* searches begun in a second */
-#define RP_SEARCH_BURST 100         /* searches begun at once after a pause */
+#define RP_SEARCH_MAX 128        /* searches at a time */
+#define RP_SEARCH_MAX_AGENTS 512 /* agents asked in one search */
+#define RP_SEARCH_RATE 50        /* searches begun in a second */
+#define RP_SEARCH_BURST 100      /* searches begun at once after a pause */
 #define RP_SEARCH_TIMEOUT_US (100 * RP_US_PER_MS)
 
 enum rp_search_result {
