--- a/lib/http/rp_http.h
+++ b/lib/http/rp_http.h
@@ -9,9 +9,15 @@
 #include "rp_error.h"
 
 /* Creates a server that listens on `listen` and has no handlers yet. It
- * serves while the main loop runs; release it with g_object_unref. Returns
- * NULL and adds a finding to `error` if it cannot listen there. */
-SoupServer *RpHttp_Serve(struct rp_endpoint listen, struct rp_error *error);
+ * serves while the main loop runs; release it with g_object_unref. Of a
+ * request whose body is longer than `body_max` bytes, the body is discarded
+ * while it arrives. Returns NULL and adds a finding to `error` if it cannot
+ * listen there. */
+SoupServer *RpHttp_Serve(struct rp_endpoint listen, goffset body_max,
+                         struct rp_error *error);
+
+/* Returns whether the request's body was discarded because of its length. */
+bool RpHttp_IsTooLong(SoupServerMessage *message);
 
 /* Answers a request with status code `status` and a body of media type
  * `type`. Takes ownership of `body`. */
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -432,6 +432,7 @@
         return RP_EXIT_FAILED;
     }
     exit_code = RpDaemon_Run(daemon);
+    RpUdp_ReceivePending(balancer.udp);
     RpPlatform_Close(balancer.platform);
     RpUdp_Close(balancer.udp);
     RpUplink_Free(balancer.uplink);
--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -3,6 +3,10 @@
 
 #include "rp_http.h"
 
+#define ADMIN_BODY_MAX                                                        \
+    4096 /* bytes; requests to the admin pages have none                      \
+          */
+
 struct rp_admin {
     SoupServer *server;
     const char *role;
@@ -73,7 +77,7 @@
              const struct rp_admin_ops *ops, void *user,
              struct rp_error *error)
 {
-    SoupServer *server = RpHttp_Serve(listen, error);
+    SoupServer *server = RpHttp_Serve(listen, ADMIN_BODY_MAX, error);
 
     if (!server) {
         return NULL;
--- a/programs/shared/rp_udp.c
+++ b/programs/shared/rp_udp.c
@@ -150,6 +150,12 @@
     return udp;
 }
 
+void
+RpUdp_ReceivePending(struct rp_udp *udp)
+{
+    on_readable(g_socket_get_fd(udp->socket), G_IO_IN, udp);
+}
+
 void
 RpUdp_Close(struct rp_udp *udp)
 {
--- a/programs/shared/rp_udp.h
+++ b/programs/shared/rp_udp.h
@@ -30,6 +30,11 @@
                           void *user, struct rp_counters *counters,
                           struct rp_error *error);
 
+/* Receives the datagrams that have arrived, as the main loop would, so that a
+ * process that stops handles what it was sent before. Bounded: what arrives
+ * meanwhile may be left. */
+void RpUdp_ReceivePending(struct rp_udp *udp);
+
 /* Sends the queued datagrams and closes the socket. NULL does nothing. */
 void RpUdp_Close(struct rp_udp *udp);
 
