Pauses: what could not be read while a process was stopped is not held against others

A tick (control) or an announcement (agent) that runs 300 ms late or more means a pause; leases, the time of replicas' messages and the host's last report get that time in addition. Event process_paused.

Agents also handle the datagrams that have arrived when they stop.

Tests: test_control (registry_pause), test_host (pause).

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -23,6 +23,12 @@
            now < RpHost_TimeoutDeadline(host);
 }
 
+void
+RpHost_RecordPause(struct rp_host *host, int64_t pause)
+{
+    host->last_report_at += pause;
+}
+
 enum rp_upstream_state
 RpHost_UpstreamState(const struct rp_host *host, int64_t now, int64_t started)
 {
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -75,6 +75,10 @@
 bool RpHost_HandleDeregistration(struct rp_host *host, int64_t now,
                                  const struct rp_name *id);
 
+/* Tells that this process did not run for the last `pause` microseconds, so it
+ * could not read reports: the host gets that time in addition. */
+void RpHost_RecordPause(struct rp_host *host, int64_t pause);
+
 /* Returns whether the host has reported recently enough to get new flows. */
 bool RpHost_IsAlive(const struct rp_host *host, int64_t now);
 
--- a/lib/control/rp_registry.c
+++ b/lib/control/rp_registry.c
@@ -297,6 +297,27 @@
     }
 }
 
+void
+RpRegistry_RecordPause(struct rp_registry *registry, int64_t now,
+                       int64_t pause)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, registry->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rp_upstream *upstream = value;
+        if (has_lease(upstream)) {
+            upstream->lease_deadline += pause;
+        }
+    }
+    g_hash_table_iter_init(&iter, registry->replicas);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        *(int64_t *)value = MIN(*(int64_t *)value + pause, now);
+    }
+    registry->next_deadline = now;
+}
+
 static void
 remove_upstream(struct rp_registry *registry, struct rp_upstream *upstream,
                 GHashTableIter *iter)
--- a/lib/control/rp_registry.h
+++ b/lib/control/rp_registry.h
@@ -86,6 +86,13 @@
 void RpRegistry_SetCutOff(struct rp_registry *registry, int64_t now,
                           bool cut_off);
 
+/* Tells the registry that this process did not run for the last `pause`
+ * microseconds. Announcements of that time have not been read yet, so leases
+ * that agents renew here, and the messages of other replicas, get that time in
+ * addition. */
+void RpRegistry_RecordPause(struct rp_registry *registry, int64_t now,
+                            int64_t pause);
+
 /* Handles at most one upstream whose deadline has passed and returns true if
  * there was one. `*expired` receives its latest announcement, with state LOST
  * if its lease expired and GONE if it was removed. Call it until it returns
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -15,6 +15,9 @@
 #define FLOW_LINES_PER_SECOND 100
 /* How often a stopping agent checks whether it can exit. */
 #define STOP_CHECK_US (20 * RP_US_PER_MS)
+/* An announcement that is due for this long means that the process was
+ * paused. */
+#define PAUSE_US (300 * RP_US_PER_MS)
 #define MAX_SLOTS 1000000
 #define MAX_SECONDS 86400
 
@@ -510,7 +513,13 @@
 {
     struct agent *agent = user;
     int64_t now = RpClock_Now();
+    int64_t pause = now - agent->announce_deadline;
 
+    if (agent->announce_deadline != 0 && pause >= PAUSE_US) {
+        RpLog_Event(agent->daemon.log, RP_LOG_WARN, "process_paused",
+                    "ms=%" G_GINT64_FORMAT, pause / RP_US_PER_MS);
+        RpHost_RecordPause(&agent->host, pause);
+    }
     RpAgentRole_RunTimers(agent, now);
     RpAgentHost_UpdateState(agent, now);
     if (now >= agent->announce_deadline) {
@@ -682,6 +691,8 @@
     }
     RpDaemon_WatchSettings(&agent.daemon, &source, on_reload, &agent);
     exit_code = RpDaemon_Run(&agent.daemon);
+    RpUdp_ReceivePending(agent.balancer_side);
+    RpUdp_ReceivePending(agent.host_side);
     RpPlatform_Close(agent.platform);
     RpTimer_Free(agent.timer);
     RpUdp_Close(agent.balancer_side);
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -9,6 +9,8 @@
 #include "rp_clock.h"
 
 #define TICK_MS 20
+/* A tick that comes this late means that the process was paused. */
+#define PAUSE_US (300 * RP_US_PER_MS)
 #define REPORT_INTERVAL_US (1 * RP_US_PER_SECOND)
 #define FLOW_LIFETIME_MAX 31536000 /* seconds */
 
@@ -309,12 +311,28 @@
                 RpReplica_Members(replica)->len);
 }
 
+/* Detects that the process was stopped or its machine suspended, so that it
+ * could not read what others sent meanwhile. */
+static void
+detect_pause(struct control *control, int64_t now)
+{
+    int64_t pause = now - control->ticked_at;
+
+    if (control->ticked_at != 0 && pause >= PAUSE_US) {
+        RpLog_Event(control->daemon.log, RP_LOG_WARN, "process_paused",
+                    "ms=%" G_GINT64_FORMAT, pause / RP_US_PER_MS);
+        RpRegistry_RecordPause(control->registry, now, pause);
+    }
+    control->ticked_at = now;
+}
+
 static gboolean
 on_tick(gpointer data)
 {
     struct control *control = data;
     int64_t now = RpClock_Now();
 
+    detect_pause(control, now);
     RpControlReplica_Tick(control->replica, now);
     log_role_change(control);
     RpControl_LogMembersIfChanged(control);
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -281,6 +281,37 @@
     RpRegistry_Free(registry);
 }
 
+/* The pattern of a control process that was stopped or suspended for seconds:
+ * when it wakes, every lease is over, and the announcements that renew them
+ * are still unread. No upstream may be given up for that. */
+static void
+test_registry_pause(void **state)
+{
+    struct rp_registry *registry = RpRegistry_Create();
+    struct rp_msg_announce near = make_announce(1, 1, RP_UPSTREAM_READY);
+    struct rp_msg_announce far = make_announce(1, 1, RP_UPSTREAM_READY);
+    struct rp_msg_announce expired;
+    struct rp_name other;
+    int64_t woken = 30 * RP_US_PER_SECOND;
+
+    (void)state;
+    RpName_Set(&other, RP_STR("control-2"));
+    RpName_Set(&far.upstream, RP_STR("upstream-far"));
+    RpRegistry_Merge(registry, 0, &near, NULL);
+    RpRegistry_Merge(registry, 0, &far, &other);
+    RpRegistry_RecordPause(registry, woken, woken);
+    assert_false(RpRegistry_Expire(registry, woken, &expired));
+    assert_false(
+        RpRegistry_Expire(registry, woken + 1999 * RP_US_PER_MS, &expired));
+    /* An agent that is really gone is lost after its lease. */
+    assert_true(
+        RpRegistry_Expire(registry, woken + 2000 * RP_US_PER_MS, &expired));
+    assert_string_equal(expired.upstream.data, "upstream-1");
+    assert_false(
+        RpRegistry_Expire(registry, woken + 2000 * RP_US_PER_MS, &expired));
+    RpRegistry_Free(registry);
+}
+
 /* An upstream that another replica forwarded stays valid while messages from
  * that replica arrive, even if the lease has expired. While this replica
  * is cut off, forwarded upstreams do not expire. */
@@ -382,6 +413,7 @@
         cmocka_unit_test(test_restore_after_each_change),
         cmocka_unit_test(test_registry_unheard),
         cmocka_unit_test(test_registry_leases),
+        cmocka_unit_test(test_registry_pause),
         cmocka_unit_test(test_registry_forwarded),
         cmocka_unit_test(test_registry_merge_order),
     };
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -247,6 +247,25 @@
                      RP_UPSTREAM_DRAINING);
 }
 
+/* An agent that was paused has reports of its host still unread: the host
+ * stays alive for as long as it could have been read in. */
+static void
+test_pause(void **state)
+{
+    struct rp_name service = make_name("lens-desk");
+    const struct rp_host_report report = {
+        .id = make_name("i-1"), .service = service, .sequence = 4};
+    struct rp_host host;
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    RpHost_HandleReport(&host, 0, &report);
+    assert_false(RpHost_IsAlive(&host, 9 * INTERVAL_US));
+    RpHost_RecordPause(&host, 8 * INTERVAL_US);
+    assert_true(RpHost_IsAlive(&host, 9 * INTERVAL_US));
+    assert_false(RpHost_IsAlive(&host, 11 * INTERVAL_US));
+}
+
 /* A stop request resets open flows only if the host has ended by its own
  * word. */
 static void
@@ -280,6 +299,7 @@
         cmocka_unit_test(test_report_sequences),
         cmocka_unit_test(test_timeout),
         cmocka_unit_test(test_announced_state),
+        cmocka_unit_test(test_pause),
         cmocka_unit_test(test_stop),
         cmocka_unit_test(test_decode_reports),
         cmocka_unit_test(test_invalid_json),
--- a/tests/unit/test_owner_search.c
+++ b/tests/unit/test_owner_search.c
@@ -73,9 +73,9 @@
     /* The last answer comes too late. */
     id = RpOwnerSearch_Begin(searches, 6, &packet, agents);
     answer(searches, 7, id, 1, RP_SEARCH_NOT_OWNED);
-    assert_int_equal(answer(searches, 6 + RP_SEARCH_TIMEOUT_US, id, 2,
-                            RP_SEARCH_NOT_OWNED),
-                     RP_SEARCH_ENDED);
+    assert_int_equal(
+        answer(searches, 6 + RP_SEARCH_TIMEOUT_US, id, 2, RP_SEARCH_NOT_OWNED),
+        RP_SEARCH_ENDED);
     assert_int_equal(RpOwnerSearch_Count(searches), 0);
     g_array_free(agents, TRUE);
     RpOwnerSearch_Free(searches);
