--- a/lib/flow/rp_owner_search.c
+++ b/lib/flow/rp_owner_search.c
@@ -124,7 +124,7 @@
                      uint32_t id, struct rp_endpoint agent,
                      enum rp_search_verdict verdict, struct rp_packet *packet)
 {
-    GList *link = searches->pending.head;
+    GList *link;
 
     remove_expired(searches, now);
     for (link = searches->pending.head; link; link = link->next) {
