Agents: refuse a request at once whose owner cannot be back before its timeout

If the agent and control have both just started, every agent known so far answers that it does not own the flow, and the route's timeout ends before an agent that lives on could be back (2.5 s), the caller of a packet with payload is reset (reset_owner_unreachable). The request has not run: its owner, if there is one, did not get it. Not done for packets without payload: an answer may still be on its way. Not done by an agent that had a complete table before.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -100,6 +100,8 @@
       "dropped: owner not found yet, tables may be stale")                    \
     X(RESET_OWNER_GONE, "reset_owner_gone",                                   \
       "flows reset: no agent owns them any more")                             \
+    X(RESET_OWNER_UNREACHABLE, "reset_owner_unreachable",                     \
+      "requests refused: no agent known yet owns their flow")                 \
     X(OWNER_SEARCHED, "owner_searched",                                       \
       "searches for the owner of a flow, one for each service asked")         \
     X(SEARCH_ANSWERED, "search_answered",                                     \
--- a/lib/flow/rp_agent_search.c
+++ b/lib/flow/rp_agent_search.c
@@ -9,6 +9,13 @@
  * off. */
 #define TABLE_SETTLE_US (500 * RP_US_PER_MS)
 
+/* After a start together with control: how long it takes until the agents of
+ * hosts that live on have found control again, and how long the table must
+ * have been unchanged before a request is refused for which that is too late.
+ */
+#define MEMBERS_RETURN_US (2500 * RP_US_PER_MS)
+#define FIRST_TABLE_SETTLE_US (200 * RP_US_PER_MS)
+
 /* The services whose agents are asked, and the agents in groups by service. */
 struct search_plan {
     GArray *agents; /* of struct rp_endpoint */
@@ -17,17 +24,48 @@
     guint first[RP_CHAIN_MAX_SERVICES]; /* index in `agents` */
 };
 
-/* Whether the table surely lists each agent that may own a flow, and this
- * agent knows all flows of its own host. */
+/* Whether the table surely lists each agent that may own a flow. */
 static bool
 is_table_settled(const struct rp_agent *agent, int64_t now)
 {
-    return agent->knows_all_flows && agent->control_connected &&
-           agent->host_state != RP_HOST_UNKNOWN &&
-           RpTable_IsAuthoritative(agent->table) &&
+    return RpTable_IsAuthoritative(agent->table) &&
            now >= agent->table_changed_at + TABLE_SETTLE_US;
 }
 
+/* Whether a part of a request has no owner within reach before the request's
+ * timeout, because this agent and control have just started and an agent that
+ * lives on would be back only after that. Refusing it at once lets its caller
+ * try again. It has not run: its owner, if there is one, did not get it. */
+static bool
+is_too_late(const struct rp_agent *agent, int64_t now,
+            const struct rp_packet *packet)
+{
+    const struct rp_vip *vip = RpTable_FindVip(
+        agent->table, RpFlowKey_Destination(packet->key));
+    int64_t back_at = agent->config.started + MEMBERS_RETURN_US;
+
+    return RpTable_IsFirst(agent->table) && packet->payload_len > 0 && vip &&
+           now + vip->timeout_ms * RP_US_PER_MS < back_at &&
+           now >= agent->table_changed_at + FIRST_TABLE_SETTLE_US;
+}
+
+/* Returns the reason for which the packet's caller is reset if no agent owns
+ * the flow, or RP_COUNT_DROP_NO_OWNER if it is not reset. */
+static enum rp_counter
+find_reset_reason(const struct rp_agent *agent, int64_t now,
+                  const struct rp_packet *packet)
+{
+    if (!agent->knows_all_flows || !agent->control_connected ||
+        agent->host_state == RP_HOST_UNKNOWN) {
+        return RP_COUNT_DROP_NO_OWNER;
+    }
+    if (is_table_settled(agent, now)) {
+        return RP_COUNT_RESET_OWNER_GONE;
+    }
+    return is_too_late(agent, now, packet) ? RP_COUNT_RESET_OWNER_UNREACHABLE
+                                           : RP_COUNT_DROP_NO_OWNER;
+}
+
 static void
 add_service(const struct rp_agent *agent, struct search_plan *plan,
             const struct rp_service *service)
@@ -125,7 +163,7 @@
     uint32_t id = 0;
 
     if (maybe_own || (packet->flags & RP_TCP_RST) ||
-        !is_table_settled(agent, now)) {
+        find_reset_reason(agent, now, packet) == RP_COUNT_DROP_NO_OWNER) {
         return false;
     }
     plan.agents = g_array_new(FALSE, FALSE, sizeof(struct rp_endpoint));
@@ -202,11 +240,13 @@
     enum rp_search_result result = RpOwnerSearch_Answer(
         agent->searches, now, geneve->search_id, from, geneve->verdict,
         &packet);
-    if (result != RP_SEARCH_NO_OWNER || !agent->service ||
-        !is_table_settled(agent, now)) {
+    if (result != RP_SEARCH_NO_OWNER || !agent->service) {
         return;
     }
-    RpAgent_ResetCaller(agent, actions, RP_COUNT_RESET_OWNER_GONE, &packet);
+    enum rp_counter reason = find_reset_reason(agent, now, &packet);
+    if (reason != RP_COUNT_DROP_NO_OWNER) {
+        RpAgent_ResetCaller(agent, actions, reason, &packet);
+    }
 }
 
 void
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -23,6 +23,7 @@
     struct rp_name preferred_zone;
     uint32_t zone_weight;  /* factor for members in the preferred zone */
     bool may_lack_members; /* the sender has just started */
+    bool was_complete;     /* an update did not set `may_lack_members` */
     bool cut_off;          /* the sender may be stale */
     /* Names of members that were dropped at the end of `may_lack_members`. */
     GHashTable *unaccounted;
@@ -310,6 +311,13 @@
     return table->may_lack_members;
 }
 
+bool
+RpTable_IsFirst(const struct rp_table *table)
+{
+    return table->revision > 0 && table->may_lack_members &&
+           !table->was_complete && !table->cut_off;
+}
+
 uint64_t
 RpTable_CountAdditions(const struct rp_table *table)
 {
@@ -331,6 +339,7 @@
     }
     bool had_gathered = table->may_lack_members && !update->gathering;
     table->may_lack_members = update->gathering;
+    table->was_complete |= !update->gathering;
     table->cut_off = update->cut_off;
     if (update->complete) {
         remove_unlisted(table, update);
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -105,6 +105,10 @@
  * heard again of an upstream that the table had before. */
 bool RpTable_IsAuthoritative(const struct rp_table *table);
 
+/* Returns whether the table may lack members and never was complete: this
+ * process and the control replica have both just started. */
+bool RpTable_IsFirst(const struct rp_table *table);
+
 /* Returns how many members updates have added in all. */
 uint64_t RpTable_CountAdditions(const struct rp_table *table);
 
--- a/programs/daemon/agent_log.c
+++ b/programs/daemon/agent_log.c
@@ -22,6 +22,7 @@
     case RP_COUNT_REFUSED_ALL:
         return "flow_refused";
     case RP_COUNT_RESET_OWNER_GONE:
+    case RP_COUNT_RESET_OWNER_UNREACHABLE:
     case RP_COUNT_RESET_HOST_LOST:
     case RP_COUNT_RESET_SILENT_HOST:
     case RP_COUNT_RESET_SILENT_CALLER:
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -15,6 +15,8 @@
  *                                    and a virtual address for both
  *   at MS                            sets the time, in milliseconds
  *   connected | disconnected         sets whether control is connected
+ *   gathering | complete             whether later tables may lack members;
+ *                                    sends one
  *   search ID FLAGS PORT SEQ ACK LEN AGENT
  *                                    a search of AGENT for the packet's owner
  *   search-answer ID AGENT owns|not_owned|unsure
@@ -59,6 +61,7 @@
     struct rp_msg_service sibling; /* id 0: not set */
     struct rp_msg_vip vip;
     struct rp_table *routes;
+    bool gathering;
     struct rp_chart chart;
     struct rp_counters counters;
     struct rp_agent *agent;
@@ -195,6 +198,7 @@
     struct rp_msg_table table = {
         .revision = ++session->revision,
         .complete = 1,
+        .gathering = session->gathering,
         .services = RpSchema_NewList(&rp_msg_service_schema)};
 
     g_array_append_val(table.services, session->service);
@@ -282,6 +286,7 @@
     session->vip = (struct rp_msg_vip){
         .address = address.ip,
         .port = address.port,
+        .timeout_ms = 500,
         .targets = RpSchema_NewList(&rp_msg_target_schema)};
     g_array_append_val(session->vip.targets, target);
     target.service_id = session->sibling.id;
@@ -578,6 +583,10 @@
     else if (!strcmp(words[0], "caller")) {
         do_caller(session, words);
     }
+    else if (!strcmp(words[0], "gathering") || !strcmp(words[0], "complete")) {
+        session->gathering = words[0][0] == 'g';
+        set_table(session);
+    }
     else if (!strcmp(words[0], "connected")) {
         RpAgent_SetControlConnected(session->agent, true);
     }
