--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -440,6 +440,38 @@
     }
 }
 
+/* Writes a datagram of one of the kinds that agents receive, with an inner
+ * packet of 20 bytes, and returns its size. */
+static size_t
+write_kind_of_datagram(uint8_t out[512], unsigned kind)
+{
+    const struct rp_service_tag tag = {.service_id = 3, .incarnation = 4};
+    struct rp_chain chain = {.visited = 1, .service_count = 3};
+    size_t len;
+
+    switch (kind) {
+    case 0:
+        return write_test_datagram(out);
+    case 1:
+        for (uint32_t i = 0; i < 9; i++) {
+            chain.service[i % 3].service_id = i % 3;
+            RpChain_AppendOf(&chain, (struct rp_endpoint){.ip = i, .port = 1},
+                             i % 3);
+        }
+        len = RpGeneve_Write(out, RP_GENEVE_IPV4, &tag, &chain);
+        break;
+    case 2:
+        len = RpGeneve_WriteSearch(out, RP_GENEVE_IPV4, &tag,
+                                   (struct rp_endpoint){.ip = 1, .port = 2},
+                                   9);
+        break;
+    default:
+        len = RpGeneve_WriteAnswer(out, RP_GENEVE_IPV4, 9, RP_SEARCH_OWNS);
+    }
+    memset(out + len, 'x', 20);
+    return len + 20;
+}
+
 /* No input may crash the decoders: decodes messages, datagrams and packets
  * with random bytes changed, from fixed seeds. */
 static void
@@ -466,7 +498,7 @@
         struct rp_geneve geneve;
         struct rp_packet packet;
         enum rp_counter reason;
-        size_t len = write_test_datagram(data);
+        size_t len = write_kind_of_datagram(data, seed % 4);
         for (int i = 0; i < 3; i++) {
             mutated->str[g_rand_int_range(rng, 0, (gint32)mutated->len)] =
                 (char)g_rand_int_range(rng, 0, 256);
