--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -247,6 +247,7 @@
 route_waiting(void *user)
 {
     struct balancer *balancer = user;
+
     expire_waiting(balancer);
     size_t count = RpWaiting_Count(balancer->waiting);
     while (count-- > 0) {
--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -3,9 +3,8 @@
 
 #include "rp_http.h"
 
-#define ADMIN_BODY_MAX                                                        \
-    4096 /* bytes; requests to the admin pages have none                      \
-          */
+/* Bytes of a request's body; requests to the admin pages have none. */
+#define ADMIN_BODY_MAX 4096
 
 struct rp_admin {
     SoupServer *server;
