--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts under review/ start, into review/bin/.
+# It needs a C compiler and the system's C library only.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p bin
+${CC:-cc} -O1 -g -Wall -Wextra -o bin/rig standin/rig.c -lpthread
