--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -1177,6 +1177,14 @@
     return broken ? 1 : 0;
 }
 
+static void
+on_signal(int number)
+{
+    (void)number;
+    end_processes();
+    _exit(2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1194,6 +1202,8 @@
     started = now_us();
     srandom((unsigned)getpid() ^ (unsigned)time(NULL));
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGINT, on_signal);
+    signal(SIGTERM, on_signal);
     net = 127u << 24 | (64u + (uint32_t)getpid() % 128u) << 16;
     route_ip = net | 0x0901;
     start_machines();
@@ -1206,6 +1216,6 @@
     }
     running = false;
     end_processes();
-    fflush(record);
+    fflush(NULL);
     _exit(result);
 }
