--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -1177,6 +1177,82 @@
     return broken ? 1 : 0;
 }
 
+/* Sends one configuration and notes what comes. An invalid one must get a 4xx
+ * response; then it must not be read back either. */
+static void
+send_config(const char *what, const char *body, bool is_valid)
+{
+    static char read_back[300000];
+    int status = operator_call("PUT", body, strlen(body), NULL, 0, 8);
+
+    note("operator sends a configuration (%s): %d", what, status);
+    bool acknowledged = status >= 200 && status < 300;
+    operator_call("GET", "", 0, read_back, sizeof read_back, 8);
+    bool in_force = !strcmp(read_back, body);
+    note("operator reads back %zu bytes, %s what was just sent: %.60s...%s",
+         strlen(read_back), in_force ? "exactly" : "not", read_back,
+         strlen(read_back) > 60 ? read_back + strlen(read_back) - 60 : "");
+    printf("%s: status %d, read back: %s\n", what, status,
+           in_force ? "this" : "another one");
+    if (acknowledged != is_valid || in_force != is_valid) {
+        note("BROKEN: %s", is_valid ? "a valid configuration is not in force"
+                           : acknowledged
+                               ? "an invalid configuration is acknowledged"
+                               : "an invalid configuration is in force");
+        broken++;
+    }
+}
+
+static void
+scenario_invalid_one(const char *what, unsigned long version,
+                     const char *find, const char *replace,
+                     bool second_body, int trouble)
+{
+    char body[6000];
+    char second[2000];
+
+    make_config(version, body);
+    if (!trouble) {
+        send_config("well-formed", body, true);
+        return;
+    }
+    if (find) {
+        replace_all(body, sizeof body, find, replace);
+    }
+    if (second_body) {
+        make_config(version + 1, second);
+        snprintf(body + strlen(body), sizeof body - strlen(body), "\n%s",
+                 second);
+    }
+    send_config(what, body, false);
+}
+
+static int
+scenario_invalid(int trouble)
+{
+    char config[2000];
+
+    start_hosts();
+    play(1500, false);
+    make_config(1, config);
+    if (operator_call("PUT", config, strlen(config), NULL, 0, 10) != 200) {
+        cannot_run("the first configuration was not acknowledged");
+    }
+    note("configuration 1 is acknowledged");
+    play(1000, false);
+    scenario_invalid_one("two configurations in one body", 10, NULL, NULL,
+                         true, trouble);
+    play(1000, false);
+    scenario_invalid_one("a number with a leading zero", 20,
+                         "\"timeout-ms\":1500", "\"timeout-ms\":01500", false,
+                         trouble);
+    play(1000, false);
+    scenario_invalid_one("strings in single quotes", 30, "\"", "'", false,
+                         trouble);
+    play(500, false);
+    return broken ? 1 : 0;
+}
+
 static void
 on_signal(int number)
 {
@@ -1211,6 +1287,9 @@
     if (!strcmp(argv[1], "flow")) {
         result = scenario_flow(atoi(argv[5]));
     }
+    else if (!strcmp(argv[1], "invalid")) {
+        result = scenario_invalid(atoi(argv[5]));
+    }
     else {
         fprintf(stderr, "rig: no such scenario\n");
     }
