--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -141,6 +141,10 @@
 static int64_t started;
 static uint32_t net; /* 127.B.0.0 */
 static uint32_t route_ip;
+static int64_t clock_ahead_ms; /* of the hosts' time of day as they start */
+static bool first_beat_at_once;
+static int64_t pause_us = 60000; /* between the requests of a flow: once to
+                                  * twice this */
 static int attempts;
 static int answered;
 static int given_up;
@@ -738,7 +742,9 @@
     char path[80];
     char ip[16];
 
-    usleep((useconds_t)(random() % (BEAT_MS * 1000)));
+    if (!first_beat_at_once) {
+        usleep((useconds_t)(random() % (BEAT_MS * 1000)));
+    }
     while (running) {
         int64_t begun = now_us();
         snprintf(path, sizeof path, "/-/instances/%s", self->id);
@@ -949,7 +955,7 @@
             answered++;
             note("client %d port %u has the answer to a%06d",
                  (int)(self - client), flow->port, flow->attempt);
-            flow->next_request = now + 60000 + random() % 60000;
+            flow->next_request = now + pause_us + random() % pause_us;
         }
     }
     if (head.len > 0) {
@@ -1107,7 +1113,7 @@
         struct timespec time;
         clock_gettime(CLOCK_REALTIME, &time);
         host[i].born_ms = (int64_t)time.tv_sec * 1000 +
-                          time.tv_nsec / 1000000;
+                          time.tv_nsec / 1000000 + clock_ahead_ms;
         snprintf(host[i].id, sizeof host[i].id, "i-%08lx",
                  (unsigned long)random());
         pthread_create(&host[i].beats, NULL, send_beats, (void *)i);
@@ -1177,6 +1183,48 @@
     return broken ? 1 : 0;
 }
 
+/* The hosts start while the time of day of their machines is ahead by 2.4 s;
+ * it steps back at once. A second later the node beside the first host is
+ * stopped and started again. trouble 0: neither; 2: without the step. */
+static int
+scenario_clock(int trouble)
+{
+    char config[2000];
+
+    play(1500, false);
+    make_config(1, config);
+    if (operator_call("PUT", config, strlen(config), NULL, 0, 10) != 200) {
+        cannot_run("the first configuration was not acknowledged");
+    }
+    note("configuration 1 is acknowledged");
+    play(4000, false);
+    clock_ahead_ms = trouble == 1 ? 2400 : 0;
+    first_beat_at_once = true;
+    pause_us = 4500000;
+    note("hosts start; their time of day is ahead by %d ms, and steps back",
+         (int)clock_ahead_ms);
+    start_hosts();
+    play(200, false);
+    play(800, true);
+    note("%d flows opened, %d answered", opened, answered);
+    if (opened < CLIENTS * FLOWS_PER_CLIENT / 2) {
+        cannot_run("too few flows opened in time");
+    }
+    if (trouble && side[0].process[0].pid > 0) {
+        note("platform sends SIGTERM to %s", side[0].process[0].name);
+        kill(side[0].process[0].pid, SIGTERM);
+    }
+    play(3200, true);
+    /* The step of the clock is longer ago than stable-window-ms (4000). */
+    judging = true;
+    play(8000, true);
+    play(5200, false);
+    printf("flows opened %d, requests %d, answered %d, given up %d, flows "
+           "refused %d, resets on open flows of living hosts %d\n",
+           opened, attempts, answered, given_up, refusals, resets_on_open);
+    return broken ? 1 : 0;
+}
+
 /* Sends one configuration and notes what comes. An invalid one must get a 4xx
  * response; then it must not be read back either. */
 static void
@@ -1287,6 +1335,9 @@
     if (!strcmp(argv[1], "flow")) {
         result = scenario_flow(atoi(argv[5]));
     }
+    else if (!strcmp(argv[1], "clock")) {
+        result = scenario_clock(atoi(argv[5]));
+    }
     else if (!strcmp(argv[1], "invalid")) {
         result = scenario_invalid(atoi(argv[5]));
     }
