--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-${CC:-cc} -O1 -g -Wall -Wextra -o bin/rig standin/rig.c -lpthread
+${CC:-cc} -D_GNU_SOURCE -O1 -g -Wall -Wextra -o bin/rig standin/rig.c -lpthread
--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -11,7 +11,6 @@
  * usage: rig SCENARIO REPOSITORY FOLDER RECORD TROUBLE
  * exits with 0 (rule held), 1 (rule broken) or 2 (could not run).
  */
-#define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -165,6 +164,9 @@
     return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
 }
 
+static void note(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+
 static void
 note(const char *format, ...)
 {
@@ -211,15 +213,18 @@
 static void
 replace_all(char *text, size_t size, const char *from, const char *to)
 {
+    size_t to_len = strlen(to);
     char *at;
 
     while ((at = strstr(text, from)) != NULL) {
         size_t tail = strlen(at + strlen(from));
-        if ((size_t)(at - text) + strlen(to) + tail + 1 > size) {
+        if ((size_t)(at - text) + to_len + tail + 1 > size) {
             cannot_run("settings too long");
         }
-        memmove(at + strlen(to), at + strlen(from), tail + 1);
-        memcpy(at, to, strlen(to));
+        memmove(at + to_len, at + strlen(from), tail + 1);
+        for (size_t i = 0; i < to_len; i++) {
+            at[i] = to[i];
+        }
     }
 }
 
@@ -400,7 +405,7 @@
     }
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
-    bind(fd, (struct sockaddr *)&self, sizeof self);
+    (void)!bind(fd, (struct sockaddr *)&self, sizeof self);
     if (connect(fd, (struct sockaddr *)&to, sizeof to)) {
         close(fd);
         return 0;
@@ -722,8 +727,7 @@
             flow->resend_gap = 200000;
             flow->resends = 0;
             flow->resend_at = now + flow->resend_gap;
-            host_send(index, flow, F_ACK, seq, flow->answer,
-                      flow->answer_len);
+            host_send(index, flow, F_ACK, seq, flow->answer, flow->answer_len);
         }
         else if (flow->resend_at && now >= flow->resend_at &&
                  flow->resends < 8) {
@@ -1216,8 +1220,8 @@
         note("%s is added", added->name);
         prepare_process(added, &added->process[0], "control", "control.conf",
                         false);
-        prepare_process(added, &added->process[1], "balancer",
-                        "balancer.conf", false);
+        prepare_process(added, &added->process[1], "balancer", "balancer.conf",
+                        false);
         start_process(&added->process[0]);
         start_process(&added->process[1]);
     }
@@ -1335,9 +1339,8 @@
 }
 
 static void
-scenario_invalid_one(const char *what, unsigned long version,
-                     const char *find, const char *replace,
-                     bool second_body, int trouble)
+scenario_invalid_one(const char *what, unsigned long version, const char *find,
+                     const char *replace, bool second_body, int trouble)
 {
     char body[6000];
     char second[2000];
