Replica: a voter that stops, or does not answer, gives up its vote

Cause: a process told to stop left no word, so the stopped replica was a voter for 2 s more; with the new one that made four, and two of four are no quorum once a disk is lost. Only a leader could have taken the dead voters out.

A replica that stops now says so in its answers to the leader, which takes its vote if 2 n + 1 others are left; the process ends when that is committed, at once where the group can't do without it, after 4 s in any case. The same class elsewhere: a voter that does not answer for 0.5 s, or whose connection closes, becomes a learner if the group can spare it or a learner is ready; a learner is not promoted beside a voter that does not answer, since a successor that is lost too would leave two dead voters.

Ruled out: the log and the reads (both survivors hold all that was acknowledged). Weighed and not taken: half of an even number of voters as a quorum once one has lost its disk; unsafe beside a promotion that only the other side knows.

--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -321,12 +321,12 @@
     g_string_free(data, TRUE);
 }
 
-/* Whether this replica is the only voter. */
+/* Whether this replica is the only member. A learner may be the leader that
+ * has just given up its vote and still has a lease. */
 static bool
-is_sole_voter(const struct rp_replica *replica)
+is_sole_member(const struct rp_replica *replica)
 {
-    return RpReplica_Quorum(replica) == 1 &&
-           RpReplica_IsVoter(replica, replica->id);
+    return replica->members->len == 1 && RpReplica_IsMember(replica);
 }
 
 void
@@ -339,8 +339,8 @@
     if (!RpReplica_IsVoter(replica, replica->id)) {
         return;
     }
-    /* A sole voter can have no other leader, so it does not wait. */
-    if (now >= replica->election_deadline || is_sole_voter(replica)) {
+    /* A sole member can have no other leader, so it does not wait. */
+    if (now >= replica->election_deadline || is_sole_member(replica)) {
         RpReplica_StartPreVote(replica, now);
         return;
     }
@@ -474,6 +474,32 @@
     return RpReplica_FindMember(replica, replica->leader_id);
 }
 
+void
+RpReplica_OnDisconnect(struct rp_replica *replica, int64_t now, uint64_t id)
+{
+    struct rp_peer *peer = RpReplica_FindPeer(replica, id);
+
+    if (peer) {
+        peer->last_heard = MIN(peer->last_heard, now - RP_ELECTION_TIMEOUT_US);
+    }
+}
+
+void
+RpReplica_Leave(struct rp_replica *replica)
+{
+    replica->leaving = true;
+}
+
+bool
+RpReplica_MayStop(const struct rp_replica *replica)
+{
+    if (!RpReplica_IsVoter(replica, replica->id)) {
+        return replica->members_index <= replica->commit_index;
+    }
+    return !RpReplica_MayRemoveVoter(replica) &&
+           RpReplica_VoterCount(replica) == replica->members->len;
+}
+
 void
 RpReplica_Compact(struct rp_replica *replica, const GString *data)
 {
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -15,10 +15,14 @@
  * - Startup election: if every member's process has restarted, no lease can
  *   still be valid and the replicas elect at once (rp_replica_startup.c).
  * - Members change one at a time, and a new member is a learner before it is
- *   a voter. A member that has been silent for RP_MEMBER_SILENCE_TIMEOUT_US
- *   is removed, a voter only if the group can do without it.
+ *   a voter. A learner that has been silent for RP_MEMBER_SILENCE_TIMEOUT_US
+ *   is removed.
  * - A replica that lost its disk has a new id and joins again as a new
  *   member.
+ * - A voter that the group can do without becomes a learner as soon as it does
+ *   not answer, or says that it is about to stop (RpReplica_Leave): an even
+ *   number of voters tolerates no loss more than the odd number below it, but
+ *   needs one more of those that are left.
  *
  * Every call may add actions, which the caller carries out in order. What a
  * store action stores must be durable before any later action that sends or
@@ -50,10 +54,8 @@
 #define RP_LEASE_US (400 * RP_US_PER_MS)
 /* A replica that has heard from no leader for this long asks to join again. */
 #define RP_REJOIN_TIMEOUT_US (10 * RP_ELECTION_TIMEOUT_US)
-/* A member that has not answered for this long is removed: a machine that was
- * replaced never comes back, and until its member is removed the group
- * tolerates one failure less. Half of the four seconds within which users
- * expect a replacement to catch up. */
+/* A learner that has not answered for this long is removed: a machine that
+ * was replaced never comes back. */
 #define RP_MEMBER_SILENCE_TIMEOUT_US (2 * RP_US_PER_SECOND)
 #define RP_APPEND_MAX_ENTRIES 64
 #define RP_APPEND_MAX_BYTES                                                   \
@@ -86,6 +88,8 @@
     RP_MEMBER_MOVED,     /* the replica has a new address */
     RP_MEMBER_DISK_LOST, /* removed: a replica with another id has its place */
     RP_MEMBER_PROMOTED,  /* the learner has caught up and becomes a voter */
+    RP_MEMBER_DEMOTED,   /* the voter does not answer and becomes a learner */
+    RP_MEMBER_LEAVING,   /* the voter is about to stop, becomes a learner */
     RP_MEMBER_SILENT     /* removed: it has not answered for too long */
 };
 
@@ -115,8 +119,8 @@
 void RpReplica_Free(struct rp_replica *replica);
 
 /* Sets how many voters the group keeps whether they answer or not; to tolerate
- * n failures it takes 2 n + 1. 0, the default: not known, and a silent voter
- * is removed if the group tolerates as many failures without it. */
+ * n failures it takes 2 n + 1. 0, the default: not known, and the group can do
+ * without a voter if it tolerates as many failures without it. */
 void RpReplica_SetMinVoters(struct rp_replica *replica, size_t min_voters);
 
 /* Load what the store actions stored before a restart, in the order in which
@@ -186,6 +190,22 @@
                           const struct rp_replica_member *member,
                           bool forwarded);
 
+/* Reports that the connection to the replica with this id was closed or could
+ * not be opened: until it answers again, it counts as one that does not
+ * answer. */
+void RpReplica_OnDisconnect(struct rp_replica *replica, int64_t now,
+                            uint64_t id);
+
+/* Prepares a planned stop: asks the leader to take this replica's vote from
+ * it, so that the group loses no voter when it stops. The request is part of
+ * this replica's answers to the leader and ends with the process. */
+void RpReplica_Leave(struct rp_replica *replica);
+
+/* Whether this replica can stop at once after RpReplica_Leave: it is no voter,
+ * or the group can't do without its vote and has no learner that could take
+ * its place. */
+bool RpReplica_MayStop(const struct rp_replica *replica);
+
 /* Replaces the log up to the last applied entry by a snapshot of `data`, the
  * state after that entry. Adds no action: the caller must store
  * RpReplica_Snapshot and the remaining entries. */
@@ -202,7 +222,8 @@
  * it has applied all that was committed then. */
 bool RpReplica_IsFresh(const struct rp_replica *replica, int64_t now);
 
-/* Returns "added", "moved", "disk_lost", "promoted" or "silent". */
+/* Returns "added", "moved", "disk_lost", "promoted", "demoted", "leaving" or
+ * "silent". */
 const char *RpReplica_ChangeName(enum rp_member_change change);
 
 size_t RpReplica_VoterCount(const struct rp_replica *replica);
--- a/lib/state/rp_replica_follow.c
+++ b/lib/state/rp_replica_follow.c
@@ -32,7 +32,8 @@
                                           .term = replica->term,
                                           .round = append->round,
                                           .accepted = accepted,
-                                          .match = match}};
+                                          .match = match,
+                                          .leaving = replica->leaving}};
 
     RpReplica_QueueMessage(replica, append->from, &msg);
 }
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -23,6 +23,7 @@
     uint64_t in_flight_until_round;
     uint64_t told_commit_index; /* as far as the newest append to it reaches */
     uint64_t snapshot_offset;   /* of the next chunk to send */
+    bool leaving;               /* it says that it is about to stop */
     bool vote_granted;          /* in the current vote or pre-vote */
     /* Its vote reply says that it has heard from no leader since its start, or
      * its process is gone, because another one asks to join from its
@@ -33,6 +34,7 @@
 struct rp_replica {
     uint64_t id;
     size_t min_voters; /* 0: not known */
+    bool leaving;      /* about to stop, as planned */
     GRand *rng;        /* for random election timeouts */
     GArray *actions;   /* of struct rp_replica_action */
 
@@ -206,7 +208,10 @@
 
 /* rp_replica_members.c: changes of the members. */
 /* On the leader: starts the next change that is due, if any: makes a learner
- * that has caught up a voter, or removes a silent member. */
+ * that has caught up a voter, takes the vote of a member that does not answer
+ * or is about to stop, or removes a silent learner. */
 void RpReplica_UpdateMembers(struct rp_replica *replica, int64_t now);
+/* Whether the group may go on with one voter less. */
+bool RpReplica_MayRemoveVoter(const struct rp_replica *replica);
 
 #endif
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -327,6 +327,7 @@
         return;
     }
     peer->last_heard = now;
+    peer->leaving = reply->leaving;
     /* An answer to a later round arrives after the one to the data, unless the
      * data was lost. */
     if (!reply->accepted || reply->match >= peer->in_flight_last ||
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -1,10 +1,15 @@
 /* Changes of the members, one at a time: a new member joins as a learner and
- * becomes a voter once it has caught up; a member that has been silent for
- * long is removed if the group can do without it. */
+ * becomes a voter once it has caught up and all voters answer; a voter that
+ * does not answer or is about to stop becomes a learner if the group can do
+ * without its vote or a learner takes its place; a learner that has been
+ * silent for long is removed. */
 #include "rp_replica_internal.h"
 
 /* How many entries a learner may be behind the log when it becomes a voter. */
 #define CAUGHT_UP_MAX_LAG 8
+/* A group that does not know how many voters it must keep does not shrink
+ * below this many: with fewer, one disk may hold the only copy of an entry. */
+#define DEFAULT_MIN_VOTERS 3
 
 /* A leader may start a change once the previous one is committed and it has
  * committed an entry of its own term. */
@@ -22,11 +27,11 @@
 const char *
 RpReplica_ChangeName(enum rp_member_change change)
 {
-    static const char *const names[] = {[RP_MEMBER_ADDED] = "added",
-                                        [RP_MEMBER_MOVED] = "moved",
-                                        [RP_MEMBER_DISK_LOST] = "disk_lost",
-                                        [RP_MEMBER_PROMOTED] = "promoted",
-                                        [RP_MEMBER_SILENT] = "silent"};
+    static const char *const names[] = {
+        [RP_MEMBER_ADDED] = "added",         [RP_MEMBER_MOVED] = "moved",
+        [RP_MEMBER_DISK_LOST] = "disk_lost", [RP_MEMBER_PROMOTED] = "promoted",
+        [RP_MEMBER_DEMOTED] = "demoted",     [RP_MEMBER_LEAVING] = "leaving",
+        [RP_MEMBER_SILENT] = "silent"};
 
     return names[change];
 }
@@ -193,8 +198,14 @@
                                         RpReplicaLog_LastIndex(replica);
 }
 
-/* Returns the position of a learner that has caught up and answers; -1 if
- * there is none. */
+static bool
+answers(const struct rp_peer *peer, int64_t now)
+{
+    return peer->last_heard > now - RP_ELECTION_TIMEOUT_US;
+}
+
+/* Returns the position of a learner that has caught up, answers and is not
+ * about to stop; -1 if there is none. */
 static int
 find_caught_up_learner(struct rp_replica *replica, int64_t now)
 {
@@ -202,17 +213,46 @@
         const struct rp_replica_member *member = member_at(replica, i);
         const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
         if (!member->voter && peer && is_caught_up(replica, peer) &&
-            peer->last_heard > now - RP_ELECTION_TIMEOUT_US) {
+            answers(peer, now) && !peer->leaving) {
             return (int)i;
         }
     }
     return -1;
 }
 
-/* Whether the group may go on with one voter less. The entries must still be
- * stored on so many disks that the failures it is to tolerate lose none. */
-static bool
-may_remove_voter(const struct rp_replica *replica)
+/* Returns the position of a voter that does not answer; -1 if there is
+ * none. */
+static int
+find_unresponsive_voter(struct rp_replica *replica, int64_t now)
+{
+    for (guint i = 0; i < replica->members->len; i++) {
+        const struct rp_replica_member *member = member_at(replica, i);
+        const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
+        if (member->voter && peer && !answers(peer, now)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Returns the position of the learner to promote now; -1 if there is none.
+ * Beside a voter that does not answer, another one raises the quorum: the
+ * group would need each voter that is left, the new one included. Such a voter
+ * either answers again or is demoted first. */
+static int
+find_promotable_learner(struct rp_replica *replica, int64_t now)
+{
+    bool lacks_voters = RpReplica_VoterCount(replica) < replica->min_voters;
+
+    return lacks_voters || find_unresponsive_voter(replica, now) < 0
+               ? find_caught_up_learner(replica, now)
+               : -1;
+}
+
+/* The entries must still be stored on so many disks that the failures that the
+ * group is to tolerate lose none. */
+bool
+RpReplica_MayRemoveVoter(const struct rp_replica *replica)
 {
     size_t voters = RpReplica_VoterCount(replica);
 
@@ -221,20 +261,50 @@
     }
     /* An even number of voters tolerates no more failures than the odd number
      * below it. */
-    return voters % 2 == 0;
+    return voters % 2 == 0 && voters > DEFAULT_MIN_VOTERS;
 }
 
-/* Returns the position of a member that has not answered for
- * RP_MEMBER_SILENCE_TIMEOUT_US and that the group can do without; -1 if there
- * is none. */
+/* Whether one voter is one too many: without it, either the group still
+ * tolerates what it must, or a learner makes up for it with the next change.
+ * 2 n voters need as many copies of an entry as 2 n + 1 do, and tolerate as
+ * many failures as 2 n + 1 of which one has failed. */
+static bool
+can_spare_voter(struct rp_replica *replica, int64_t now)
+{
+    size_t voters = RpReplica_VoterCount(replica);
+    size_t min_voters = replica->min_voters ? replica->min_voters
+                                            : DEFAULT_MIN_VOTERS;
+
+    return RpReplica_MayRemoveVoter(replica) ||
+           (voters % 2 == 1 && voters >= min_voters &&
+            find_caught_up_learner(replica, now) >= 0);
+}
+
+/* Returns the position of a learner that has not answered for
+ * RP_MEMBER_SILENCE_TIMEOUT_US; -1 if there is none. */
 static int
-find_removable_member(struct rp_replica *replica, int64_t now)
+find_silent_learner(struct rp_replica *replica, int64_t now)
 {
     for (guint i = 0; i < replica->members->len; i++) {
         const struct rp_replica_member *member = member_at(replica, i);
         const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
-        if (peer && peer->last_heard < now - RP_MEMBER_SILENCE_TIMEOUT_US &&
-            (!member->voter || may_remove_voter(replica))) {
+        if (!member->voter && peer &&
+            peer->last_heard < now - RP_MEMBER_SILENCE_TIMEOUT_US) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Returns the position of a voter that is about to stop; -1 if there is
+ * none. */
+static int
+find_leaving_voter(struct rp_replica *replica)
+{
+    for (guint i = 0; i < replica->members->len; i++) {
+        const struct rp_replica_member *member = member_at(replica, i);
+        const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
+        if (member->voter && (peer ? peer->leaving : replica->leaving)) {
             return (int)i;
         }
     }
@@ -242,19 +312,20 @@
 }
 
 static void
-promote_learner(struct rp_replica *replica, int64_t now, guint position)
+set_voter(struct rp_replica *replica, int64_t now, guint position, bool voter,
+          enum rp_member_change change)
 {
     GArray *list = copy_members(replica);
-    struct rp_replica_member *learner = &g_array_index(
+    struct rp_replica_member *member = &g_array_index(
         list, struct rp_replica_member, position);
 
-    learner->voter = 1;
-    propose_members(replica, now, list, RP_MEMBER_PROMOTED, learner);
+    member->voter = voter;
+    propose_members(replica, now, list, change, member);
     g_array_free(list, TRUE);
 }
 
 static void
-remove_member(struct rp_replica *replica, int64_t now, guint position)
+remove_learner(struct rp_replica *replica, int64_t now, guint position)
 {
     const struct rp_replica_member silent = *member_at(replica, position);
     GArray *list = copy_members(replica);
@@ -270,15 +341,23 @@
     if (!can_change_members(replica)) {
         return;
     }
-    /* Promotes before it removes, so that the copies of an entry never become
-     * fewer than necessary. */
-    int learner = find_caught_up_learner(replica, now);
+    int learner = find_promotable_learner(replica, now);
     if (learner >= 0) {
-        promote_learner(replica, now, (guint)learner);
+        set_voter(replica, now, (guint)learner, true, RP_MEMBER_PROMOTED);
+        return;
+    }
+    int unresponsive = find_unresponsive_voter(replica, now);
+    if (unresponsive >= 0 && can_spare_voter(replica, now)) {
+        set_voter(replica, now, (guint)unresponsive, false, RP_MEMBER_DEMOTED);
+        return;
+    }
+    int leaving = find_leaving_voter(replica);
+    if (leaving >= 0 && RpReplica_MayRemoveVoter(replica)) {
+        set_voter(replica, now, (guint)leaving, false, RP_MEMBER_LEAVING);
         return;
     }
-    int removable = find_removable_member(replica, now);
-    if (removable >= 0) {
-        remove_member(replica, now, (guint)removable);
+    int silent = find_silent_learner(replica, now);
+    if (silent >= 0) {
+        remove_learner(replica, now, (guint)silent);
     }
 }
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -342,9 +342,14 @@
     UINT(rp_msg_append_reply, from),     UINT(rp_msg_append_reply, to),
     UINT(rp_msg_append_reply, term),     UINT(rp_msg_append_reply, round),
     UINT(rp_msg_append_reply, accepted), UINT(rp_msg_append_reply, match),
+    UINT(rp_msg_append_reply, leaving),
 };
-static const struct rp_schema rp_msg_append_reply_schema = RP_SCHEMA(
-    rp_msg_append_reply, append_reply_fields);
+/* Replicas of earlier versions do not send the last field. */
+static const struct rp_schema rp_msg_append_reply_schema = {
+    .fields = append_reply_fields,
+    .count = G_N_ELEMENTS(append_reply_fields),
+    .required = G_N_ELEMENTS(append_reply_fields) - 1,
+    .size = sizeof(struct rp_msg_append_reply)};
 
 static const struct rp_field snapshot_msg_fields[] = {
     UINT(rp_msg_snapshot, from),   UINT(rp_msg_snapshot, to),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -427,6 +427,7 @@
     /* If accepted, the last index at which the logs are known to agree; else
      * the last index of the follower's log. */
     uint64_t match;
+    uint8_t leaving; /* 1: the follower is about to stop, as planned */
 };
 
 /* Leader to follower: a part of an encoded struct rp_snapshot. */
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -12,6 +12,10 @@
 /* A tick that comes this late means that the process was paused. */
 #define PAUSE_US (300 * RP_US_PER_MS)
 #define REPORT_INTERVAL_US (1 * RP_US_PER_SECOND)
+/* How long a planned stop waits for the group to do without this replica: long
+ * enough to elect a new leader, catch up a replacement and commit two changes
+ * of the members. */
+#define LEAVE_TIMEOUT_US (4 * RP_US_PER_SECOND)
 #define FLOW_LIFETIME_MAX 31536000 /* seconds */
 
 #define TOLERATE_SETTING(name, member, text)                                  \
@@ -326,6 +330,22 @@
     control->ticked_at = now;
 }
 
+/* Ends the process of a replica that is to stop, once the group can do without
+ * it or the deadline has passed. */
+static void
+stop_if_possible(struct control *control, int64_t now)
+{
+    bool may_stop = RpControlReplica_MayStop(control->replica);
+
+    if (!may_stop && now < control->leave_deadline) {
+        return;
+    }
+    RpLog_Event(control->daemon.log, may_stop ? RP_LOG_INFO : RP_LOG_WARN,
+                "replica_stops", "role=%s in_time=%d",
+                RpReplica_RoleName(get_replica(control)), may_stop);
+    RpDaemon_Quit(&control->daemon, RP_EXIT_OK);
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -347,6 +367,9 @@
     }
     control->daemon.counters.value[RP_COUNT_TABLE_WITHHELD] =
         RpDistribution_WithheldCount(control->distribution);
+    if (control->leave_deadline != 0) {
+        stop_if_possible(control, now);
+    }
     return G_SOURCE_CONTINUE;
 }
 
@@ -391,8 +414,11 @@
 on_stop(void *user)
 {
     struct control *control = user;
+    int64_t now = RpClock_Now();
 
-    RpDaemon_Quit(&control->daemon, RP_EXIT_OK);
+    control->leave_deadline = now + LEAVE_TIMEOUT_US;
+    RpControlReplica_Leave(control->replica);
+    stop_if_possible(control, now);
 }
 
 /* Returns how many voters the group must keep; 0: not known. How many of them
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -49,8 +49,9 @@
      * deadline; 0: none are waiting. */
     uint64_t former_revision;
     int64_t former_deadline;
-    int64_t ticked_at;  /* when the last tick ran; 0: none yet */
-    int64_t changed_at; /* when the newest change was applied; 0: none */
+    int64_t leave_deadline; /* of a planned stop; 0: none was requested */
+    int64_t ticked_at;      /* when the last tick ran; 0: none yet */
+    int64_t changed_at;     /* when the newest change was applied; 0: none */
     struct rp_disconnect_policy disconnect_policy;
     /* Role, leader and term in the last "replica_role" log line. */
     enum rp_replica_role logged_role;
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -149,6 +149,27 @@
     RpConn_Close(conn);
 }
 
+/* Tells the replica that the peer at the other end of a closed connection does
+ * not answer. */
+static void
+report_disconnect(const struct link *link)
+{
+    const struct control *control = link->links->control;
+    const GArray *members = RpReplica_Members(
+        RpControlReplica_Replica(control->replica));
+
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            members, struct rp_replica_member, i);
+        const struct rp_endpoint address = {.ip = member->ip,
+                                            .port = member->port};
+        if (RpEndpoint_Equal(address, link->address)) {
+            RpControlReplica_OnDisconnect(control->replica, RpClock_Now(),
+                                          member->id);
+        }
+    }
+}
+
 static void
 on_closed(void *user, struct rp_conn *conn)
 {
@@ -157,6 +178,7 @@
     (void)conn;
     link->conn = NULL;
     link->ready = false;
+    report_disconnect(link);
     link->retry_deadline = RpClock_Now();
     if (!link->retry_now) {
         link->retry_deadline += RETRY_PAUSE_US;
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -42,6 +42,7 @@
     /* run_actions is under way: a nested call returns at once, and the outer
      * call runs the actions that it left. */
     bool running_actions;
+    bool leaving; /* RpControlReplica_Leave was called */
 };
 
 static struct rp_str
@@ -190,6 +191,9 @@
         self->failed = true;
     }
     RpReplica_SetMinVoters(self->replica, self->min_voters);
+    if (self->leaving) {
+        RpReplica_Leave(self->replica);
+    }
     if (self->failed) {
         self->retry_deadline = now + RP_STORAGE_RETRY_US;
     }
@@ -543,6 +547,26 @@
     }
 }
 
+void
+RpControlReplica_OnDisconnect(struct rp_control_replica *self, int64_t now,
+                              uint64_t id)
+{
+    RpReplica_OnDisconnect(self->replica, now, id);
+}
+
+void
+RpControlReplica_Leave(struct rp_control_replica *self)
+{
+    self->leaving = true;
+    RpReplica_Leave(self->replica);
+}
+
+bool
+RpControlReplica_MayStop(const struct rp_control_replica *self)
+{
+    return self->failed || RpReplica_MayStop(self->replica);
+}
+
 enum rp_code
 RpControlReplica_Propose(struct rp_control_replica *self, int64_t now,
                          const GString *command, uint64_t *index,
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -93,6 +93,18 @@
                            const struct rp_replica_member *member,
                            bool forwarded);
 
+/* The connection to the replica with this id was closed or could not be
+ * opened; see RpReplica_OnDisconnect. */
+void RpControlReplica_OnDisconnect(struct rp_control_replica *self,
+                                   int64_t now, uint64_t id);
+
+/* Prepares a planned stop; see RpReplica_Leave. */
+void RpControlReplica_Leave(struct rp_control_replica *self);
+
+/* Whether this replica can stop at once after RpControlReplica_Leave; see
+ * RpReplica_MayStop. One whose disk has failed can. */
+bool RpControlReplica_MayStop(const struct rp_control_replica *self);
+
 /* Leader: appends a command to the log and returns its index and term. The
  * caller records these and then calls RpControlReplica_RunActions, which
  * stores, sends and possibly applies the entry. Any other replica, and one
--- a/tests/unit/replica_sim.c
+++ b/tests/unit/replica_sim.c
@@ -132,6 +132,7 @@
         RpSchema_Clear(&rp_log_entry_schema, &entry);
     }
     instance->replica = replica;
+    instance->leaving = false;
 }
 
 void
--- a/tests/unit/replica_sim.h
+++ b/tests/unit/replica_sim.h
@@ -39,6 +39,7 @@
     int64_t clock_offset; /* its clock minus the simulation's, in us */
     int frozen_steps;     /* left until it runs again */
     int down_steps;       /* left until it restarts */
+    bool leaving;         /* a planned stop is under way */
     bool absent;          /* not started yet, or gone for good */
     GString *state;       /* applied commands, "1,2,3," */
     uint64_t applied;
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -4,7 +4,8 @@
  * end.
  *
  * The second test bootstraps 4 or 6 replicas together as one group; a group
- * of 6 can lose two disks at once.
+ * of 6 can lose two disks at once. The third adds planned stops and closed
+ * connections to the faults.
  *
  * RP_SEED=N runs that seed alone; RP_SEEDS=N runs 1 to N. */
 #include <string.h>
@@ -16,6 +17,7 @@
 #define RECOVERY_STEPS 1500
 #define DEFAULT_SEEDS 250
 #define GROUP_SEEDS 100
+#define PLANNED_STOP_SEEDS 50
 #define LARGEST_GROUP 6 /* instances; bears the loss of two disks */
 
 /* Further seeds that each found a fault once. */
@@ -112,6 +114,39 @@
     }
 }
 
+/* Starts planned stops, and ends those that may end or have waited for long.
+ * Reports closed connections, also where the instance at the other end runs
+ * on. */
+static void
+inject_planned_stops(struct sim *sim)
+{
+    unsigned leaving = (unsigned)sim_random_below(sim,
+                                                  (int)sim->instance_count);
+    unsigned closed = (unsigned)sim_random_below(sim,
+                                                 (int)sim->instance_count);
+
+    if (sim_random_below(sim, 60) == 0 && sim_is_running(sim, leaving)) {
+        sim->instances[leaving].leaving = true;
+        RpReplica_Leave(sim->instances[leaving].replica);
+    }
+    for (unsigned i = 0; i < sim->instance_count; i++) {
+        struct instance *instance = &sim->instances[i];
+        if (!sim_is_running(sim, i)) {
+            continue;
+        }
+        if (sim_random_below(sim, 60) == 0) {
+            RpReplica_OnDisconnect(instance->replica,
+                                   sim_instance_clock(sim, instance),
+                                   sim->instances[closed].id);
+        }
+        if (instance->leaving && (RpReplica_MayStop(instance->replica) ||
+                                  sim_random_below(sim, 200) == 0)) {
+            sim_stop_instance(sim, i);
+            instance->down_steps = 1 + sim_random_below(sim, 200);
+        }
+    }
+}
+
 static void
 check_recovered(struct sim *sim)
 {
@@ -139,7 +174,7 @@
 }
 
 static unsigned
-run_simulation(uint32_t seed, bool group)
+run_simulation(uint32_t seed, bool group, bool planned_stops)
 {
     static struct sim sim;
 
@@ -155,6 +190,9 @@
         if (sim_random_below(&sim, 25) == 0) {
             inject_fault(&sim);
         }
+        if (planned_stops) {
+            inject_planned_stops(&sim);
+        }
         sim_step(&sim);
     }
     sim.inject_faults = false;
@@ -189,13 +227,19 @@
 static unsigned
 run_seed(uint32_t seed)
 {
-    return run_simulation(seed, false);
+    return run_simulation(seed, false, false);
 }
 
 static unsigned
 run_group_seed(uint32_t seed)
 {
-    return run_simulation(seed, true);
+    return run_simulation(seed, true, false);
+}
+
+static unsigned
+run_planned_stops_seed(uint32_t seed)
+{
+    return run_simulation(seed, true, true);
 }
 
 static void
@@ -210,6 +254,18 @@
                   acknowledged);
 }
 
+static void
+test_planned_stops_property(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    unsigned acknowledged = run_seeds(run_planned_stops_seed,
+                                      PLANNED_STOP_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds of planned stops, %u commands acknowledged\n", ran,
+                  acknowledged);
+}
+
 static void
 test_consensus_property(void **state)
 {
@@ -228,6 +284,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_consensus_property),
         cmocka_unit_test(test_group_property),
+        cmocka_unit_test(test_planned_stops_property),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
