Platform: bodies are read by a strict parser, and what they cost is bounded

Cause: json-glib's parser is lenient and recursive without a limit; only the length of a body was bounded, not what it becomes. Ruled out: libsoup, frames between our processes, documents.

--- a/lib/common/rp_error.c
+++ b/lib/common/rp_error.c
@@ -40,6 +40,13 @@
         error->findings = g_array_new(FALSE, FALSE, sizeof(struct rp_finding));
         g_array_set_clear_func(error->findings, clear_finding);
     }
+    if (error->findings->len == RP_FINDINGS_MAX) {
+        struct rp_finding *last = &g_array_index(
+            error->findings, struct rp_finding, RP_FINDINGS_MAX - 1);
+        g_string_assign(last->place, "findings");
+        g_string_assign(last->text, "further ones are left out");
+        return code;
+    }
     struct rp_finding finding = {.code = code,
                                  .place = g_string_new(place),
                                  .text = g_string_new(NULL)};
--- a/lib/common/rp_error.h
+++ b/lib/common/rp_error.h
@@ -58,8 +58,12 @@
 /* Frees all findings; `error` can be used again. */
 void RpError_Clear(struct rp_error *error);
 
+/* Most findings that are kept. */
+#define RP_FINDINGS_MAX 64
+
 /* Adds a finding and returns `code`, which must not be RP_OK. If `error` is
- * NULL, only returns `code`. */
+ * NULL, only returns `code`. Of more than RP_FINDINGS_MAX findings, those at
+ * the end are left out, and the last one kept says so. */
 enum rp_code RpError_Add(struct rp_error *error, enum rp_code code,
                          const char *place, const char *format, ...)
     G_GNUC_PRINTF(4, 5);
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -140,8 +140,9 @@
     RpHost_Init(&agent->host, &agent->settings.service,
                 agent->settings.report_ms * RP_US_PER_MS);
     RpError_Init(&error);
-    agent->platform = RpPlatform_Open(agent->settings.host_reports, &ops,
-                                      agent, &error);
+    agent->platform = RpPlatform_Open(agent->settings.host_reports,
+                                      RP_PLATFORM_REPORT_MAX, &ops, agent,
+                                      &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return agent->platform != NULL;
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -341,7 +341,8 @@
         return true;
     }
     RpError_Init(&error);
-    balancer->platform = RpPlatform_Open(balancer->settings.fabric_ready, &ops,
+    balancer->platform = RpPlatform_Open(balancer->settings.fabric_ready,
+                                         RP_PLATFORM_REPORT_MAX, &ops,
                                          balancer, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -3,6 +3,7 @@
 #include "control.h"
 
 #include <sodium.h>
+#include <unistd.h>
 
 #include "rp_bytes.h"
 #include "rp_journal.h"
@@ -75,6 +76,15 @@
              "service that had it before for this time; 0: no limit",
      .fallback = "0",
      .max = FLOW_LIFETIME_MAX},
+    {.flag = "memory-mb",
+     .kind = RP_SETTING_UINT,
+     .offset = offsetof(struct control_settings, memory_mb),
+     .value = "N",
+     .help = "memory that this process may use, in MiB; larger "
+             "configurations than fit are refused; 0: as much as the machine "
+             "has",
+     .fallback = "0",
+     .max = 1u << 20},
     {.flag = "operator-http",
      .kind = RP_SETTING_ENDPOINT,
      .offset = offsetof(struct control_settings, operator_http),
@@ -421,6 +431,19 @@
     stop_if_possible(control, now);
 }
 
+size_t
+RpControl_EditionMax(const struct control_settings *settings)
+{
+    uint64_t bytes = (uint64_t)settings->memory_mb << 20;
+    long pages = sysconf(_SC_PHYS_PAGES);
+    long page_size = sysconf(_SC_PAGESIZE);
+
+    if (bytes == 0 && pages > 0 && page_size > 0) {
+        bytes = (uint64_t)pages * (uint64_t)page_size;
+    }
+    return RpPlatform_EditionMax(bytes);
+}
+
 /* Returns how many voters the group must keep; 0: not known. How many of them
  * a whole data centre or region takes along is not known here. */
 static size_t
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -24,6 +24,7 @@
     uint32_t tolerate_regions;
     uint32_t control_port;
     uint32_t flow_lifetime_seconds;   /* 0: no limit */
+    uint32_t memory_mb;               /* 0: as much as the machine has */
     struct rp_endpoint operator_http; /* port 0: no HTTP endpoint for the
                                        * operator */
 };
@@ -63,6 +64,9 @@
     int64_t next_periodic_run;      /* when to run the periodic tasks again */
 };
 
+/* control.c: returns the largest body of an edition to accept, in bytes. */
+size_t RpControl_EditionMax(const struct control_settings *settings);
+
 /* control_members.c: what the logs and metrics tell about the group of
  * replicas. */
 
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -227,8 +227,9 @@
 
     editions->control = control;
     g_queue_init(&editions->pending);
-    editions->platform = RpPlatform_Open(control->settings.operator_http, &ops,
-                                         editions, error);
+    editions->platform = RpPlatform_Open(
+        control->settings.operator_http,
+        RpControl_EditionMax(&control->settings), &ops, editions, error);
     if (!editions->platform) {
         g_free(editions);
         return NULL;
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -114,8 +114,9 @@
         return true;
     }
     RpError_Init(&error);
-    relay->platform = RpPlatform_Open(relay->settings->operator_http, &ops,
-                                      relay, &error);
+    relay->platform = RpPlatform_Open(relay->settings->operator_http,
+                                      RpControl_EditionMax(relay->settings),
+                                      &ops, relay, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return relay->platform != NULL;
--- a/tests/unit/replica_sim.c
+++ b/tests/unit/replica_sim.c
@@ -8,6 +8,9 @@
 #define MAX_DELAY_US ((MAX_DELAY_STEPS + 1) * STEP_US)
 #define MAX_MESSAGES_IN_FLIGHT 2000
 #define COMPACTION_INTERVAL 40 /* applied entries */
+/* Steps until an instance opens a disk again that has refused a write, as
+ * RP_STORAGE_RETRY_US. */
+#define DISK_RETRY_STEPS 25
 
 int
 sim_random_below(struct sim *sim, int limit)
@@ -238,15 +241,63 @@
     }
 }
 
+static bool
+is_store(const struct rp_replica_action *act)
+{
+    return act->kind == RP_REPLICA_STORE_VOTE ||
+           act->kind == RP_REPLICA_STORE_ENTRY ||
+           act->kind == RP_REPLICA_STORE_TRUNCATE ||
+           act->kind == RP_REPLICA_STORE_SNAPSHOT;
+}
+
+/* Returns the position of the first action that a full disk refuses; the
+ * number of actions if there is none. */
+static guint
+find_refused_store(const struct instance *instance, const GArray *actions)
+{
+    guint i = 0;
+
+    while (i < actions->len &&
+           !(instance->full_steps > 0 &&
+             is_store(&g_array_index(actions, struct rp_replica_action, i)))) {
+        i++;
+    }
+    return i;
+}
+
+/* Opens the disk of an instance again after it refused a write: the instance
+ * starts over from what is stored. It takes part only once a write succeeds.
+ */
+static void
+retry_disk(struct sim *sim, unsigned instance_index)
+{
+    struct instance *instance = &sim->instances[instance_index];
+
+    if (instance->retry_steps == 0 || --instance->retry_steps > 0) {
+        return;
+    }
+    if (instance->full_steps > 0) {
+        instance->retry_steps = DISK_RETRY_STEPS;
+        return;
+    }
+    RpReplica_Free(instance->replica);
+    start_instance(sim, instance_index);
+}
+
 void
 sim_carry_out_actions(struct sim *sim, unsigned instance_index)
 {
     struct instance *instance = &sim->instances[instance_index];
     GArray *actions = RpReplica_TakeActions(instance->replica);
-    guint limit = actions->len;
+    guint limit = find_refused_store(instance, actions);
+
+    if (limit < actions->len) {
+        instance->retry_steps = DISK_RETRY_STEPS;
+    }
 
     /* A crash between two actions: the later ones are not carried out. */
     bool crashed = sim->inject_faults && limit > 0 &&
+                   instance->retry_steps == 0 &&
                    sim_random_below(sim, 3000) == 0;
     if (crashed) {
         limit = (guint)sim_random_below(sim, (int)limit);
@@ -309,7 +360,8 @@
 {
     const struct instance *instance = &sim->instances[instance_index];
 
-    return instance->replica && instance->frozen_steps == 0;
+    return instance->replica && instance->frozen_steps == 0 &&
+           instance->retry_steps == 0;
 }
 
 void
@@ -484,6 +536,11 @@
         if (!instance->replica) {
             continue;
         }
+        instance->full_steps -= instance->full_steps > 0;
+        retry_disk(sim, i);
+        if (instance->retry_steps > 0) {
+            continue;
+        }
         RpReplica_Tick(instance->replica, sim_instance_clock(sim, instance));
         sim_carry_out_actions(sim, i);
         if (sim_is_running(sim, i) && sim_random_below(sim, 10) == 0) {
--- a/tests/unit/replica_sim.h
+++ b/tests/unit/replica_sim.h
@@ -1,7 +1,7 @@
 /* Simulation of a group of replicas, driven by one seed. The network drops,
  * delays and duplicates messages and cuts links in one direction. Instances
- * freeze, crash between two store actions, lose their disks, and have clocks
- * that differ. Every step checks that
+ * freeze, crash between two store actions, lose their disks, have full disks,
+ * and have clocks that differ. Every step checks that
  *
  * - a term has at most one leader, and all replicas apply the same entries in
  *   the same order;
@@ -39,6 +39,8 @@
     int64_t clock_offset; /* its clock minus the simulation's, in us */
     int frozen_steps;     /* left until it runs again */
     int down_steps;       /* left until it restarts */
+    int full_steps;       /* left until its disk takes writes again */
+    int retry_steps;      /* left until it opens its disk again; 0: it works */
     bool leaving;         /* a planned stop is under way */
     bool absent;          /* not started yet, or gone for good */
     GString *state;       /* applied commands, "1,2,3," */
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -34,8 +34,8 @@
 static enum rp_code
 decode(const char *body, struct rp_edition *edition, struct rp_error *error)
 {
-    enum rp_code code = RpPlatform_DecodeEdition(RpStr_FromC(body), edition,
-                                                 error);
+    enum rp_code code = RpPlatform_DecodeEdition(
+        RpStr_FromC(body), RP_PLATFORM_EDITION_MAX, edition, error);
     enum rp_code checked = RpEdition_Check(edition, error);
 
     return code == RP_OK ? checked : code;
@@ -106,7 +106,9 @@
     for (size_t len = 0; len < body_len; len++) {
         struct rp_edition edition;
         struct rp_str part = {.data = two_routes, .len = len};
-        assert_int_not_equal(RpPlatform_DecodeEdition(part, &edition, NULL),
+        assert_int_not_equal(RpPlatform_DecodeEdition(part,
+                                                      RP_PLATFORM_EDITION_MAX,
+                                                      &edition, NULL),
                              RP_OK);
         RpEdition_Clear(&edition);
     }
@@ -118,7 +120,8 @@
     struct rp_msg_change_reply reply = {0};
     struct rp_edition edition;
 
-    RpPlatform_DecodeEdition(RpStr_FromC(body), &edition, NULL);
+    RpPlatform_DecodeEdition(RpStr_FromC(body), RP_PLATFORM_EDITION_MAX,
+                             &edition, NULL);
     GString *command = RpCatalog_EncodeEdition(&edition);
     RpCatalog_Apply(catalog,
                     (struct rp_str){.data = command->str, .len = command->len},
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -167,7 +167,7 @@
         {"{\"service\":\"lens\",\"slots\":7,\"state\":\"draining\","
          "\"seq\":4,\"new-field\":[1,2]}",
          ""},
-        {"", "body: is not an object\n"},
+        {"", "body: byte 0: '[' or '{' expected near end of file\n"},
         {"[1]", "body: is not an object\n"},
         {"{\"service\":7,\"slots\":\"many\",\"state\":\"resting\",\"seq\":-1,"
          "\"born\":\"today\"}",
@@ -196,7 +196,8 @@
         GString *text = g_string_new(NULL);
         RpError_Init(&error);
         enum rp_code code = RpPlatform_DecodeReport(
-            RP_STR("i-1"), RpStr_FromC(cases[i].body), &report, &error);
+            RP_STR("i-1"), RpStr_FromC(cases[i].body), RP_PLATFORM_REPORT_MAX,
+            &report, &error);
         RpError_Format(&error, text);
         assert_string_equal(text->str, cases[i].expected);
         assert_int_equal(code == RP_OK, text->len == 0);
@@ -211,10 +212,10 @@
     struct rp_host_report report;
 
     (void)state;
-    assert_int_equal(RpPlatform_DecodeReport(RP_STR("i-1"),
-                                             RP_STR("{\"service\":\"le"),
-                                             &report, NULL),
-                     RP_ERR_FORMAT);
+    assert_int_equal(
+        RpPlatform_DecodeReport(RP_STR("i-1"), RP_STR("{\"service\":\"le"),
+                                RP_PLATFORM_REPORT_MAX, &report, NULL),
+        RP_ERR_FORMAT);
 }
 
 /* What an agent announces from its start on, while its host is not there, is
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -5,7 +5,7 @@
 
 PACKAGES="build-essential cmake pkg-config clang-format clang-tidy cppcheck
  curl libglib2.0-dev libmsgpack-dev libargtable2-dev libcmocka-dev
- libsoup-3.0-dev libsodium-dev libjson-glib-dev liblwip-dev"
+ libsoup-3.0-dev libsodium-dev libjson-glib-dev libjansson-dev liblwip-dev"
 
 missing=""
 for package in $PACKAGES; do
