--- a/lib/state/rp_journal.c
+++ b/lib/state/rp_journal.c
@@ -315,10 +315,12 @@
     if (code == RP_OK) {
         code = sync_folder(folder, error);
     }
-    g_free(new_path);
     if (code != RP_OK && fd >= 0) {
         close(fd);
+        /* What was written may be all the space that was left. */
+        g_unlink(new_path);
     }
+    g_free(new_path);
     return code == RP_OK ? fd : -1;
 }
 
@@ -392,9 +394,14 @@
     g_free(data);
     RP_RETURN_IF_ERROR(code);
     if (report.torn_bytes &&
-        (ftruncate(journal->fd, (off_t)report.bytes) || fsync(journal->fd))) {
+        ftruncate(journal->fd, (off_t)report.bytes) != 0) {
         return add_io_error(error, path, "cannot truncate the torn tail");
     }
+    /* A process that was killed may have written these records and not synced
+     * them. They count as stored from now on. */
+    if (fsync(journal->fd) != 0) {
+        return add_io_error(error, path, "cannot sync");
+    }
     journal->size = report.bytes;
     journal->next_number = report.records;
     lseek(journal->fd, 0, SEEK_END);
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -5,12 +5,30 @@
 #include <glib/gstdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/syscall.h>
 #include <signal.h>
 #include <unistd.h>
 
 #include "check.h"
 #include "rp_journal.h"
 
+static unsigned syncs; /* calls of fsync and fdatasync */
+
+/* In place of the C library's functions. */
+int
+fsync(int fd)
+{
+    syncs++;
+    return (int)syscall(SYS_fsync, fd);
+}
+
+int
+fdatasync(int fd)
+{
+    syncs++;
+    return (int)syscall(SYS_fdatasync, fd);
+}
+
 /* Appends a replayed record to a text such as "1:alpha 2:beta". */
 static enum rp_code
 append_to_text(void *user, const struct rp_record *record,
@@ -336,6 +354,50 @@
     RpJournal_Close(journal);
 }
 
+/* Guards against records that are read back though they are only in the page
+ * cache: the process that wrote them was killed before its sync, and what is
+ * built on them is lost with the power. */
+static void
+test_records_read_back_are_durable(void **state)
+{
+    struct fixture *fixture = *state;
+
+    write_three(fixture);
+    syncs = 0;
+    RpJournal_Close(open_journal(fixture, NULL));
+    assert_string_equal(fixture->seen->str, "1:alpha 2:beta 3:gamma");
+    assert_int_equal(syncs, 1);
+}
+
+/* Guards against a failed rewrite whose partial file keeps the disk full. */
+static void
+test_failed_rewrite_frees_its_space(void **state)
+{
+    struct fixture *fixture = *state;
+    struct rlimit old_limit;
+    struct rlimit small_limit;
+    gchar *partial = g_build_filename(fixture->folder, "journal.new", NULL);
+
+    write_three(fixture);
+    struct rp_journal *journal = open_journal(fixture, NULL);
+    const struct rp_record record = {
+        .kind = 1,
+        .payload = RP_STR("this record does not fit into the limit any more")};
+    signal(SIGXFSZ, SIG_IGN);
+    getrlimit(RLIMIT_FSIZE, &old_limit);
+    small_limit = old_limit;
+    small_limit.rlim_cur = 64;
+    setrlimit(RLIMIT_FSIZE, &small_limit);
+    enum rp_code code = RpJournal_Rewrite(journal, &record, 1, NULL);
+    setrlimit(RLIMIT_FSIZE, &old_limit);
+    assert_int_equal(code, RP_ERR_IO);
+    assert_false(g_file_test(partial, G_FILE_TEST_EXISTS));
+    RpJournal_Close(journal);
+    RpJournal_Close(open_journal(fixture, NULL));
+    assert_string_equal(fixture->seen->str, "1:alpha 2:beta 3:gamma");
+    g_free(partial);
+}
+
 int
 main(void)
 {
@@ -351,6 +413,8 @@
         TEST(test_rewrite),
         TEST(test_folder_is_locked),
         TEST(test_failed_write_is_final),
+        TEST(test_records_read_back_are_durable),
+        TEST(test_failed_rewrite_frees_its_space),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
