Control: a replica takes part only once its disk has taken a write

Looked for after the report of an operator whose disks were full one after another. It now writes and syncs a record first. A limit on the size of files acts like a full disk and no longer ends the process.

--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -134,9 +134,11 @@
 {
     const struct control *control = user;
 
-    RpLog_Event(control->daemon.log, RP_LOG_INFO, "state_restored",
-                "revision=%" G_GUINT64_FORMAT,
-                RpCatalog_Revision(get_catalog(control)));
+    if (RpControlReplica_IsWorking(control->replica)) {
+        RpLog_Event(control->daemon.log, RP_LOG_INFO, "state_restored",
+                    "revision=%" G_GUINT64_FORMAT,
+                    RpCatalog_Revision(get_catalog(control)));
+    }
     RpDistribution_MarkAllChanged(control->distribution, RpClock_Now());
 }
 
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -162,13 +162,33 @@
     self->ops->failed(self->user, error);
 }
 
+static void store_vote(struct rp_control_replica *self, uint64_t term,
+                       uint64_t voted_for);
+
+/* Opens the journal and proves that the disk takes writes. Without the proof a
+ * replica with nothing to store answers, wins its vote back or leads, and
+ * fails with the next change. */
+static bool
+open_and_write(struct rp_control_replica *self, struct rp_error *error)
+{
+    const struct rp_journal_reader reader = {.visit = on_record, .user = self};
+
+    self->journal = RpJournal_Open(self->folder, &reader, error);
+    if (!self->journal || !self->replica) {
+        return false;
+    }
+    store_vote(self, RpReplica_Term(self->replica),
+               RpReplica_VotedFor(self->replica));
+    self->unsynced = false;
+    return RpJournal_Sync(self->journal, error) == RP_OK;
+}
+
 /* Discards all state in memory and reads the journal again, as a restart of
  * the process does: after a failed sync it is unknown which records reached
  * the disk. */
 static void
 reopen_journal(struct rp_control_replica *self, int64_t now)
 {
-    const struct rp_journal_reader reader = {.visit = on_record, .user = self};
     uint64_t id = self->id;
     struct rp_error error;
     uint64_t seed;
@@ -180,21 +200,20 @@
     RpCatalog_Reset(self->catalog);
     self->opened_at = now;
     self->unsynced = false;
-    self->journal = RpJournal_Open(self->folder, &reader, &error);
-    self->failed = !self->journal;
+    self->failed = !open_and_write(self, &error);
     if (!self->replica) {
         /* The journal could not be read, not even the replica's id. An empty
          * replica with the previous id stands in, and `failed` keeps it from
          * sending anything. */
         randombytes_buf(&seed, sizeof seed);
         self->replica = RpReplica_Create(id, seed, now);
-        self->failed = true;
     }
     RpReplica_SetMinVoters(self->replica, self->min_voters);
     if (self->leaving) {
         RpReplica_Leave(self->replica);
     }
     if (self->failed) {
+        enter_failed_state(self, &error);
         self->retry_deadline = now + RP_STORAGE_RETRY_US;
     }
     else {
@@ -354,13 +373,12 @@
 }
 
 static void
-store_vote(struct rp_control_replica *self,
-           const struct rp_replica_action *action)
+store_vote(struct rp_control_replica *self, uint64_t term, uint64_t voted_for)
 {
     uint8_t vote[VOTE_SIZE];
 
-    RpBytes_Put64(vote, action->term);
-    RpBytes_Put64(vote + NUMBER_SIZE, action->voted_for);
+    RpBytes_Put64(vote, term);
+    RpBytes_Put64(vote + NUMBER_SIZE, voted_for);
     append_record(self, RECORD_VOTE,
                   (struct rp_str){(char *)vote, sizeof vote});
 }
@@ -402,7 +420,7 @@
 {
     switch (action->kind) {
     case RP_REPLICA_STORE_VOTE:
-        store_vote(self, action);
+        store_vote(self, action->term, action->voted_for);
         break;
     case RP_REPLICA_STORE_ENTRY:
         store_entry(self, action->entry);
@@ -514,6 +532,12 @@
     return self->replica;
 }
 
+bool
+RpControlReplica_IsWorking(const struct rp_control_replica *self)
+{
+    return !self->failed;
+}
+
 void
 RpControlReplica_Tick(struct rp_control_replica *self, int64_t now)
 {
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -38,8 +38,8 @@
     /* The leader's snapshot up to this log index does not decode. */
     void (*snapshot_refused)(void *user, uint64_t index);
     /* Writing to the disk failed. Acknowledged changes are safe. The replica
-     * stops taking part until it can reopen its journal, which it tries every
-     * RP_STORAGE_RETRY_US. */
+     * stops taking part until it can reopen its journal and write to it, which
+     * it tries every RP_STORAGE_RETRY_US. Called for each failed attempt. */
     void (*failed)(void *user, const struct rp_error *error);
 };
 
@@ -82,6 +82,9 @@
 struct rp_replica *
 RpControlReplica_Replica(const struct rp_control_replica *self);
 
+/* Whether the disk takes writes, as far as this replica knows. */
+bool RpControlReplica_IsWorking(const struct rp_control_replica *self);
+
 /* Events: time passes, a message arrives, a replica asks to join (`forwarded`:
  * its request comes through a third replica). Each also runs the resulting
  * actions. A replica whose disk has failed ignores messages and requests to
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -134,6 +134,8 @@
 
     daemon->stop = stop;
     daemon->stop_user = user;
+    /* Over a limit on the size of files, writes fail as on a full disk. */
+    signal(SIGXFSZ, SIG_IGN);
     g_unix_signal_add(SIGTERM, on_signal, daemon);
     g_unix_signal_add(SIGINT, on_signal, daemon);
     return true;
--- a/tests/runs/odd-bodies.sh
+++ b/tests/runs/odd-bodies.sh
@@ -9,7 +9,7 @@
 cd "$(dirname "$0")/../.."
 BIN=${BUILD:-build}
 RUN=${RUN:-demo-run/odd-bodies}
-BASE=${BASE:-22000}
+BASE=${BASE:-23000}
 EDITION_MAX=1310720 # with 80 MiB of memory
 REPORT_MAX=65536
 MEMORY_MAX_KB=$((80 << 10))
--- a/tests/unit/test_control_replica.c
+++ b/tests/unit/test_control_replica.c
@@ -138,12 +138,24 @@
     assert_int_equal(propose_edition(replica, 9), RP_ERR_NO_LEADER);
     assert_int_equal(calls.applied, 1);
 
+    /* It does not take part as long as the disk refuses writes, though the
+     * journal can be read. */
+    for (int i = 0; i < 3; i++) {
+        later += 2 * RP_STORAGE_RETRY_US;
+        RpControlReplica_Tick(replica, later);
+        assert_int_equal(calls.failed, 2 + i);
+        assert_false(RpControlReplica_IsWorking(replica));
+        assert_int_equal(propose_edition(replica, 9), RP_ERR_NO_LEADER);
+    }
+
     /* Once there is space, the replica rereads its journal and becomes the
      * leader. */
     limit_file_size(RLIM_INFINITY);
-    later = RpClock_Now() + 2 * RP_US_PER_SECOND;
+    calls.restored = 0;
+    later += 2 * RP_STORAGE_RETRY_US;
     RpControlReplica_Tick(replica, later);
     assert_int_equal(calls.restored, 1);
+    assert_true(RpControlReplica_IsWorking(replica));
     RpControlReplica_Tick(replica, later + RP_US_PER_SECOND);
     assert_int_equal(current_version(replica), 7);
     assert_int_equal(propose_edition(replica, 10), RP_OK);
