Agent: only the host's own word makes an upstream gone

Cause: a stop was read as "the host is gone" whenever this process had not heard the host, so the upstream left all tables and a search proved that its flows had no owner. Evidence: stop_requested without host_started, then resets with the reason owner gone at other agents. The same class: a host that had been silent for three intervals at the stop.

An agent that is stopped says "gone" only if its host has deregistered.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -44,13 +44,10 @@
 }
 
 enum rp_host_stop
-RpHost_ClassifyStop(const struct rp_host *host, int64_t now)
+RpHost_ClassifyStop(const struct rp_host *host)
 {
-    if (host->has_report && host->is_deregistered) {
-        return RP_HOST_STOP_ENDED;
-    }
-    return RpHost_IsAlive(host, now) ? RP_HOST_STOP_REPLACED
-                                     : RP_HOST_STOP_SILENT;
+    return host->has_report && host->is_deregistered ? RP_HOST_STOP_ENDED
+                                                     : RP_HOST_STOP_REPLACED;
 }
 
 /* Returns whether the report belongs to another run than the last report. The
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -46,9 +46,8 @@
 
 /* What a request to stop the agent means for the upstream. */
 enum rp_host_stop {
-    RP_HOST_STOP_REPLACED, /* the host lives: only the agent is replaced */
-    RP_HOST_STOP_ENDED,    /* the host has deregistered: its flows are over */
-    RP_HOST_STOP_SILENT    /* the host is silent, or was never heard */
+    RP_HOST_STOP_REPLACED, /* the host may live: only the agent is replaced */
+    RP_HOST_STOP_ENDED     /* the host has deregistered: its flows are over */
 };
 
 struct rp_host {
@@ -90,8 +89,10 @@
 enum rp_upstream_state RpHost_UpstreamState(const struct rp_host *host,
                                             int64_t now, int64_t started);
 
-/* Returns what a stop request at `now` means. */
-enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host, int64_t now);
+/* Returns what a stop request means. Only the host itself can say that it has
+ * ended: one that is silent, or that this process has not heard yet, may still
+ * have open flows. */
+enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host);
 
 /* Returns when the host times out if it sends no report before. */
 int64_t RpHost_TimeoutDeadline(const struct rp_host *host);
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -437,12 +437,13 @@
 /* Handles a stop request. If the host sends no reports, the agent drains the
  * upstream first.
  *
- * A host that sends reports drains on its own. If it lives, only the agent is
- * being replaced: the agent exits at once, and the next agent learns the flows
- * from the host. Otherwise the agent announces at once that the upstream is
- * gone, and exits. If the host has deregistered, flows that are still open
- * have ended with it: their callers are reset, so that their next request does
- * not go to a host that is no longer there.
+ * A host that sends reports drains on its own. Unless it has deregistered,
+ * only the agent is being replaced, as far as the agent can know: it exits at
+ * once, and the next agent learns the flows from the host. If the host has
+ * deregistered, the agent announces at once that the upstream is gone, and
+ * exits. Flows that are still open have ended with the host: their callers are
+ * reset, so that their next request does not go to a host that is no longer
+ * there.
  */
 static void
 on_stop(void *user)
@@ -457,15 +458,12 @@
         RpTimer_RunBy(agent->timer, 0);
         return;
     }
-    enum rp_host_stop stop = RpHost_ClassifyStop(&agent->host, now);
-    if (stop == RP_HOST_STOP_REPLACED) {
+    if (RpHost_ClassifyStop(&agent->host) == RP_HOST_STOP_REPLACED) {
         RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
         return;
     }
-    if (stop == RP_HOST_STOP_ENDED) {
-        RpAgent_HostRestarted(agent->flows, now);
-        RpAgentRole_RunTimers(agent, now);
-    }
+    RpAgent_HostRestarted(agent->flows, now);
+    RpAgentRole_RunTimers(agent, now);
     agent->drain_deadline = now;
     set_draining(agent, true);
     RpTimer_RunBy(agent->timer, 0);
