Agent: the time of day proves nothing about which flows are known

Cause: the agent compared the host's start time with its own by the time of day, believed that the host was younger than itself, and denied flows that it had forgotten.

An agent knows all flows of a run of its host if it got the run's first report, or heard an earlier run. Related: a host started again under its own id with an earlier start time was stale for good; it is accepted once the known run has timed out.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -50,6 +50,12 @@
                                                      : RP_HOST_STOP_REPLACED;
 }
 
+bool
+RpHost_KnowsRunFromStart(const struct rp_host *host)
+{
+    return host->knows_run;
+}
+
 /* Returns whether the report belongs to another run than the last report. The
  * ids decide if one of the start times is unknown. */
 static bool
@@ -64,7 +70,7 @@
 /* Returns whether a report of another run belongs to a later run. The host's
  * wall clock may have been set back between two runs, so that the later run
  * has the earlier start time. Such a report is accepted if the known run has
- * timed out or deregistered and the report has another id. */
+ * timed out, or has deregistered and the report has another id. */
 static bool
 is_later_run(const struct rp_host *host, int64_t now,
              const struct rp_host_report *report)
@@ -74,7 +80,8 @@
         return true;
     }
     return !RpHost_IsAlive(host, now) &&
-           !RpName_Equal(&report->id, &host->last_report.id);
+           (!RpName_Equal(&report->id, &host->last_report.id) ||
+            now >= RpHost_TimeoutDeadline(host));
 }
 
 static void
@@ -95,6 +102,7 @@
     }
     if (!host->has_report) {
         accept_report(host, now, report);
+        host->knows_run = report->sequence <= RP_HOST_FIRST_SEQUENCE;
         return RP_HOST_REPORT_NEW_RUN;
     }
     if (is_other_run(host, report)) {
@@ -102,6 +110,7 @@
             return RP_HOST_REPORT_STALE;
         }
         host->is_deregistered = false;
+        host->knows_run = true;
         accept_report(host, now, report);
         return RP_HOST_REPORT_NEW_RUN;
     }
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -54,6 +54,7 @@
     struct rp_name service; /* reports of other services are ignored */
     int64_t report_interval;
     bool has_report;      /* a report has been accepted */
+    bool knows_run;       /* the first report of the latest run was accepted */
     bool is_deregistered; /* since its latest report */
     struct rp_host_report last_report;
     int64_t last_report_at; /* time of the latest report or deregistration */
@@ -94,6 +95,11 @@
  * have open flows. */
 enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host);
 
+/* Returns whether the first report of the host's latest run was accepted, so
+ * that this process has run since before the run's first flow. The time of day
+ * proves nothing: it may have been stepped. */
+bool RpHost_KnowsRunFromStart(const struct rp_host *host);
+
 /* Returns when the host times out if it sends no report before. */
 int64_t RpHost_TimeoutDeadline(const struct rp_host *host);
 
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -634,7 +634,6 @@
     agent->incarnation = (uint64_t)g_get_real_time();
     agent->drain_deadline = RP_NEVER;
     agent->started = RpClock_Now();
-    agent->started_ms = g_get_real_time() / RP_US_PER_MS;
     agent->timer = RpTimer_Create(on_deadline, agent);
     create_flow_engine(agent);
     if (!RpAgentHost_Open(agent)) {
--- a/programs/daemon/agent.h
+++ b/programs/daemon/agent.h
@@ -42,7 +42,6 @@
     struct rp_host host; /* state of the host, from its own reports */
     enum rp_host_state host_state;
     int64_t started;        /* when this process started */
-    int64_t started_ms;     /* wall clock, in Unix milliseconds */
     struct rp_agent *flows; /* decides on the packets of flows */
     struct rp_actions actions;
     const struct rp_service *service; /* in the uplink's table; NULL until a
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -44,9 +44,7 @@
 }
 
 /* Handles the first accepted report of a run of the host. Flows of an earlier
- * run are lost. If the agent knew no earlier run, it knows all flows of the
- * host only if this is the run's first report or the agent started before the
- * run. */
+ * run are lost. */
 static void
 on_host_started(struct agent *agent, int64_t now, bool had_reported)
 {
@@ -60,8 +58,7 @@
     if (had_reported) {
         RpAgent_HostRestarted(agent->flows, now);
     }
-    else if (report->sequence <= RP_HOST_FIRST_SEQUENCE ||
-             (int64_t)report->host_start_ms > agent->started_ms) {
+    else if (RpHost_KnowsRunFromStart(&agent->host)) {
         RpAgent_SetKnowsAllFlows(agent->flows);
     }
 }
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -293,6 +293,65 @@
     assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_ENDED);
 }
 
+/* Guards against an agent that takes the time of day for proof that it knows
+ * all flows of its host: only the first report of a run proves that the agent
+ * has run since before it. */
+static void
+test_knows_run_from_start(void **state)
+{
+    struct rp_name service = make_name("lens-desk");
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = service,
+                                    .host_start_ms = INT64_MAX,
+                                    .sequence = 2};
+    struct rp_host host;
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    assert_false(RpHost_KnowsRunFromStart(&host));
+    RpHost_HandleReport(&host, 1, &report);
+    assert_false(RpHost_KnowsRunFromStart(&host));
+    RpHost_Init(&host, &service, INTERVAL_US);
+    report.sequence = 1;
+    RpHost_HandleReport(&host, 1, &report);
+    assert_true(RpHost_KnowsRunFromStart(&host));
+    report.sequence = 2;
+    RpHost_HandleReport(&host, 2, &report);
+    assert_true(RpHost_KnowsRunFromStart(&host));
+}
+
+/* Guards against a host that is never heard again: it was started again under
+ * its id while the time of day of its machine was behind. */
+static void
+test_earlier_start_time(void **state)
+{
+    struct rp_name service = make_name("lens-desk");
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = service,
+                                    .host_start_ms = 5000,
+                                    .sequence = 9};
+    struct rp_host host;
+
+    (void)state;
+    RpHost_Init(&host, &service, INTERVAL_US);
+    RpHost_HandleReport(&host, 1, &report);
+    report.host_start_ms = 3000;
+    report.sequence = 1;
+    assert_int_equal(RpHost_HandleReport(&host, INTERVAL_US, &report),
+                     RP_HOST_REPORT_STALE);
+    report.sequence = 4;
+    assert_int_equal(RpHost_HandleReport(&host, 4 * INTERVAL_US, &report),
+                     RP_HOST_REPORT_NEW_RUN);
+    assert_true(RpHost_IsAlive(&host, 4 * INTERVAL_US));
+
+    /* A late report of the run before does not bring back a host that has just
+     * deregistered. */
+    RpHost_HandleDeregistration(&host, 5 * INTERVAL_US, &report.id);
+    report.host_start_ms = 2000;
+    assert_int_equal(RpHost_HandleReport(&host, 6 * INTERVAL_US, &report),
+                     RP_HOST_REPORT_STALE);
+}
+
 int
 main(void)
 {
@@ -302,6 +361,8 @@
         cmocka_unit_test(test_announced_state),
         cmocka_unit_test(test_pause),
         cmocka_unit_test(test_stop),
+        cmocka_unit_test(test_knows_run_from_start),
+        cmocka_unit_test(test_earlier_start_time),
         cmocka_unit_test(test_decode_reports),
         cmocka_unit_test(test_invalid_json),
     };
