Agent: a flow whose SYN the host did not answer in time may be the host's own

Cause, from the trace: an agent that was restarted took a copy of the SYN of a flow of its own for a new one; its host's answer was lost, no other candidate was left, and from then on each segment of the caller was taken for another owner's, passed on and never shown to the host. After 10 s the last agent on the way reset the caller.

Such an entry is marked as maybe at the host once the host's time to answer is over; the next segment asks the host. Marking it from the admission on was tried and not kept (golden two-owners).

--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -53,8 +53,8 @@
 struct rp_host {
     struct rp_name service; /* reports of other services are ignored */
     int64_t report_interval;
-    bool has_report;      /* a report has been accepted */
-    bool knows_run;       /* the first report of the latest run was accepted */
+    bool has_report; /* a report has been accepted */
+    bool knows_run;  /* this process has run since before the latest run */
     bool is_deregistered; /* since its latest report */
     struct rp_host_report last_report;
     int64_t last_report_at; /* time of the latest report or deregistration */
--- a/lib/flow/rp_agent_classify.c
+++ b/lib/flow/rp_agent_classify.c
@@ -62,7 +62,8 @@
     if (packet->flags & RP_TCP_RST) {
         return RP_FLOW_EV_RST;
     }
-    if (flow->state == RP_FLOW_REDIRECTED &&
+    if ((flow->state == RP_FLOW_REDIRECTED ||
+         flow->state == RP_FLOW_SYN_SENT) &&
         (flow->flags & RP_FLOW_MAYBE_AT_HOST)) {
         return RP_FLOW_EV_MAYBE_OWNED;
     }
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -41,21 +41,28 @@
     }
 }
 
-/* Records that another agent, reached through `next`, handles the flow.
- * Within RP_SYN_LIFETIME_US of its start this agent may have lost the entry
- * of a flow that it admitted, so the redirect is marked as unsure. */
+/* Marks an entry that was made from a SYN as unsure, if this agent may have
+ * lost the entry of a flow that it admitted before: within RP_SYN_LIFETIME_US
+ * of its start the SYN may be a copy of the one that opened that flow. */
 static void
-redirect_flow(struct rp_agent *agent, struct rp_flow *flow,
-              struct rp_endpoint next, int64_t now)
+mark_if_unsure(const struct rp_agent *agent, struct rp_flow *flow, int64_t now)
 {
-    RpAgent_EnterState(agent, flow, RP_FLOW_REDIRECTED, now);
-    flow->next_hop = next;
     if (!agent->knows_all_flows &&
         now < agent->config.started + RP_SYN_LIFETIME_US) {
         flow->flags |= RP_FLOW_MAYBE_AT_HOST;
     }
 }
 
+/* Records that another agent, reached through `next`, handles the flow. */
+static void
+redirect_flow(struct rp_agent *agent, struct rp_flow *flow,
+              struct rp_endpoint next, int64_t now)
+{
+    RpAgent_EnterState(agent, flow, RP_FLOW_REDIRECTED, now);
+    flow->next_hop = next;
+    mark_if_unsure(agent, flow, now);
+}
+
 /* Decides whether this agent takes a new flow; `*reason` is the counter of
  * the decision. */
 static enum rp_decision
@@ -321,8 +328,10 @@
     }
     else if (held) {
         /* No other candidate or no retry budget is left: wait for the host,
-         * and for the caller to repeat its SYN. */
+         * and for the caller to repeat its SYN. The host's answer may be lost
+         * and an earlier one have reached the caller. */
         flow->deadline = now + RP_HANDSHAKE_TIMEOUT_US;
+        mark_if_unsure(agent, flow, now);
     }
     else {
         /* The SYN was not kept, or this timer ends the wait above. */
--- a/lib/flow/rp_flow_table.h
+++ b/lib/flow/rp_flow_table.h
@@ -30,8 +30,8 @@
 /* A slot is reserved for the first request, which has not arrived yet. The
  * flow also has RP_FLOW_BUSY. */
 #define RP_FLOW_RESERVED 0x20
-/* The flow is redirected to another agent, but this agent's host may have
- * it. */
+/* The flow is redirected to another agent, or the host has not answered its
+ * SYN in time, but this agent's host may have it open. */
 #define RP_FLOW_MAYBE_AT_HOST 0x40
 /* No owner has been found since `host_seen`. */
 #define RP_FLOW_OWNER_UNKNOWN 0x80
