--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -173,18 +173,17 @@
     assert_int_equal(RpFlowChart_Load(&chart, NULL), RP_OK);
     for (int from = RP_FLOW_SYN_SENT; from < RP_FLOW_STATE_COUNT; from++) {
         for (int event = 0; event < RP_FLOW_EVENT_COUNT; event++) {
-            bool impossible = (event == RP_FLOW_EV_FOREIGN_ACK &&
-                               from != RP_FLOW_SYN_ANSWERED) ||
-                              (event == RP_FLOW_EV_MAYBE_OWNED &&
-                               from != RP_FLOW_REDIRECTED &&
-                               from != RP_FLOW_SYN_SENT) ||
-                              (event == RP_FLOW_EV_SYN_SENT_BACK &&
-                               from != RP_FLOW_REDIRECTED) ||
-                              (event == RP_FLOW_EV_TIMER_NO_HOST &&
-                               from != RP_FLOW_QUERYING_HOST) ||
-                              (event == RP_FLOW_EV_LATE &&
-                               (from == RP_FLOW_QUERYING_HOST ||
-                                from == RP_FLOW_PRESUMED_OWNED));
+            bool impossible =
+                (event == RP_FLOW_EV_FOREIGN_ACK &&
+                 from != RP_FLOW_SYN_ANSWERED) ||
+                (event == RP_FLOW_EV_MAYBE_OWNED &&
+                 from != RP_FLOW_REDIRECTED && from != RP_FLOW_SYN_SENT) ||
+                (event == RP_FLOW_EV_SYN_SENT_BACK &&
+                 from != RP_FLOW_REDIRECTED) ||
+                (event == RP_FLOW_EV_TIMER_NO_HOST &&
+                 from != RP_FLOW_QUERYING_HOST) ||
+                (event == RP_FLOW_EV_LATE && (from == RP_FLOW_QUERYING_HOST ||
+                                              from == RP_FLOW_PRESUMED_OWNED));
             assert_int_equal(
                 RpChart_Step(&chart, (uint8_t)from, (uint8_t)event).listed,
                 !impossible);
