--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -14,11 +14,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
 prepare_run
 say "1 control instance, $BALANCERS balancers; logs in $RUN/"
 create_system || exit 1
--- a/tests/runs/bad-input.sh
+++ b/tests/runs/bad-input.sh
@@ -11,15 +11,8 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
-# metric ADMIN_PORT NAME: prints the counter radishport_NAME_total.
-metric() {
-    curl -s "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2_total{.*} //p"
-}
+# counter ADMIN_PORT NAME: prints the counter radishport_NAME_total.
+counter() { metric "$1" "$2_total"; }
 
 # send_udp PORT HEX: sends one datagram.
 send_udp() {
@@ -31,10 +24,10 @@
 # goes up by one.
 expect() {
     local before after
-    before=$(metric "$2" "$3")
+    before=$(counter "$2" "$3")
     send_udp "$1" "$4"
     sleep 0.1
-    after=$(metric "$2" "$3")
+    after=$(counter "$2" "$3")
     [ "$after" = $((before + 1)) ] || fail "$3: $before -> $after"
     say "$3 counted"
 }
@@ -76,24 +69,24 @@
 
 say "unauthenticated peers on the control port"
 control=$(control_port 0)
-before=$(metric "$(admin_port 0)" frame_over_limit)
+before=$(counter "$(admin_port 0)" frame_over_limit)
 printf 'GET / HTTP/1.1\r\n\r\n' > "/dev/tcp/127.0.0.1/$control"
 sleep 0.2
-[ "$(metric "$(admin_port 0)" frame_over_limit)" -gt "$before" ] ||
+[ "$(counter "$(admin_port 0)" frame_over_limit)" -gt "$before" ] ||
     fail "frame_over_limit did not count an oversized frame"
 head -c 24 /dev/urandom | base64 > "$RUN/wrong-key"
 chmod 600 "$RUN/wrong-key"
 cli service list --key-file "$RUN/wrong-key" --timeout-seconds 2 &&
     fail "a wrong key was accepted"
-[ "$(metric "$(admin_port 0)" frame_bad_mac)" -gt 0 ] ||
+[ "$(counter "$(admin_port 0)" frame_bad_mac)" -gt 0 ] ||
     fail "frame_bad_mac did not count a wrong key"
 chmod 644 "$RUN/wrong-key"
 cli service list --key-file "$RUN/wrong-key" 2> "$RUN/mode.txt"
 [ $? = 2 ] || fail "a key file of mode 0644 was accepted"
 exec 9<> "/dev/tcp/127.0.0.1/$control"
-wait_until 6 test "$(metric "$(admin_port 0)" peer_timeout)" -ge 0
+wait_until 6 test "$(counter "$(admin_port 0)" peer_timeout)" -ge 0
 sleep 4
-[ "$(metric "$(admin_port 0)" peer_timeout)" -gt 0 ] ||
+[ "$(counter "$(admin_port 0)" peer_timeout)" -gt 0 ] ||
     fail "an idle unauthenticated connection was not closed"
 exec 9>&-
 
--- a/tests/runs/control.sh
+++ b/tests/runs/control.sh
@@ -13,24 +13,16 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
-# metric ADMIN_PORT NAME: prints the metric radishport_NAME.
-metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
 
 # leader: prints the index of the control instance that leads.
 leader() {
     local i
     for i in 0 1 2; do
-        [ "$(metric "$(admin_port $i)" leads)" = 1 ] && echo $i && return 0
+        leads $i && echo $i && return 0
     done
     return 1
 }
-voters() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
-all_fresh() { voters 0 && voters 1 && voters 2; }
+all_fresh() { is_fresh 0 && is_fresh 1 && is_fresh 2; }
 
 acked=0
 refused=0
--- a/tests/runs/flows.sh
+++ b/tests/runs/flows.sh
@@ -13,14 +13,7 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
 agent() { start_agent lens-desk "$1" --drain-seconds 20; }
-# metric ADMIN_PORT NAME: prints the metric radishport_NAME.
-metric() { curl -s "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
 
 prepare_run
 create_system || exit 1
--- a/tests/runs/full-disks.sh
+++ b/tests/runs/full-disks.sh
@@ -15,13 +15,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
-metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
-is_fresh() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
 all_fresh() { is_fresh 0 && is_fresh 1 && is_fresh 2; }
 
 number=0
--- a/tests/runs/odd-bodies.sh
+++ b/tests/runs/odd-bodies.sh
@@ -16,11 +16,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
 # repeat TEXT COUNT: prints a text COUNT times.
 repeat() { yes "$1" | head -n "$2" | tr -d '\n'; }
 
--- a/tests/runs/replacement.sh
+++ b/tests/runs/replacement.sh
@@ -15,14 +15,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-fail() {
-    say "FAILED: $*"
-    exit 1
-}
-
-metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
-is_fresh() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
-leads() { [ "$(metric "$(admin_port "$1")" leads)" = 1 ]; }
 has_voters() { [ "$(metric "$(admin_port "$1")" voters)" = "$2" ]; }
 
 start_replica() {
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -92,8 +92,6 @@
     esac
 }
 
-metric() { curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"; }
-is_fresh() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
 # all_fresh: all replicas are up to date and have a vote. Only then may one
 # lose its data.
 all_fresh() {
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -17,6 +17,11 @@
 
 say() { echo "$(basename "${0%.sh}"): $*"; }
 
+fail() {
+    say "FAILED: $*"
+    exit 1
+}
+
 # NAME_port INDEX: prints the port of an instance.
 control_port() { echo $((BASE + 1 + $1)); }
 balancer_port() { echo $((BASE + 100 + $1)); }
@@ -153,6 +158,15 @@
 
 cli() { "$BIN/programs/radishport" "$@"; }
 
+# metric ADMIN_PORT NAME: prints the metric radishport_NAME.
+metric() {
+    curl -s -m 1 "127.0.0.1:$1/metrics" | sed -n "s/^radishport_$2{.*} //p"
+}
+
+# Whether a control instance has a confirmed state, and whether it leads.
+is_fresh() { [ "$(metric "$(admin_port "$1")" fresh)" = 1 ]; }
+leads() { [ "$(metric "$(admin_port "$1")" leads)" = 1 ]; }
+
 # wait_until SECONDS COMMAND...: repeats a command until it succeeds. Fails
 # after about SECONDS.
 wait_until() {
