--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -17,6 +17,8 @@
     -I lib/common -I lib/wire -I lib/flow -I lib/state -I lib/control \
     -I platform -I programs/shared $sources
 echo "lint: clang-tidy"
-echo "$sources" | xargs -P "$JOBS" -n 4 clang-tidy -p "$BUILD" --quiet \
+# One file per process: on x86-64 the va_list check of a process that reads
+# several files reports lists that are initialised.
+echo "$sources" | xargs -P "$JOBS" -n 1 clang-tidy -p "$BUILD" --quiet \
     2> /dev/null
 echo "lint: clean"
