--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -143,9 +143,16 @@
 
 static const struct rp_field controls_fields[] = {
     LIST(rp_msg_controls, list, rp_msg_control_address_schema),
-};
-static const struct rp_schema rp_msg_controls_schema = RP_SCHEMA(
-    rp_msg_controls, controls_fields);
+    UINT(rp_msg_controls, leader_known),
+    UINT(rp_msg_controls, leader_ip),
+    UINT(rp_msg_controls, leader_port),
+};
+/* Replicas of earlier releases send the list only. */
+static const struct rp_schema rp_msg_controls_schema = {
+    .fields = controls_fields,
+    .count = G_N_ELEMENTS(controls_fields),
+    .required = 1,
+    .size = sizeof(struct rp_msg_controls)};
 
 static const struct rp_field table_fields[] = {
     UINT(rp_msg_table, revision),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -199,9 +199,20 @@
     uint16_t port;
 };
 
+/* What a replica tells nodes about the leader. */
+enum rp_leader_known {
+    RP_LEADER_NOT_TOLD, /* by replicas of earlier releases, and by relays */
+    RP_LEADER_NONE,     /* the replica has not heard a leader within the
+                         * lease */
+    RP_LEADER_KNOWN
+};
+
 /* Control to node: the current addresses of the control replicas. */
 struct rp_msg_controls {
-    GArray *list; /* of struct rp_msg_control_address */
+    GArray *list;         /* of struct rp_msg_control_address */
+    uint8_t leader_known; /* enum rp_leader_known */
+    uint32_t leader_ip;   /* RP_LEADER_KNOWN: the leader's address */
+    uint16_t leader_port;
 };
 
 /* Node to control: the node has applied this configuration revision. */
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -308,6 +308,32 @@
     return result;
 }
 
+/* A replica of an earlier release sends the addresses of the replicas without
+ * the leader. Guards against nodes that close the connections of such
+ * replicas. */
+static void
+test_controls_of_earlier_release_decode(void **state)
+{
+    /* [type, [[[127.0.0.1, 7080]]]] */
+    const uint8_t bytes[] = {0x92, RP_MSG_CONTROLS,
+                             0x91, 0x91,
+                             0x92, 0xce,
+                             0x7f, 0x00,
+                             0x00, 0x01,
+                             0xcd, 0x1b,
+                             0xa8};
+    struct rp_msg msg;
+
+    (void)state;
+    assert_true(RpMsg_Decode(
+        (struct rp_str){.data = (const char *)bytes, .len = sizeof bytes},
+        &msg));
+    assert_int_equal(msg.type, RP_MSG_CONTROLS);
+    assert_int_equal(msg.controls.list->len, 1);
+    assert_int_equal(msg.controls.leader_known, RP_LEADER_NOT_TOLD);
+    RpMsg_Clear(&msg);
+}
+
 static const struct rp_msg hello = {
     .type = RP_MSG_HELLO, .hello = {.version = 1, .role = RP_ROLE_AGENT}};
 static const struct rp_msg ping = {.type = RP_MSG_PING};
@@ -533,6 +559,7 @@
         cmocka_unit_test(test_geneve_services),
         cmocka_unit_test(test_bad_geneve),
         cmocka_unit_test(test_unknown_option),
+        cmocka_unit_test(test_controls_of_earlier_release_decode),
         cmocka_unit_test(test_session_handshake),
         cmocka_unit_test(test_session_keys),
         cmocka_unit_test(test_session_bad_input),
