An operator is sent to a live leader only, or refused at once

Cause: a relay took the advertised members in turn, dead or alive, learner or voter. A replica named the leader of its term until its own election timeout, 0.5 to 1 s after the leader had died. Nothing told a relay who leads.

Now replicas tell nodes the leader that they have heard within the lease, or that there is none, with the addresses and whenever it changes. Relays and replicas decide with RpReferral_Choose: to that leader, or to the replica of the relay's own connection if it is of an earlier release, else 503 at once, counted as change_no_leader or change_not_connected. From a relay that is one redirect, two if the leader has just changed. A member whose address has changed is sent again, too: the digest held ids only.

Weighed: the connected replica instead of the leader (one more redirect, and that replica may be cut off); asking replicas for the leader at each call (a wait where the operator must not wait).

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -149,6 +149,8 @@
       "changes refused: no such service")                                     \
     X(CHANGE_NO_LEADER, "change_no_leader",                                   \
       "changes refused: no leader with a quorum")                             \
+    X(CHANGE_NOT_CONNECTED, "change_not_connected",                           \
+      "operator's requests refused: not connected to any replica")            \
     X(CHANGE_TIMEOUT, "change_timeout",                                       \
       "changes with unknown outcome: not committed in time")                  \
     X(ANNOUNCE_ACCEPTED, "announce_accepted", "announcements accepted")       \
--- a/lib/control/rp_referral.h
+++ b/lib/control/rp_referral.h
@@ -20,13 +20,12 @@
 /* What an instance knows about the replicas at the moment. */
 struct rp_referral_view {
     uint32_t self_ip; /* this instance's own address */
-    /* Relay: the replica at the other end of its connection, and whether the
-     * connection stands. A replica: its leader, and whether it has heard from
-     * it within the lease. */
+    /* Relay: the connection stands, and its replica has told whether it knows
+     * the leader. Replica: it has heard the leader within the lease. */
     bool connected;
-    struct rp_endpoint replica; /* port 0: none known */
-    uint8_t leader_known;      /* enum rp_leader_known, as told by `replica` */
-    struct rp_endpoint leader; /* as told by `replica` */
+    struct rp_endpoint replica; /* relay: the other end of the connection */
+    uint8_t leader_known;       /* enum rp_leader_known */
+    struct rp_endpoint leader;
 };
 
 enum rp_referral_kind {
--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -474,6 +474,16 @@
     return RpReplica_FindMember(replica, replica->leader_id);
 }
 
+const struct rp_replica_member *
+RpReplica_LiveLeader(const struct rp_replica *replica, int64_t now)
+{
+    bool alive = replica->role == RP_REPLICA_LEADER
+                     ? RpReplica_IsFresh(replica, now)
+                     : now - replica->last_leader_contact < RP_LEASE_US;
+
+    return alive ? RpReplica_Leader(replica) : NULL;
+}
+
 void
 RpReplica_OnDisconnect(struct rp_replica *replica, int64_t now, uint64_t id)
 {
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -182,6 +182,11 @@
 const struct rp_replica_member *
 RpReplica_Leader(const struct rp_replica *replica);
 
+/* Returns the leader if it is known to be alive: this replica heard it less
+ * than RP_LEASE_US ago, or leads itself with a valid lease. Else NULL. */
+const struct rp_replica_member *
+RpReplica_LiveLeader(const struct rp_replica *replica, int64_t now);
+
 /* Handles a request of `member` to join the group. The leader starts at most
  * one change of the members for it; the requester repeats the request until it
  * is a member. Any other replica forwards the request to the leader, which the
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -41,8 +41,8 @@
     struct control_links *links;
     struct control_editions *editions; /* NULL: no HTTP endpoint for the
                                         * operator */
-    uint64_t sent_members_digest; /* digest of the replica list that nodes were
-                                   * last sent */
+    uint64_t sent_members_digest; /* digest of the replicas and the leader that
+                                   * nodes were last told */
     GSocketService *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
@@ -121,7 +121,7 @@
                             const struct rp_msg_announce *announce,
                             const struct rp_name *source_replica);
 
-/* Sends all nodes the addresses of the replicas, if the members have
+/* Sends all nodes the addresses of the replicas and the leader, if these have
  * changed. */
 void RpControl_SendMembersIfChanged(struct control *control);
 
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -8,6 +8,7 @@
  */
 #include "control.h"
 #include "rp_clock.h"
+#include "rp_referral.h"
 
 /* The operator's client gives up after 1 s and turns to another replica. A
  * request that is not decided shortly before that is answered with "try
@@ -42,16 +43,25 @@
 }
 
 /* Redirects a request that this replica cannot answer to the leader, or
- * rejects it if no other leader is known. */
+ * rejects it if no other leader is known to be alive. */
 static void
 redirect_to_leader(struct control_editions *editions,
                    struct rp_platform_request *request)
 {
-    const struct rp_replica *replica = get_replica(editions);
-    const struct rp_replica_member *leader = RpReplica_Leader(replica);
+    const struct rp_replica_member *leader = RpReplica_LiveLeader(
+        get_replica(editions), RpClock_Now());
+    struct rp_referral_view view = {
+        .self_ip = editions->control->settings.listen.ip,
+        .connected = leader != NULL,
+        .leader_known = RP_LEADER_NONE};
 
-    if (leader && leader->id != RpReplica_Id(replica)) {
-        RpPlatform_Redirect(request, leader->ip);
+    if (leader) {
+        view.leader_known = RP_LEADER_KNOWN;
+        view.leader = (struct rp_endpoint){leader->ip, leader->port};
+    }
+    struct rp_referral referral = RpReferral_Choose(&view);
+    if (referral.ip != 0) {
+        RpPlatform_Redirect(request, referral.ip);
         return;
     }
     RpCounters_Add(&editions->control->daemon.counters,
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -283,11 +283,14 @@
     }
 }
 
-/* Builds the message that tells nodes the replicas' addresses. */
+/* Builds the message that tells nodes the replicas' addresses and the
+ * leader. */
 static void
 build_controls_msg(const struct control *control, struct rp_msg *msg)
 {
     const GArray *members = RpReplica_Members(get_replica(control));
+    const struct rp_replica_member *leader = RpReplica_LiveLeader(
+        get_replica(control), RpClock_Now());
 
     *msg = (struct rp_msg){.type = RP_MSG_CONTROLS,
                            .controls = {.list = RpSchema_NewList(
@@ -299,6 +302,34 @@
                                                    .port = member->port};
         g_array_append_val(msg->controls.list, row);
     }
+    msg->controls.leader_known = RP_LEADER_NONE;
+    if (leader) {
+        msg->controls.leader_known = RP_LEADER_KNOWN;
+        msg->controls.leader_ip = leader->ip;
+        msg->controls.leader_port = leader->port;
+    }
+}
+
+/* Returns a number that changes when the message that build_controls_msg
+ * builds does. */
+static uint64_t
+digest_controls(const struct control *control)
+{
+    const GArray *members = RpReplica_Members(get_replica(control));
+    const struct rp_replica_member *leader = RpReplica_LiveLeader(
+        get_replica(control), RpClock_Now());
+    uint64_t digest = members->len;
+
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_replica_member *member = &g_array_index(
+            members, struct rp_replica_member, i);
+        const uint64_t parts[] = {member->id, member->ip, member->port,
+                                  leader && leader->id == member->id};
+        for (size_t j = 0; j < G_N_ELEMENTS(parts); j++) {
+            digest = digest * UINT64_C(0x9e3779b97f4a7c15) + parts[j];
+        }
+    }
+    return digest;
 }
 
 uint64_t
@@ -318,14 +349,8 @@
 void
 RpControl_SendMembersIfChanged(struct control *control)
 {
-    const GArray *members = RpReplica_Members(get_replica(control));
-    uint64_t digest = members->len;
+    uint64_t digest = digest_controls(control);
 
-    for (guint i = 0; i < members->len; i++) {
-        const struct rp_replica_member *member = &g_array_index(
-            members, struct rp_replica_member, i);
-        digest = digest * UINT64_C(0x9e3779b97f4a7c15) + member->id;
-    }
     if (digest == control->sent_members_digest) {
         return;
     }
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -1,8 +1,8 @@
 /* A control instance without a disk.
  *
  * It stores nothing, so it does not vote and sends no tables. It connects to
- * the replicas as a node does, learns their addresses, and redirects each HTTP
- * request of the operator to one of them.
+ * the replicas as a node does, learns who leads, and redirects each HTTP
+ * request of the operator to the leader.
  */
 #include "control.h"
 #include "rp_uplink.h"
@@ -12,22 +12,24 @@
     struct rp_daemon daemon;
     struct rp_uplink *uplink;
     struct rp_platform *platform;
-    size_t next; /* index of the replica to redirect to next */
 };
 
 static void
 redirect(struct relay *relay, struct rp_platform_request *request)
 {
-    const struct rp_endpoints *controls = RpUplink_AdvertisedControls(
-        relay->uplink);
+    struct rp_referral_view view = {.self_ip = relay->settings->listen.ip};
 
-    if (controls->count == 0) {
-        RpCounters_Add(&relay->daemon.counters, RP_COUNT_CHANGE_NO_LEADER);
-        RpPlatform_Answer(request, RP_ERR_NO_LEADER, NULL);
+    RpUplink_FillReferralView(relay->uplink, &view);
+    struct rp_referral referral = RpReferral_Choose(&view);
+    if (referral.ip != 0) {
+        RpPlatform_Redirect(request, referral.ip);
         return;
     }
-    struct rp_endpoint to = controls->item[relay->next++ % controls->count];
-    RpPlatform_Redirect(request, to.ip);
+    RpCounters_Add(&relay->daemon.counters,
+                   referral.kind == RP_REFERRAL_NOT_CONNECTED
+                       ? RP_COUNT_CHANGE_NOT_CONNECTED
+                       : RP_COUNT_CHANGE_NO_LEADER);
+    RpPlatform_Answer(request, RP_ERR_NO_LEADER, NULL);
 }
 
 static void
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -17,7 +17,12 @@
     const struct rp_uplink_ops *ops;
     void *user;
     struct rp_conn *conn;
+    struct rp_endpoint to; /* the other end of `conn` */
     bool ready;
+    bool told; /* the replica has sent the replicas' addresses on `conn` */
+    uint8_t
+        leader_known; /* enum rp_leader_known, from the last such message */
+    struct rp_endpoint leader;
     bool freeing;
     size_t next;
     struct rp_reconnect reconnect;
@@ -107,6 +112,10 @@
         uplink->advertised.item[uplink->advertised.count++] =
             (struct rp_endpoint){.ip = row->ip, .port = row->port};
     }
+    uplink->told = true;
+    uplink->leader_known = controls->leader_known;
+    uplink->leader = (struct rp_endpoint){.ip = controls->leader_ip,
+                                          .port = controls->leader_port};
 }
 
 static void
@@ -154,6 +163,7 @@
 
     uplink->conn = NULL;
     uplink->ready = false;
+    uplink->told = false;
     stop_table_timeout(uplink);
     if (!uplink->freeing) {
         uplink->retry_source = g_timeout_add(
@@ -177,6 +187,7 @@
             ? advertised->item[index]
             : uplink->controls.item[index - advertised->count];
 
+    uplink->to = to;
     uplink->conn = RpConn_Open(&uplink->daemon->context, to,
                                RpReconnect_BeginAttempt(&uplink->reconnect) *
                                    RP_US_PER_MS,
@@ -244,10 +255,14 @@
     }
 }
 
-const struct rp_endpoints *
-RpUplink_AdvertisedControls(const struct rp_uplink *uplink)
+void
+RpUplink_FillReferralView(const struct rp_uplink *uplink,
+                          struct rp_referral_view *view)
 {
-    return &uplink->advertised;
+    view->connected = uplink->told;
+    view->replica = uplink->to;
+    view->leader_known = uplink->leader_known;
+    view->leader = uplink->leader;
 }
 
 const struct rp_table *
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -9,6 +9,7 @@
 #define RP_UPLINK_H
 
 #include "rp_daemon.h"
+#include "rp_referral.h"
 #include "rp_table.h"
 
 struct rp_uplink;
@@ -52,9 +53,11 @@
 /* Sends a message, or drops it if no control instance is connected. */
 void RpUplink_Send(struct rp_uplink *uplink, const struct rp_msg *msg);
 
-/* The addresses that control has advertised; empty until it has sent them. */
-const struct rp_endpoints *
-RpUplink_AdvertisedControls(const struct rp_uplink *uplink);
+/* Sets what the view says about the connected replica and the leader. The
+ * replica counts as connected once it has told on this connection who the
+ * replicas are. */
+void RpUplink_FillReferralView(const struct rp_uplink *uplink,
+                               struct rp_referral_view *view);
 
 /* The current table; revision 0 until the first one arrives. */
 const struct rp_table *RpUplink_Table(const struct rp_uplink *uplink);
--- a/tests/unit/test_replica_start.c
+++ b/tests/unit/test_replica_start.c
@@ -8,6 +8,8 @@
 
 #define SETTLE_STEPS 150 /* until all instances are fresh */
 #define DEFAULT_SEEDS 20
+/* Longest time that a message of the simulation travels. */
+#define IN_FLIGHT_US (100 * RP_US_PER_MS)
 /* No process can still hold a lease, so the election must not wait for one. */
 #define MAX_TIME_TO_LEADER_US RP_LEASE_US
 
@@ -149,8 +151,9 @@
     unsigned instance_index = 0;
 
     while (instance_index + 1 < sim->instance_count &&
-           RpReplica_Role(sim->instances[instance_index].replica) !=
-               RP_REPLICA_LEADER) {
+           (!sim->instances[instance_index].replica ||
+            RpReplica_Role(sim->instances[instance_index].replica) !=
+                RP_REPLICA_LEADER)) {
         instance_index++;
     }
     return instance_index;
@@ -199,12 +202,62 @@
     print_message("%u seeds of a leader that is cut off\n", ran);
 }
 
+/* The leader loses power for good. Once its last messages have arrived and the
+ * lease has passed, no instance may name it as the leader that is alive. */
+static unsigned
+run_dead_leader(uint32_t seed)
+{
+    static struct sim sim;
+
+    start_and_settle(&sim, seed, seed % 2 ? 3 : 5);
+    unsigned old_leader = find_leader(&sim);
+    uint64_t old_id = sim.instances[old_leader].id;
+    sim_stop_instance(&sim, old_leader);
+    sim.instances[old_leader].down_steps = 1000;
+    int64_t named_until = sim.now + RP_LEASE_US + IN_FLIGHT_US;
+    int64_t end = sim.now + 4 * RP_ELECTION_TIMEOUT_US;
+    while (sim.now < end) {
+        sim_step(&sim);
+        for (unsigned i = 0; i < sim.instance_count; i++) {
+            const struct instance *instance = &sim.instances[i];
+            const struct rp_replica_member *leader =
+                instance->replica
+                    ? RpReplica_LiveLeader(instance->replica,
+                                           sim_instance_clock(&sim, instance))
+                    : NULL;
+            CHECK(&sim,
+                  sim.now < named_until || !leader || leader->id != old_id,
+                  "a leader that is long dead is named as alive");
+        }
+    }
+    const struct instance *leader = &sim.instances[find_leader(&sim)];
+    CHECK(&sim,
+          RpReplica_LiveLeader(leader->replica,
+                               sim_instance_clock(&sim, leader)) != NULL,
+          "the next leader does not name itself");
+    sim_end(&sim);
+    return 1;
+}
+
+/* Guards against followers that send the operator to a leader that has just
+ * died, for up to a whole election timeout (issue 34). */
+static void
+test_dead_leader_is_not_named(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    run_seeds(run_dead_leader, DEFAULT_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds of a leader that dies\n", ran);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_power_loss),
         cmocka_unit_test(test_isolated_leader),
+        cmocka_unit_test(test_dead_leader_is_not_named),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
