Red: an empty replica that knows followers only never joins

Seen on real processes, three replicas and a new one whose settings name the two followers: the leader has it as a learner, takes it out and lets it in again, for as long as one watches: 1: voters 3 learners 1 fresh4 0 2: voters 3 learners 0 fresh4 0 3: voters 3 learners 1 fresh4 0 Its followers pass the wish on, the leader connects to it and sends its log, but the answers need a connection to the leader, whose address it never learns. relay.sh has this case now (KNOWN-RED). has_joined asks the new replica itself whether it is fresh, which is stricter than the count of the members that the leader lists.

--- a/tests/runs/relay.sh
+++ b/tests/runs/relay.sh
@@ -2,9 +2,10 @@
 # Scripted run on real processes: control instances without a disk ("relays")
 # beside three replicas, each at an address of its own with equal ports. An
 # operator that follows two redirects and waits 1 s for each answer reads the
-# configuration from the relays while replicas are silent. A balancer, a relay
-# and an empty replica are told the addresses of relays and of a silent
-# instance only. At the end all replicas are gone.
+# configuration from the relays while replicas are silent. An empty replica is
+# told the followers' addresses only. A balancer, a relay and an empty replica
+# are told the addresses of relays and of a silent instance only. At the end
+# all replicas are gone.
 set -u
 cd "$(dirname "$0")/../.."
 BIN=${BUILD:-build}
@@ -46,13 +47,7 @@
     done
     return 1
 }
-has_members() {
-    local host voters learners
-    host=$(leader) || return 1
-    voters=$(gauge "$host" voters)
-    learners=$(gauge "$host" learners)
-    [ $((${voters:-0} + ${learners:-0})) = "$1" ]
-}
+has_joined() { is "$1" fresh 1; }
 
 # call METHOD HOST: one call of the operator; prints status and milliseconds.
 call() {
@@ -106,6 +101,15 @@
 accepted() { [ "$(call PUT 202.1 | cut -c 1-3)" = 200 ]; }
 expect 5 "a relay sends a change on to the leader" accepted
 
+# Guards against a leader whose address a new replica never learns, so that
+# its answers never reach it (issue 34).
+followers=""
+for host in $REPLICAS; do
+    [ "$host" != "$(leader)" ] && followers="$followers,$(peer "$host")"
+done
+replica 201.5 "${followers#,}"
+expect 8 "an empty replica that knows only followers joins" has_joined 201.5
+
 launch 202.2 "$ONLY_RELAYS"
 start balancer-0 "$BIN/programs/radishportd" balancer --name balancer-0 \
     --listen "127.0.0.1:$(balancer_port 0)" --control "$ONLY_RELAYS" \
@@ -118,7 +122,7 @@
 expect 5 "a relay that knows only relays is connected" \
     is 202.2 control_connected 1
 replica 201.4 "$ONLY_RELAYS"
-expect 8 "an empty replica that knows only relays joins" has_members 4
+expect 8 "an empty replica that knows only relays joins" has_joined 201.4
 read_all "all replicas up"
 
 first=$(leader)
@@ -136,7 +140,7 @@
 kill -CONT "${PIDS[control-$first]}"
 expect 10 "the first leader is back" is "$first" fresh 1
 
-for host in $REPLICAS 201.4; do stop "control-$host" KILL; done
+for host in $REPLICAS 201.4 201.5; do stop "control-$host" KILL; done
 sleep 2
 for host in $RELAYS; do
     answer=$(call GET "$host")
