An empty replica is told the members by those that it asks to join

Seen: a new or wiped replica whose settings name followers only never joins.

Cause: a replica only sends on connections that it opens. Followers pass its wish on to the leader, which sends its log; but the replica opens connections to the addresses in its settings and in its log, and it has no log yet.

Now a replica that gets a wish from one that it doesn't list answers on the same connection with the members (RP_MSG_CONTROLS). The other keeps them as hints until it has a log with itself in it (programs/shared/rp_contacts, with test_contacts). A replica of an earlier release closes the connection at such a message, counts frame_unexpected and connects again; its wish has arrived.

Weighed: taking the address of the leader's own connection, with the port of this instance (wrong where ports differ or a machine has two addresses).

--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -1,10 +1,16 @@
 /* Connections from this replica to the others.
  *
  * Each replica opens a connection to every other one and only sends on it; it
- * receives on the connections that the others open.
+ * receives on the connections that the others open. The one exception: an
+ * instance that a replica without a log has asked to let it join answers with
+ * the addresses of the members, one of which leads.
  */
 #include "control.h"
+
+#include <sodium.h>
+
 #include "rp_clock.h"
+#include "rp_contacts.h"
 
 /* Pause before reconnecting to a replica. After a power loss the election
  * waits for this connection. */
@@ -39,7 +45,8 @@
 
 struct control_links {
     struct control *control;
-    GPtrArray *list;     /* of struct link */
+    GPtrArray *list; /* of struct link */
+    struct rp_contacts contacts;
     GHashTable *reports; /* replica name -> struct report */
     GHashTable *names;   /* replica id -> instance name, from its messages */
     int64_t next_join;
@@ -52,6 +59,8 @@
 
     links->control = control;
     links->list = g_ptr_array_new();
+    RpContacts_Init(&links->contacts, control->settings.listen,
+                    &control->settings.peers, randombytes_uniform);
     links->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                            g_free);
     links->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -140,12 +149,20 @@
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
     const struct link *link = user;
+    struct control *control = link->links->control;
+    struct rp_endpoints members;
 
-    /* Replies arrive on the connection that the peer opens, so any message
-     * here is an error. */
-    (void)msg;
-    RpCounters_Add(&link->links->control->daemon.counters,
-                   RP_COUNT_FRAME_UNEXPECTED);
+    if (msg->type == RP_MSG_CONTROLS) {
+        if (should_ask_to_join(control, RpClock_Now())) {
+            RpContacts_FromMsg(&msg->controls, &members);
+            RpContacts_SetHints(&link->links->contacts, &members,
+                                randombytes_uniform);
+        }
+        return;
+    }
+    /* Replies arrive on the connection that the peer opens, so any other
+     * message here is an error. */
+    RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
     RpConn_Close(conn);
 }
 
@@ -232,8 +249,7 @@
 static void
 add_link(struct control_links *links, struct rp_endpoint address)
 {
-    if (RpEndpoint_Equal(address, links->control->settings.listen) ||
-        find_link(links, address)) {
+    if (find_link(links, address)) {
         return;
     }
     struct link *link = g_new0(struct link, 1);
@@ -242,22 +258,34 @@
     g_ptr_array_add(links->list, link);
 }
 
-/* Adds a link for each address in the settings and each member in the log. */
 static void
-add_known_replicas(struct control_links *links)
+add_links(struct control_links *links, const struct rp_endpoints *addresses)
+{
+    for (size_t i = 0; i < addresses->count; i++) {
+        add_link(links, addresses->item[i]);
+    }
+}
+
+/* Reads the members from the log. They are the only ones that a replica with a
+ * log needs. */
+static void
+update_contacts(struct control_links *links, int64_t now)
 {
     const struct control *control = links->control;
     const GArray *members = RpReplica_Members(
         RpControlReplica_Replica(control->replica));
+    struct rp_endpoints told = {0};
 
-    for (size_t i = 0; i < control->settings.peers.count; i++) {
-        add_link(links, control->settings.peers.item[i]);
-    }
-    for (guint i = 0; i < members->len; i++) {
+    for (guint i = 0; i < members->len && i < RP_ENDPOINTS_MAX; i++) {
         const struct rp_replica_member *member = &g_array_index(
             members, struct rp_replica_member, i);
-        add_link(links,
-                 (struct rp_endpoint){.ip = member->ip, .port = member->port});
+        told.item[told.count++] = (struct rp_endpoint){.ip = member->ip,
+                                                       .port = member->port};
+    }
+    RpContacts_SetTold(&links->contacts, &told);
+    RpContacts_SetSettings(&links->contacts, &control->settings.peers);
+    if (!should_ask_to_join(control, now)) {
+        RpContacts_DropHints(&links->contacts);
     }
 }
 
@@ -282,7 +310,10 @@
 void
 RpControlLinks_Tick(struct control_links *links, int64_t now)
 {
-    add_known_replicas(links);
+    update_contacts(links, now);
+    add_links(links, &links->contacts.told);
+    add_links(links, &links->contacts.hints);
+    add_links(links, &links->contacts.settings);
     for (guint i = 0; i < links->list->len; i++) {
         connect_if_due(g_ptr_array_index(links->list, i), now);
     }
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -522,6 +522,39 @@
     }
 }
 
+static bool
+is_member(const struct control *control, uint64_t id)
+{
+    const GArray *members = RpReplica_Members(get_replica(control));
+
+    for (guint i = 0; i < members->len; i++) {
+        if (g_array_index(members, struct rp_replica_member, i).id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Handles a wish to join. A replica that asks for itself and has not been let
+ * in is told the members: the leader, whose log it must answer, may be none of
+ * those that its settings name. */
+static void
+on_join(struct control *control, const struct client *client,
+        const struct rp_replica_member *member)
+{
+    bool forwarded = !RpName_Equal(&client->hello.name, &member->name);
+    struct rp_msg msg;
+
+    RpControlReplica_Join(control->replica, RpClock_Now(), member, forwarded);
+    if (forwarded || RpReplica_Members(get_replica(control))->len == 0 ||
+        is_member(control, member->id)) {
+        return;
+    }
+    build_controls_msg(control, &msg);
+    RpConn_Send(client->conn, &msg);
+    RpMsg_Clear(&msg);
+}
+
 static void
 handle_message(struct control *control, struct client *client,
                const struct rp_msg *msg)
@@ -554,11 +587,7 @@
         on_confirm(control, client, msg->confirm.revision);
         break;
     case RP_MSG_JOIN:
-        /* If the sender is not the replica that asks to join, it has forwarded
-         * the request. */
-        RpControlReplica_Join(
-            control->replica, now, &msg->join.member,
-            !RpName_Equal(&client->hello.name, &msg->join.member.name));
+        on_join(control, client, &msg->join.member);
         break;
     default: /* a message of the replicated log */
         RpControlLinks_SetReplicaName(control->links, RpReplica_Sender(msg),
--- a/tests/runs/relay.sh
+++ b/tests/runs/relay.sh
@@ -42,7 +42,7 @@
 is() { [ "$(gauge "$1" "$2")" = "$3" ]; }
 leader() {
     local host
-    for host in $REPLICAS; do
+    for host in $REPLICAS 201.4 201.5; do
         [ "$host" != "${1:-}" ] && is "$host" leads 1 && echo "$host" && return
     done
     return 1
