Replicas forget the addresses of those that have left

Seen by reading: a replica added a connection for each address in its settings and its log and never took one away. Each of those that had left for good was tried every 0.5 s (0.4 s without an answer, 0.1 s of pause) until the process ended, with a line peer_closed peer=unknown each time; the list grew with each replaced instance.

Now an address that has been in neither for 10 s is forgotten: not at once, because a member that is taken out must still be told so. The gauge replica_links shows the length of the list.

--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -408,13 +408,15 @@
         out,
         "revision %" G_GUINT64_FORMAT "\nlowest_confirmed %" G_GUINT64_FORMAT
         "\nconnections %u\nterm %" G_GUINT64_FORMAT
-        "\ncommitted %" G_GUINT64_FORMAT "\nleads %d\nfresh %d\n",
+        "\ncommitted %" G_GUINT64_FORMAT
+        "\nleads %d\nfresh %d\nreplica_links %u\n",
         RpCatalog_Revision(get_catalog(control)),
         RpDistribution_LowestConfirmed(control->distribution),
         g_hash_table_size(control->clients), RpReplica_Term(replica),
         RpReplica_CommitIndex(replica),
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
-        control->disconnect_policy.fresh);
+        control->disconnect_policy.fresh,
+        RpControlLinks_Count(control->links));
     RpControl_WriteMemberGauges(control, out);
     RpControl_WriteMemoryGauges(control, out);
 }
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -149,8 +149,8 @@
 /* control_links.c: connections to the other replicas. */
 struct control_links *RpControlLinks_Create(struct control *control);
 
-/* Connects to replicas that are not connected, and asks to join if this
- * replica is not a member. */
+/* Connects to replicas that are not connected, closes links to those that have
+ * long left, and asks to join if this replica is not a member. */
 void RpControlLinks_Tick(struct control_links *links, int64_t now);
 
 /* Sends to the replica with the id `to`, if it is connected. */
@@ -167,6 +167,10 @@
 void RpControlLinks_OnPeerConnected(struct control_links *links, int64_t now,
                                     uint32_t ip);
 
+/* Returns the number of addresses that this replica keeps connections to or
+ * tries to. */
+guint RpControlLinks_Count(const struct control_links *links);
+
 /* Returns the bytes queued for the other replicas. */
 uint64_t RpControlLinks_QueuedBytes(const struct control_links *links);
 
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -20,6 +20,9 @@
  * running machine takes 30 ms between the nearer regions. */
 #define STALE_ATTEMPT_US (50 * RP_US_PER_MS)
 #define JOIN_INTERVAL_US (1 * RP_US_PER_SECOND)
+/* How long a link is kept after its address has left the settings and the log.
+ * A replica that is taken out must still be told so. */
+#define FORGET_US (10 * RP_US_PER_SECOND)
 /* Reported revisions older than this are ignored: their replica counts as
  * unreachable. */
 #define REPORT_TTL_US (5 * RP_US_PER_SECOND)
@@ -35,6 +38,9 @@
                      * without a pause */
     int64_t attempt_started;
     int64_t retry_deadline;
+    int64_t forget_deadline; /* 0: the address is in the settings, the log or
+                              * the hints */
+    bool forgotten;          /* freed once its connection is closed */
 };
 
 /* The lowest revision that all nodes of a replica have confirmed. */
@@ -201,6 +207,10 @@
         link->retry_deadline += RETRY_PAUSE_US;
     }
     link->retry_now = false;
+    if (link->forgotten) {
+        g_ptr_array_remove_fast(link->links->list, link);
+        g_free(link);
+    }
 }
 
 void
@@ -289,6 +299,35 @@
     }
 }
 
+/* Closes the links whose addresses have long left the settings and the log:
+ * their machines may be gone for good. */
+static void
+forget_links(struct control_links *links, int64_t now)
+{
+    for (guint i = links->list->len; i > 0; i--) {
+        struct link *link = g_ptr_array_index(links->list, i - 1);
+        if (RpContacts_Contains(&links->contacts, link->address)) {
+            link->forget_deadline = 0;
+            link->forgotten = false;
+            continue;
+        }
+        if (link->forget_deadline == 0) {
+            link->forget_deadline = now + FORGET_US;
+        }
+        if (now < link->forget_deadline || link->forgotten) {
+            continue;
+        }
+        link->forgotten = true;
+        if (link->conn) {
+            RpConn_Close(link->conn);
+        }
+        else {
+            g_ptr_array_remove_index_fast(links->list, i - 1);
+            g_free(link);
+        }
+    }
+}
+
 static void
 ask_to_join(struct control_links *links, int64_t now)
 {
@@ -314,6 +353,7 @@
     add_links(links, &links->contacts.told);
     add_links(links, &links->contacts.hints);
     add_links(links, &links->contacts.settings);
+    forget_links(links, now);
     for (guint i = 0; i < links->list->len; i++) {
         connect_if_due(g_ptr_array_index(links->list, i), now);
     }
@@ -367,6 +407,12 @@
     }
 }
 
+guint
+RpControlLinks_Count(const struct control_links *links)
+{
+    return links->list->len;
+}
+
 uint64_t
 RpControlLinks_QueuedBytes(const struct control_links *links)
 {
--- a/tests/runs/relay.sh
+++ b/tests/runs/relay.sh
@@ -140,7 +140,13 @@
 kill -CONT "${PIDS[control-$first]}"
 expect 10 "the first leader is back" is "$first" fresh 1
 
-for host in $REPLICAS 201.4 201.5; do stop "control-$host" KILL; done
+# Guards against attempts, for as long as a process lives, to reach instances
+# that have left for good (issue 34).
+stop control-201.5 TERM
+links=$(($(gauge "$first" replica_links) - 1))
+expect 20 "a replica that has left is forgotten" is "$first" replica_links $links
+
+for host in $REPLICAS 201.4; do stop "control-$host" KILL; done
 sleep 2
 for host in $RELAYS; do
     answer=$(call GET "$host")
