--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -1,10 +1,16 @@
 /* Connections from this replica to the others.
  *
  * Each replica opens a connection to every other one and only sends on it; it
- * receives on the connections that the others open.
+ * receives on the connections that the others open. The one exception: an
+ * instance that a replica without a log has asked to let it join answers with
+ * the addresses of the members, one of which leads.
  */
 #include "control.h"
+
+#include <sodium.h>
+
 #include "rp_clock.h"
+#include "rp_contacts.h"
 
 /* Pause before reconnecting to a replica. After a power loss the election
  * waits for this connection. */
@@ -14,6 +20,9 @@
  * running machine takes 30 ms between the nearer regions. */
 #define STALE_ATTEMPT_US (50 * RP_US_PER_MS)
 #define JOIN_INTERVAL_US (1 * RP_US_PER_SECOND)
+/* How long a link is kept after its address has left the settings and the log.
+ * A replica that is taken out must still be told so. */
+#define FORGET_US (10 * RP_US_PER_SECOND)
 /* Reported revisions older than this are ignored: their replica counts as
  * unreachable. */
 #define REPORT_TTL_US (5 * RP_US_PER_SECOND)
@@ -29,6 +38,9 @@
                      * without a pause */
     int64_t attempt_started;
     int64_t retry_deadline;
+    int64_t forget_deadline; /* 0: the address is in the settings, the log or
+                              * the hints */
+    bool forgotten;          /* freed once its connection is closed */
 };
 
 /* The lowest revision that all nodes of a replica have confirmed. */
@@ -39,7 +51,8 @@
 
 struct control_links {
     struct control *control;
-    GPtrArray *list;     /* of struct link */
+    GPtrArray *list; /* of struct link */
+    struct rp_contacts contacts;
     GHashTable *reports; /* replica name -> struct report */
     GHashTable *names;   /* replica id -> instance name, from its messages */
     int64_t next_join;
@@ -52,6 +65,8 @@
 
     links->control = control;
     links->list = g_ptr_array_new();
+    RpContacts_Init(&links->contacts, control->settings.listen,
+                    &control->settings.peers, randombytes_uniform);
     links->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                            g_free);
     links->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -140,12 +155,20 @@
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
     const struct link *link = user;
+    struct control *control = link->links->control;
+    struct rp_endpoints members;
 
-    /* Replies arrive on the connection that the peer opens, so any message
-     * here is an error. */
-    (void)msg;
-    RpCounters_Add(&link->links->control->daemon.counters,
-                   RP_COUNT_FRAME_UNEXPECTED);
+    if (msg->type == RP_MSG_CONTROLS) {
+        if (should_ask_to_join(control, RpClock_Now())) {
+            RpContacts_FromMsg(&msg->controls, &members);
+            RpContacts_SetHints(&link->links->contacts, &members,
+                                randombytes_uniform);
+        }
+        return;
+    }
+    /* Replies arrive on the connection that the peer opens, so any other
+     * message here is an error. */
+    RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
     RpConn_Close(conn);
 }
 
@@ -184,6 +207,10 @@
         link->retry_deadline += RETRY_PAUSE_US;
     }
     link->retry_now = false;
+    if (link->forgotten) {
+        g_ptr_array_remove_fast(link->links->list, link);
+        g_free(link);
+    }
 }
 
 void
@@ -232,8 +259,7 @@
 static void
 add_link(struct control_links *links, struct rp_endpoint address)
 {
-    if (RpEndpoint_Equal(address, links->control->settings.listen) ||
-        find_link(links, address)) {
+    if (find_link(links, address)) {
         return;
     }
     struct link *link = g_new0(struct link, 1);
@@ -242,22 +268,63 @@
     g_ptr_array_add(links->list, link);
 }
 
-/* Adds a link for each address in the settings and each member in the log. */
 static void
-add_known_replicas(struct control_links *links)
+add_links(struct control_links *links, const struct rp_endpoints *addresses)
+{
+    for (size_t i = 0; i < addresses->count; i++) {
+        add_link(links, addresses->item[i]);
+    }
+}
+
+/* Reads the members from the log. They are the only ones that a replica with a
+ * log needs. */
+static void
+update_contacts(struct control_links *links, int64_t now)
 {
     const struct control *control = links->control;
     const GArray *members = RpReplica_Members(
         RpControlReplica_Replica(control->replica));
+    struct rp_endpoints told = {0};
 
-    for (size_t i = 0; i < control->settings.peers.count; i++) {
-        add_link(links, control->settings.peers.item[i]);
-    }
-    for (guint i = 0; i < members->len; i++) {
+    for (guint i = 0; i < members->len && i < RP_ENDPOINTS_MAX; i++) {
         const struct rp_replica_member *member = &g_array_index(
             members, struct rp_replica_member, i);
-        add_link(links,
-                 (struct rp_endpoint){.ip = member->ip, .port = member->port});
+        told.item[told.count++] = (struct rp_endpoint){.ip = member->ip,
+                                                       .port = member->port};
+    }
+    RpContacts_SetTold(&links->contacts, &told);
+    RpContacts_SetSettings(&links->contacts, &control->settings.peers);
+    if (!should_ask_to_join(control, now)) {
+        RpContacts_DropHints(&links->contacts);
+    }
+}
+
+/* Closes the links whose addresses have long left the settings and the log:
+ * their machines may be gone for good. */
+static void
+forget_links(struct control_links *links, int64_t now)
+{
+    for (guint i = links->list->len; i > 0; i--) {
+        struct link *link = g_ptr_array_index(links->list, i - 1);
+        if (RpContacts_Contains(&links->contacts, link->address)) {
+            link->forget_deadline = 0;
+            link->forgotten = false;
+            continue;
+        }
+        if (link->forget_deadline == 0) {
+            link->forget_deadline = now + FORGET_US;
+        }
+        if (now < link->forget_deadline || link->forgotten) {
+            continue;
+        }
+        link->forgotten = true;
+        if (link->conn) {
+            RpConn_Close(link->conn);
+        }
+        else {
+            g_ptr_array_remove_index_fast(links->list, i - 1);
+            g_free(link);
+        }
     }
 }
 
@@ -282,7 +349,11 @@
 void
 RpControlLinks_Tick(struct control_links *links, int64_t now)
 {
-    add_known_replicas(links);
+    update_contacts(links, now);
+    add_links(links, &links->contacts.told);
+    add_links(links, &links->contacts.hints);
+    add_links(links, &links->contacts.settings);
+    forget_links(links, now);
     for (guint i = 0; i < links->list->len; i++) {
         connect_if_due(g_ptr_array_index(links->list, i), now);
     }
@@ -336,6 +407,12 @@
     }
 }
 
+guint
+RpControlLinks_Count(const struct control_links *links)
+{
+    return links->list->len;
+}
+
 uint64_t
 RpControlLinks_QueuedBytes(const struct control_links *links)
 {
--- a/tests/runs/joining.sh
+++ b/tests/runs/joining.sh
@@ -89,4 +89,4 @@
 grep -q "^# $number\$" "$RUN/now.conf" ||
     fail "acknowledged change $number is lost"
 change || fail "no change is acknowledged after two more lost disks"
-say "joining: $number changes acknowledged, none lost"
+say "$number changes acknowledged, none lost"
