Relays answer nodes and replicas with the addresses of the replicas

Seen: a balancer, a relay and an empty replica whose settings name relays (and a silent instance) never find control: "NO, not within 5 s", "NO, not within 8 s" in tests/runs/relay.sh; the operator gets 503 from such a relay for good.

Cause: a relay did not listen on the port between nodes, although deploy/system.toml says that it tells nodes the addresses of the others.

The node closes and tries these next, from a random one on; an empty replica adds them as hints, like those from members. Hints never take the place of what a replica told, and a relay passes on only the latter, so relays do not feed each other addresses of relays. At most 256 connections, each for 1 s at most; a relay does not try its own address. A relay that has lost its replica goes on answering with what it knew: a node loses 0.4 s with a dead address, and nothing else it knows is better.

A node of an earlier release takes a relay for a control instance, keeps the addresses and is disconnected after 0.3 s.

Weighed: nodes that ask for other seeds (nobody to ask); relays that pass on hints (old addresses would go round for ever); an own role in the hello (processes of earlier releases would refuse the connection).

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -136,6 +136,8 @@
     X(PEER_LIMIT, "peer_limit", "connections refused: too many connections")  \
     X(NODE_SENT_ON, "node_sent_on",                                           \
       "nodes disconnected: this replica has no log yet")                      \
+    X(NODE_HINTED, "node_hinted",                                             \
+      "nodes and replicas told the replicas' addresses by a relay")           \
     X(PEERS_ACCEPTED, "peers_accepted", "peers authenticated")                \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -639,9 +639,9 @@
     if (!RpAgentHost_Open(agent)) {
         return false;
     }
-    agent->uplink = RpUplink_Create(&agent->daemon, &agent->settings.controls,
-                                    &agent->settings.service, &uplink_ops,
-                                    agent);
+    agent->uplink = RpUplink_Create(
+        &agent->daemon, (struct rp_endpoint){0}, &agent->settings.controls,
+        &agent->settings.service, &uplink_ops, agent);
     RpTimer_RunBy(agent->timer, 0);
     g_unix_signal_add(SIGUSR2, on_replace_signal, agent);
     return RpDaemon_OpenAdmin(&agent->daemon, &agent->settings.common,
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -423,7 +423,8 @@
     RpLog_SetBudget(daemon->log, "flow_waits", FLOW_LINES_PER_SECOND);
     balancer.waiting = RpWaiting_Create();
     balancer.wait_timer = RpTimer_Create(expire_waiting, &balancer);
-    balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
+    balancer.uplink = RpUplink_Create(daemon, (struct rp_endpoint){0},
+                                      &balancer.settings.controls,
                                       &all_services, &uplink_ops, &balancer);
     RpUplink_PreferZone(balancer.uplink, &balancer.settings.common.zone,
                         balancer.settings.zone_weight);
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -15,6 +15,8 @@
 /* Pause before reconnecting to a replica. After a power loss the election
  * waits for this connection. */
 #define RETRY_PAUSE_US (100 * RP_US_PER_MS)
+/* Pause before an instance without a disk is asked again. */
+#define RELAY_PAUSE_US (1 * RP_US_PER_SECOND)
 /* An attempt to connect that is older than this when its peer connects to us
  * was sent to a machine that was still without power: the first reply from a
  * running machine takes 30 ms between the nearer regions. */
@@ -34,6 +36,7 @@
     struct rp_name name; /* from the peer's hello */
     struct rp_conn *conn;
     bool ready;
+    bool is_relay;  /* the peer stores nothing: it only names the members */
     bool retry_now; /* the peer connected to us during the attempt: retry
                      * without a pause */
     int64_t attempt_started;
@@ -136,6 +139,10 @@
     struct link *link = user;
     struct control *control = link->links->control;
 
+    link->is_relay = hello->role != RP_ROLE_CONTROL;
+    if (link->is_relay) {
+        return;
+    }
     link->ready = true;
     link->name = hello->name;
     if (should_ask_to_join(control, RpClock_Now())) {
@@ -164,6 +171,9 @@
             RpContacts_SetHints(&link->links->contacts, &members,
                                 randombytes_uniform);
         }
+        if (link->is_relay) {
+            RpConn_Close(conn);
+        }
         return;
     }
     /* Replies arrive on the connection that the peer opens, so any other
@@ -204,8 +214,10 @@
     report_disconnect(link);
     link->retry_deadline = RpClock_Now();
     if (!link->retry_now) {
-        link->retry_deadline += RETRY_PAUSE_US;
+        link->retry_deadline += link->is_relay ? RELAY_PAUSE_US
+                                               : RETRY_PAUSE_US;
     }
+    link->is_relay = false;
     link->retry_now = false;
     if (link->forgotten) {
         g_ptr_array_remove_fast(link->links->list, link);
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -2,15 +2,18 @@
  *
  * It stores nothing, so it does not vote and sends no tables. It connects to
  * the replicas as a node does, learns who leads, and redirects each HTTP
- * request of the operator to the leader.
+ * request of the operator to the leader. It tells nodes and replicas that
+ * connect to it where the replicas are.
  */
+#include "control_relay.h"
+
 #include "control.h"
-#include "rp_uplink.h"
 
 struct relay {
     const struct control_settings *settings;
     struct rp_daemon daemon;
     struct rp_uplink *uplink;
+    struct rp_relay_nodes *nodes;
     struct rp_platform *platform;
 };
 
@@ -149,16 +152,20 @@
                         &relay)) {
         return relay.daemon.exit_code;
     }
-    relay.uplink = RpUplink_Create(&relay.daemon, &settings->peers,
-                                   &no_service, &uplink_ops, &relay);
+    relay.uplink = RpUplink_Create(&relay.daemon, settings->listen,
+                                   &settings->peers, &no_service, &uplink_ops,
+                                   &relay);
     RpDaemon_WatchSettings(&relay.daemon, source, on_reload, &relay);
-    if (!open_platform(&relay) ||
+    relay.nodes = RpRelayNodes_Open(&relay.daemon, settings->listen,
+                                    relay.uplink);
+    if (!relay.nodes || !open_platform(&relay) ||
         !RpDaemon_OpenAdmin(&relay.daemon, &settings->common, &admin_ops,
                             &relay)) {
         return RP_EXIT_FAILED;
     }
     int exit_code = RpDaemon_Run(&relay.daemon);
     RpPlatform_Close(relay.platform);
+    RpRelayNodes_Close(relay.nodes);
     RpUplink_Free(relay.uplink);
     RpDaemon_Clear(&relay.daemon);
     return exit_code;
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -3,6 +3,7 @@
 
 #include <sodium.h>
 
+#include "rp_contacts.h"
 #include "rp_reconnect.h"
 
 /* How long to wait for the first table of a connection before another control
@@ -11,8 +12,7 @@
 
 struct rp_uplink {
     struct rp_daemon *daemon;
-    struct rp_endpoints controls;   /* from the settings */
-    struct rp_endpoints advertised; /* from control itself */
+    struct rp_contacts contacts;
     struct rp_name service;
     const struct rp_uplink_ops *ops;
     void *user;
@@ -23,8 +23,11 @@
     uint8_t
         leader_known; /* enum rp_leader_known, from the last such message */
     struct rp_endpoint leader;
+    /* The other end is an instance without a disk, which answers with the
+     * addresses of the replicas and closes the connection. */
+    bool is_relay;
+    bool hinted; /* it has done so, and knew some */
     bool freeing;
-    size_t next;
     struct rp_reconnect reconnect;
     guint retry_source;
     guint table_source; /* timeout for the first table of a connection */
@@ -64,6 +67,11 @@
         .subscribe = {.service = uplink->service,
                       .revision = RpTable_Revision(uplink->table)}};
 
+    uplink->is_relay = hello->role != RP_ROLE_CONTROL;
+    if (uplink->is_relay) {
+        RpConn_Send(conn, &msg);
+        return;
+    }
     uplink->ready = true;
     RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_connected",
                 "control=%s", hello->name.data);
@@ -105,24 +113,46 @@
 store_advertised(struct rp_uplink *uplink,
                  const struct rp_msg_controls *controls)
 {
-    uplink->advertised.count = 0;
-    for (guint i = 0; i < controls->list->len && i < RP_ENDPOINTS_MAX; i++) {
-        const struct rp_msg_control_address *row = &g_array_index(
-            controls->list, struct rp_msg_control_address, i);
-        uplink->advertised.item[uplink->advertised.count++] =
-            (struct rp_endpoint){.ip = row->ip, .port = row->port};
-    }
+    struct rp_endpoints told;
+
+    RpContacts_FromMsg(controls, &told);
+    RpContacts_SetTold(&uplink->contacts, &told);
+    RpContacts_DropHints(&uplink->contacts);
     uplink->told = true;
     uplink->leader_known = controls->leader_known;
     uplink->leader = (struct rp_endpoint){.ip = controls->leader_ip,
                                           .port = controls->leader_port};
 }
 
+/* Keeps the addresses that an instance without a disk has sent, and closes its
+ * connection: they are tried next. */
+static void
+take_hints(struct rp_uplink *uplink, const struct rp_msg_controls *controls)
+{
+    struct rp_endpoints hints;
+
+    RpContacts_FromMsg(controls, &hints);
+    RpContacts_SetHints(&uplink->contacts, &hints, randombytes_uniform);
+    uplink->hinted = hints.count > 0;
+    RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "control_hinted",
+                "replicas=%zu", hints.count);
+    RpConn_Close(uplink->conn);
+}
+
 static void
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
     struct rp_uplink *uplink = user;
 
+    if (uplink->is_relay && msg->type == RP_MSG_CONTROLS) {
+        take_hints(uplink, &msg->controls);
+        return;
+    }
+    if (uplink->is_relay) {
+        RpCounters_Add(&uplink->daemon->counters, RP_COUNT_FRAME_UNEXPECTED);
+        RpConn_Close(conn);
+        return;
+    }
     if (msg->type == RP_MSG_TABLE) {
         apply_table(uplink, &msg->table);
         return;
@@ -159,11 +189,15 @@
     struct rp_uplink *uplink = user;
 
     (void)conn;
-    bool answered = uplink->ready;
+    /* The pauses also grow after a relay that knows no replica: it is as busy
+     * with attempts as a replica that cannot serve. */
+    bool answered = uplink->ready || (uplink->is_relay && !uplink->hinted);
 
     uplink->conn = NULL;
     uplink->ready = false;
     uplink->told = false;
+    uplink->is_relay = false;
+    uplink->hinted = false;
     stop_table_timeout(uplink);
     if (!uplink->freeing) {
         uplink->retry_source = g_timeout_add(
@@ -179,14 +213,13 @@
 static void
 connect_next(struct rp_uplink *uplink)
 {
-    const struct rp_endpoints *advertised = &uplink->advertised;
-    size_t index = uplink->next++ %
-                   (advertised->count + uplink->controls.count);
-    struct rp_endpoint to =
-        index < advertised->count
-            ? advertised->item[index]
-            : uplink->controls.item[index - advertised->count];
+    struct rp_endpoint to;
 
+    if (!RpContacts_Next(&uplink->contacts, &to)) {
+        uplink->retry_source = g_timeout_add(RP_RECONNECT_PAUSE_MAX_MS,
+                                             on_retry, uplink);
+        return;
+    }
     uplink->to = to;
     uplink->conn = RpConn_Open(&uplink->daemon->context, to,
                                RpReconnect_BeginAttempt(&uplink->reconnect) *
@@ -195,19 +228,19 @@
 }
 
 struct rp_uplink *
-RpUplink_Create(struct rp_daemon *daemon, const struct rp_endpoints *controls,
+RpUplink_Create(struct rp_daemon *daemon, struct rp_endpoint self,
+                const struct rp_endpoints *controls,
                 const struct rp_name *service, const struct rp_uplink_ops *ops,
                 void *user)
 {
     struct rp_uplink *uplink = g_new0(struct rp_uplink, 1);
 
     uplink->daemon = daemon;
-    uplink->controls = *controls;
+    RpContacts_Init(&uplink->contacts, self, controls, randombytes_uniform);
     uplink->service = *service;
     uplink->ops = ops;
     uplink->user = user;
     RpReconnect_Init(&uplink->reconnect);
-    uplink->next = randombytes_uniform((uint32_t)controls->count);
     uplink->table = RpTable_Create();
     connect_next(uplink);
     return uplink;
@@ -217,7 +250,7 @@
 RpUplink_SetControls(struct rp_uplink *uplink,
                      const struct rp_endpoints *controls)
 {
-    uplink->controls = *controls;
+    RpContacts_SetSettings(&uplink->contacts, controls);
 }
 
 void
@@ -255,6 +288,12 @@
     }
 }
 
+const struct rp_endpoints *
+RpUplink_ToldControls(const struct rp_uplink *uplink)
+{
+    return &uplink->contacts.told;
+}
+
 void
 RpUplink_FillReferralView(const struct rp_uplink *uplink,
                           struct rp_referral_view *view)
--- a/programs/daemon/rp_uplink.h
+++ b/programs/daemon/rp_uplink.h
@@ -1,9 +1,11 @@
 /* A node's connection to control, which keeps the node's table up to date.
  *
  * The uplink tries the control instances in turn, both those from the settings
- * and those that control has advertised, until one answers. It then
+ * and those that control has told, until one answers (rp_contacts.h). It then
  * subscribes, applies the tables that arrive and confirms each revision. While
- * no control instance answers, the node keeps its last table.
+ * no control instance answers, the node keeps its last table. An instance
+ * without a disk answers with the addresses of the replicas, which the uplink
+ * tries next.
  */
 #ifndef RP_UPLINK_H
 #define RP_UPLINK_H
@@ -39,10 +41,13 @@
 void RpUplink_PreferZone(struct rp_uplink *uplink, const struct rp_name *zone,
                          uint32_t weight);
 
-/* Creates an uplink and starts to connect. `service` is the service to
- * subscribe to, or empty for all. `daemon`, `ops` and `user` are borrowed, the
- * rest is copied. Free with RpUplink_Free. */
+/* Creates an uplink and starts to connect. `self` is the address at which this
+ * process answers other nodes, with port 0 if it answers none; it is not
+ * tried. `service` is the service to subscribe to, or empty for all. `daemon`,
+ * `ops` and `user` are borrowed, the rest is copied. Free with RpUplink_Free.
+ */
 struct rp_uplink *RpUplink_Create(struct rp_daemon *daemon,
+                                  struct rp_endpoint self,
                                   const struct rp_endpoints *controls,
                                   const struct rp_name *service,
                                   const struct rp_uplink_ops *ops, void *user);
@@ -53,6 +58,11 @@
 /* Sends a message, or drops it if no control instance is connected. */
 void RpUplink_Send(struct rp_uplink *uplink, const struct rp_msg *msg);
 
+/* Returns the addresses of the replicas that a replica told last; none until
+ * then. Those from instances without a disk are not among them. */
+const struct rp_endpoints *
+RpUplink_ToldControls(const struct rp_uplink *uplink);
+
 /* Sets what the view says about the connected replica and the leader. The
  * replica counts as connected once it has told on this connection who the
  * replicas are. */
--- a/tests/runs/relay.sh
+++ b/tests/runs/relay.sh
@@ -42,7 +42,7 @@
 is() { [ "$(gauge "$1" "$2")" = "$3" ]; }
 leader() {
     local host
-    for host in $REPLICAS 201.4 201.5; do
+    for host in $REPLICAS 201.4 201.5 201.6; do
         [ "$host" != "${1:-}" ] && is "$host" leads 1 && echo "$host" && return
     done
     return 1
@@ -125,6 +125,22 @@
 expect 8 "an empty replica that knows only relays joins" has_joined 201.4
 read_all "all replicas up"
 
+# Guards against callers that hold connections to a relay, which would keep
+# nodes from finding control and use up its descriptors.
+count_files() { ls "/proc/${PIDS[control-202.1]}/fd" | wc -l; }
+before=$(count_files)
+idle=()
+for ((i = 0; i < 300; i++)); do
+    exec {fd}<> "/dev/tcp/127.1.202.1/$((BASE + 1))" && idle+=("$fd")
+done
+[ "$(count_files)" -le $((before + 256)) ] ||
+    FAULTS="$FAULTS; a relay took all of ${#idle[@]} idle connections"
+no_more_files() { [ "$(count_files)" -le $((before + 2)) ]; }
+expect 5 "a relay has closed 300 idle connections" no_more_files
+[ "$(gauge 202.1 peer_limit_total)" -ge 1 ] ||
+    FAULTS="$FAULTS; a relay counted no refused connection"
+for fd in "${idle[@]}"; do exec {fd}>&-; done
+
 first=$(leader)
 for host in $REPLICAS; do [ "$host" != "$first" ] && silent=$host; done
 kill -STOP "${PIDS[control-$silent]}"
@@ -142,11 +158,14 @@
 
 # Guards against attempts, for as long as a process lives, to reach instances
 # that have left for good (issue 34).
-stop control-201.5 TERM
-links=$(($(gauge "$first" replica_links) - 1))
-expect 20 "a replica that has left is forgotten" is "$first" replica_links $links
+links=$(gauge "$first" replica_links)
+stop control-201.5 KILL
+replica 201.6 "$ONLY_RELAYS"
+expect 8 "a successor that knows only relays joins" has_joined 201.6
+expect 20 "the replica that it replaced is forgotten" \
+    is "$first" replica_links "$links"
 
-for host in $REPLICAS 201.4; do stop "control-$host" KILL; done
+for host in $REPLICAS 201.4 201.6; do stop "control-$host" KILL; done
 sleep 2
 for host in $RELAYS; do
     answer=$(call GET "$host")
