Ended connections: address, direction and reason of each

event=peer_closed names the address at the other end and who opened the connection. Attempts that are refused or fail here, connections that the other end closes or resets, errors of reads and writes and orderly ends by this process write a line and have a counter each; until now they ended silently. Repeated failed attempts to one address are logged once a second with their number, ends in order at level info.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -129,6 +129,16 @@
       "connections closed: frame could not be decoded")                       \
     X(FRAME_UNEXPECTED, "frame_unexpected",                                   \
       "messages not allowed from this peer at this point")                    \
+    X(PEER_REFUSED, "peer_refused",                                           \
+      "failed connects: refused, nothing listens there")                      \
+    X(PEER_CONNECT_FAILED, "peer_connect_failed",                             \
+      "failed connects: other errors, such as no free descriptor here")       \
+    X(PEER_ENDED, "peer_ended", "connections ended by the other end")         \
+    X(PEER_RESET, "peer_reset", "connections reset by the other end")         \
+    X(PEER_FAILED, "peer_failed",                                             \
+      "connections closed: other errors of reads and writes")                 \
+    X(PEER_CLOSED_HERE, "peer_closed_here",                                   \
+      "connections closed by this process, in order")                         \
     X(PEER_TIMEOUT, "peer_timeout",                                           \
       "connections closed: peer was silent for too long")                     \
     X(PEER_TOO_SLOW, "peer_too_slow",                                         \
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -128,7 +128,8 @@
                   .name = settings->name,
                   .zone = settings->zone},
         .counters = &daemon->counters,
-        .log = daemon->log};
+        .log = daemon->log,
+        .attempts = RpConn_NewAttempts()};
     daemon->loop = g_main_loop_new(NULL, FALSE);
     g_timeout_add_seconds(REPORT_INTERVAL_SECONDS, on_log_report, daemon);
 
@@ -282,6 +283,7 @@
     RpAdmin_Close(daemon->admin);
     RpLog_Free(daemon->log);
     RpKeyfile_Clear(&daemon->keyring);
+    g_clear_pointer(&daemon->context.attempts, g_hash_table_destroy);
     if (daemon->loop) {
         g_main_loop_unref(daemon->loop);
     }
--- a/programs/shared/rp_conn.c
+++ b/programs/shared/rp_conn.c
@@ -10,6 +10,9 @@
  * them. */
 #define READ_SIZE 8192
 #define TICK_MS 250
+/* Addresses whose failed attempts are remembered. A process tries a few at a
+ * time, but over the months many, since instances are replaced. */
+#define ATTEMPTS_MAX 64
 
 struct rp_conn {
     const struct rp_conn_context *context;
@@ -17,6 +20,7 @@
     void *user;
     uint64_t number;
     bool opened_by_us;
+    struct rp_endpoint address; /* of the other end; 0.0.0.0:0: unknown */
     bool hello_seen;
     bool hello_sent;
     bool ready;
@@ -38,6 +42,13 @@
     uint64_t pings; /* sent */
 };
 
+/* The attempts to connect to an address that failed for the same reason. */
+struct attempts {
+    enum rp_counter reason;
+    int64_t quiet_until; /* when the next one is logged */
+    unsigned not_logged;
+};
+
 static void start_read(struct rp_conn *conn);
 
 static uint64_t
@@ -95,12 +106,93 @@
     }
 }
 
-void
-RpConn_Close(struct rp_conn *conn)
+GHashTable *
+RpConn_NewAttempts(void)
 {
-    if (conn->closing) {
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+/* Returns how many failed attempts to connect to this address the log is to
+ * tell of now, this one included; 0: none yet. */
+static unsigned
+count_attempts_to_log(const struct rp_conn *conn, enum rp_counter reason)
+{
+    GHashTable *table = conn->context->attempts;
+    uint64_t key = RpEndpoint_Key(conn->address);
+    int64_t now = RpClock_Now();
+
+    if (!table) {
+        return 1;
+    }
+    struct attempts *attempts = g_hash_table_lookup(table, &key);
+    if (attempts && attempts->reason == reason &&
+        now < attempts->quiet_until) {
+        attempts->not_logged++;
+        return 0;
+    }
+    unsigned count = 1;
+    if (attempts && attempts->reason == reason) {
+        count += attempts->not_logged;
+    }
+    if (g_hash_table_size(table) >= ATTEMPTS_MAX) {
+        g_hash_table_remove_all(table);
+    }
+    attempts = g_new(struct attempts, 1);
+    *attempts = (struct attempts){
+        .reason = reason, .quiet_until = now + RP_CONN_ATTEMPTS_LOG_US};
+    g_hash_table_replace(table, g_memdup2(&key, sizeof key), attempts);
+    return count;
+}
+
+static void
+forget_attempts(const struct rp_conn *conn)
+{
+    uint64_t key = RpEndpoint_Key(conn->address);
+
+    if (conn->context->attempts) {
+        g_hash_table_remove(conn->context->attempts, &key);
+    }
+}
+
+/* Counts and logs why a connection ends. `error` is the error of the call that
+ * failed, or NULL. */
+static void
+report_end(const struct rp_conn *conn, enum rp_counter reason,
+           const GError *error)
+{
+    bool is_attempt = conn->opened_by_us && !conn->hello_seen;
+    bool is_normal = reason == RP_COUNT_PEER_ENDED ||
+                     reason == RP_COUNT_PEER_CLOSED_HERE;
+    unsigned attempts = 1;
+    char address[RP_ENDPOINT_TEXT_MAX];
+
+    RpCounters_Add(conn->context->counters, reason);
+    if (is_attempt && !is_normal) {
+        attempts = count_attempts_to_log(conn, reason);
+    }
+    if (attempts == 0) {
         return;
     }
+    GString *more = g_string_new(NULL);
+    if (attempts > 1) {
+        g_string_append_printf(more, " attempts=%u", attempts);
+    }
+    if (error) {
+        g_string_append(more, " error=");
+        RpLog_Quote(more, RpStr_FromC(error->message));
+    }
+    RpLog_Event(conn->context->log, is_normal ? RP_LOG_INFO : RP_LOG_WARN,
+                "peer_closed", "peer=%s reason=%s address=%s direction=%s%s",
+                conn->peer.name.len ? conn->peer.name.data : "unknown",
+                RpCounter_Name(reason),
+                RpEndpoint_Format(conn->address, address),
+                conn->opened_by_us ? "out" : "in", more->str);
+    g_string_free(more, TRUE);
+}
+
+static void
+close_now(struct rp_conn *conn)
+{
     conn->closing = true;
     if (conn->tick_source) {
         g_source_remove(conn->tick_source);
@@ -112,18 +204,59 @@
     g_idle_add(on_close_idle, conn);
 }
 
+static void
+close_with_error(struct rp_conn *conn, enum rp_counter reason,
+                 const GError *error)
+{
+    if (!conn->closing) {
+        report_end(conn, reason, error);
+        close_now(conn);
+    }
+}
+
 static void
 close_with_reason(struct rp_conn *conn, enum rp_counter reason)
 {
-    if (conn->closing) {
-        return;
+    close_with_error(conn, reason, NULL);
+}
+
+void
+RpConn_Close(struct rp_conn *conn)
+{
+    close_with_reason(conn, RP_COUNT_PEER_CLOSED_HERE);
+}
+
+/* Returns the reason for an attempt to connect that failed with `error`. */
+static enum rp_counter
+find_connect_reason(const GError *error)
+{
+    if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED)) {
+        return RP_COUNT_PEER_REFUSED;
     }
-    RpCounters_Add(conn->context->counters, reason);
-    RpLog_Event(conn->context->log, RP_LOG_WARN, "peer_closed",
-                "peer=%s reason=%s",
-                conn->peer.name.len ? conn->peer.name.data : "unknown",
-                RpCounter_Name(reason));
-    RpConn_Close(conn);
+    if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT) ||
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE)) {
+        return RP_COUNT_PEER_UNREACHABLE;
+    }
+    return RP_COUNT_PEER_CONNECT_FAILED;
+}
+
+/* Returns the reason for a read or a write that failed with `error`; NULL: the
+ * other end has ended the connection in order. */
+static enum rp_counter
+find_stream_reason(const GError *error)
+{
+    if (!error) {
+        return RP_COUNT_PEER_ENDED;
+    }
+    if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED)) {
+        return RP_COUNT_PEER_RESET;
+    }
+    /* TCP_USER_TIMEOUT has passed. */
+    if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT)) {
+        return RP_COUNT_PEER_TIMEOUT;
+    }
+    return RP_COUNT_PEER_FAILED;
 }
 
 static void start_write(struct rp_conn *conn);
@@ -133,14 +266,16 @@
 {
     struct rp_conn *conn = data;
     gsize written = 0;
+    GError *error = NULL;
 
     conn->operations--;
     gboolean complete = g_output_stream_write_all_finish(
-        G_OUTPUT_STREAM(source), result, &written, NULL);
+        G_OUTPUT_STREAM(source), result, &written, &error);
     g_string_truncate(conn->writing, 0);
     if (!complete) {
-        RpConn_Close(conn);
+        close_with_error(conn, find_stream_reason(error), error);
     }
+    g_clear_error(&error);
     if (conn->closing) {
         free_if_idle(conn);
         return;
@@ -229,6 +364,7 @@
         return;
     }
     conn->hello_seen = true;
+    forget_attempts(conn);
     stop_connect_timer(conn);
     conn->peer = msg->hello;
     if (!conn->hello_sent) {
@@ -294,13 +430,15 @@
 on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
     struct rp_conn *conn = data;
+    GError *error = NULL;
     gssize received = g_input_stream_read_finish(G_INPUT_STREAM(source),
-                                                 result, NULL);
+                                                 result, &error);
 
     conn->operations--;
     if (received <= 0) {
-        RpConn_Close(conn);
+        close_with_error(conn, find_stream_reason(error), error);
     }
+    g_clear_error(&error);
     if (conn->closing) {
         free_if_idle(conn);
         return;
@@ -397,13 +535,15 @@
 on_connected(GObject *source, GAsyncResult *result, gpointer data)
 {
     struct rp_conn *conn = data;
+    GError *error = NULL;
 
     conn->operations--;
     conn->stream = g_socket_client_connect_finish(G_SOCKET_CLIENT(source),
-                                                  result, NULL);
+                                                  result, &error);
     if (!conn->stream) {
-        RpConn_Close(conn);
+        close_with_error(conn, find_connect_reason(error), error);
     }
+    g_clear_error(&error);
     if (conn->closing) {
         free_if_idle(conn);
         return;
@@ -425,6 +565,7 @@
     GSocketAddress *address = g_inet_socket_address_new_from_string(
         RpIp_Format(to.ip, ip), to.port);
 
+    conn->address = to;
     g_socket_client_set_enable_proxy(client, FALSE);
     conn->connect_source = g_timeout_add((guint)(timeout_us / RP_US_PER_MS),
                                          on_connect_timeout, conn);
@@ -436,6 +577,24 @@
     return conn;
 }
 
+/* Returns the address at the other end; 0.0.0.0:0 if unknown. */
+static struct rp_endpoint
+get_remote_address(GSocketConnection *stream)
+{
+    GSocketAddress *address = g_socket_connection_get_remote_address(stream,
+                                                                     NULL);
+    struct sockaddr_in native = {0};
+
+    if (address) {
+        g_socket_address_to_native(address, &native, sizeof native, NULL);
+        g_object_unref(address);
+    }
+    return native.sin_family == AF_INET
+               ? (struct rp_endpoint){.ip = ntohl(native.sin_addr.s_addr),
+                                      .port = ntohs(native.sin_port)}
+               : (struct rp_endpoint){0};
+}
+
 struct rp_conn *
 RpConn_Accept(const struct rp_conn_context *context, GSocketConnection *stream,
               const struct rp_conn_ops *ops, void *user)
@@ -443,6 +602,7 @@
     struct rp_conn *conn = create_conn(context, false, ops, user);
 
     conn->stream = g_object_ref(stream);
+    conn->address = get_remote_address(stream);
     set_socket_options(stream);
     start_read(conn);
     return conn;
@@ -457,15 +617,7 @@
 uint32_t
 RpConn_PeerIp(const struct rp_conn *conn)
 {
-    GSocketAddress *address = g_socket_connection_get_remote_address(
-        conn->stream, NULL);
-    struct sockaddr_in native = {0};
-
-    if (address) {
-        g_socket_address_to_native(address, &native, sizeof native, NULL);
-        g_object_unref(address);
-    }
-    return native.sin_family == AF_INET ? ntohl(native.sin_addr.s_addr) : 0;
+    return conn->address.ip;
 }
 
 size_t
--- a/programs/shared/rp_conn.h
+++ b/programs/shared/rp_conn.h
@@ -5,6 +5,9 @@
  * received for RP_CONN_SILENCE_TIMEOUT_US, so that a frozen or unreachable
  * peer is detected. It also closes when more than RP_CONN_QUEUE_MAX bytes wait
  * to be received by the peer.
+ *
+ * Each connection or attempt to connect that ends is counted by its reason and
+ * logged as event=peer_closed, with the address at the other end.
  */
 #ifndef RP_CONN_H
 #define RP_CONN_H
@@ -28,6 +31,8 @@
  * process accepts the connection, but no hello follows. The farthest regions
  * answer within 300 ms. */
 #define RP_CONN_CONNECT_TIMEOUT_US (400 * RP_US_PER_MS)
+/* A peer that is down is tried several times a second. */
+#define RP_CONN_ATTEMPTS_LOG_US (1 * RP_US_PER_SECOND)
 /* Bytes that may be queued for a peer. */
 #define RP_CONN_QUEUE_MAX (32u << 20)
 
@@ -52,8 +57,15 @@
     struct rp_msg_hello hello; /* the hello that this process sends */
     struct rp_counters *counters;
     struct rp_log *log;
+    /* From RpConn_NewAttempts; NULL: each failed attempt is logged. */
+    GHashTable *attempts;
 };
 
+/* Creates the table of failed attempts to connect, by address. With it, the
+ * attempts to one address that fail for the same reason are logged once in
+ * RP_CONN_ATTEMPTS_LOG_US. Free it with g_hash_table_destroy. */
+GHashTable *RpConn_NewAttempts(void);
+
 /* Opens a connection. The result is reported through `ops`: `ready` on
  * success, `closed` on failure or if the peer's hello has not arrived after
  * `timeout_us` microseconds. `context`, `ops` and `user` are borrowed until
@@ -72,7 +84,8 @@
  * arrived are sent after it, in order. */
 void RpConn_Send(struct rp_conn *conn, const struct rp_msg *msg);
 
-/* Closes the connection. `closed` is called later, from the main loop. */
+/* Closes the connection in order and logs that this process did it. `closed`
+ * is called later, from the main loop. */
 void RpConn_Close(struct rp_conn *conn);
 
 /* Returns the connection's number, which is unique in this process. */
--- a/tests/unit/test_shared.c
+++ b/tests/unit/test_shared.c
@@ -1,9 +1,12 @@
-/* Sockets of a process: what has arrived before a stop is handled, and bodies
- * of HTTP requests are bounded. Uses loopback. */
+/* Sockets of a process: what has arrived before a stop is handled, bodies of
+ * HTTP requests are bounded, and the log tells why a connection ended. Uses
+ * loopback. */
 #include <gio/gio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "check.h"
+#include "rp_conn.h"
 #include "rp_http.h"
 #include "rp_udp.h"
 
@@ -178,12 +181,210 @@
     g_main_loop_unref(run.loop);
 }
 
+/* What the other end of a connection does. */
+enum peer_deed {
+    PEER_IS_ABSENT,  /* nothing listens */
+    PEER_IS_SILENT,  /* listens, and says nothing */
+    PEER_ENDS,       /* accepts, then closes in order */
+    PEER_RESETS,     /* accepts, then resets */
+    PEER_SEES_CLOSE, /* this side closes */
+};
+
+struct conn_case {
+    enum peer_deed deed;
+    enum rp_counter reason;
+    const char *level;
+};
+
+static void
+ignore_ready(void *user, struct rp_conn *conn,
+             const struct rp_msg_hello *hello)
+{
+    (void)user;
+    (void)conn;
+    (void)hello;
+}
+
+static void
+ignore_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
+{
+    (void)user;
+    (void)conn;
+    (void)msg;
+}
+
+static void
+set_closed(void *user, struct rp_conn *conn)
+{
+    bool *closed = user;
+
+    (void)conn;
+    *closed = true;
+}
+
+static const struct rp_conn_ops conn_ops = {
+    .ready = ignore_ready, .message = ignore_message, .closed = set_closed};
+
+/* Accepts the connection that was opened and ends it. */
+static void
+end_as_peer(GSocket *listener, enum peer_deed deed)
+{
+    const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    char hello[4096];
+
+    while (!g_socket_condition_check(listener, G_IO_IN)) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    GSocket *peer = g_socket_accept(listener, NULL, NULL);
+    assert_non_null(peer);
+    /* Unread bytes would turn an orderly end into a reset. */
+    while (!g_socket_condition_check(peer, G_IO_IN)) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    assert_true(g_socket_receive(peer, hello, sizeof hello, NULL, NULL) > 0);
+    if (deed == PEER_RESETS) {
+        assert_int_equal(setsockopt(g_socket_get_fd(peer), SOL_SOCKET,
+                                    SO_LINGER, &reset, sizeof reset),
+                         0);
+    }
+    g_socket_close(peer, NULL);
+    g_object_unref(peer);
+}
+
+/* Opens a connection to `to`, where `listener` may listen (NULL: nothing
+ * does), and waits until it has ended. */
+static void
+run_conn(const struct rp_conn_context *context, struct rp_endpoint to,
+         GSocket *listener, enum peer_deed deed)
+{
+    bool closed = false;
+    struct rp_conn *conn = RpConn_Open(context, to, 100 * RP_US_PER_MS,
+                                       &conn_ops, &closed);
+
+    if (deed == PEER_ENDS || deed == PEER_RESETS) {
+        end_as_peer(listener, deed);
+    }
+    if (deed == PEER_SEES_CLOSE) {
+        RpConn_Close(conn);
+    }
+    while (!closed) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+}
+
+/* Opens a socket that listens on a free port of loopback. */
+static GSocket *
+listen_on_loopback(struct rp_endpoint *at)
+{
+    GSocket *listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                     G_SOCKET_TYPE_STREAM,
+                                     G_SOCKET_PROTOCOL_DEFAULT, NULL);
+
+    *at = (struct rp_endpoint){.ip = LOOPBACK,
+                               .port = find_port(G_SOCKET_TYPE_STREAM)};
+    GSocketAddress *address = g_inet_socket_address_new_from_string(
+        "127.0.0.1", at->port);
+    assert_true(g_socket_bind(listener, address, TRUE, NULL));
+    assert_true(g_socket_listen(listener, NULL));
+    g_object_unref(address);
+    return listener;
+}
+
+/* Every end of a connection is counted by its reason, and logged with the
+ * address and the direction. */
+static void
+test_conn_end_is_logged(void **state)
+{
+    static const struct conn_case cases[] = {
+        {PEER_IS_ABSENT, RP_COUNT_PEER_REFUSED, "warn"},
+        {PEER_IS_SILENT, RP_COUNT_PEER_UNREACHABLE, "warn"},
+        {PEER_ENDS, RP_COUNT_PEER_ENDED, "info"},
+        {PEER_RESETS, RP_COUNT_PEER_RESET, "warn"},
+        {PEER_SEES_CLOSE, RP_COUNT_PEER_CLOSED_HERE, "info"},
+    };
+    const struct rp_keyring keyring = {
+        .key = {RP_STR("0123456789abcdef0123456789abcdef")}, .count = 1};
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct rp_counters counters = {.value = {0}};
+        char *text = NULL;
+        size_t len = 0;
+        FILE *out = open_memstream(&text, &len);
+        struct rp_log *log = RpLog_Create(out, RP_LOG_INFO, "test", "a");
+        const struct rp_conn_context context = {
+            .keyring = &keyring, .counters = &counters, .log = log};
+        struct rp_endpoint to;
+        char address[RP_ENDPOINT_TEXT_MAX];
+        GSocket *listener = listen_on_loopback(&to);
+
+        if (cases[i].deed == PEER_IS_ABSENT) {
+            g_socket_close(listener, NULL);
+        }
+        run_conn(&context, to, listener, cases[i].deed);
+        g_object_unref(listener);
+        RpLog_Free(log);
+        fclose(out);
+        gchar *pairs = g_strdup_printf(
+            "level=%s role=test name=a event=peer_closed peer=unknown "
+            "reason=%s address=%s direction=out",
+            cases[i].level, RpCounter_Name(cases[i].reason),
+            RpEndpoint_Format(to, address));
+        assert_non_null(strstr(text, pairs));
+        assert_int_equal(counters.value[cases[i].reason], 1);
+        g_free(pairs);
+        free(text);
+    }
+}
+
+/* Attempts to an address that is down are all counted, and few are logged. */
+static void
+test_failed_attempts_are_bounded(void **state)
+{
+    const struct rp_keyring keyring = {
+        .key = {RP_STR("0123456789abcdef0123456789abcdef")}, .count = 1};
+    struct rp_counters counters = {.value = {0}};
+    char *text = NULL;
+    size_t len = 0;
+    FILE *out = open_memstream(&text, &len);
+    struct rp_log *log = RpLog_Create(out, RP_LOG_INFO, "test", "a");
+    const struct rp_conn_context context = {.keyring = &keyring,
+                                            .counters = &counters,
+                                            .log = log,
+                                            .attempts = RpConn_NewAttempts()};
+    struct rp_endpoint to;
+    GSocket *listener = listen_on_loopback(&to);
+    int64_t quiet_until = g_get_monotonic_time() + RP_CONN_ATTEMPTS_LOG_US;
+
+    (void)state;
+    g_socket_close(listener, NULL);
+    for (int i = 0; i < 5; i++) {
+        run_conn(&context, to, NULL, PEER_IS_ABSENT);
+    }
+    assert_int_equal(counters.value[RP_COUNT_PEER_REFUSED], 5);
+    if (g_get_monotonic_time() < quiet_until) {
+        fflush(out);
+        assert_null(strstr(strstr(text, "peer_refused") + 1, "peer_refused"));
+    }
+    g_usleep(RP_CONN_ATTEMPTS_LOG_US);
+    run_conn(&context, to, NULL, PEER_IS_ABSENT);
+    fflush(out);
+    assert_non_null(strstr(text, "attempts=5"));
+    g_object_unref(listener);
+    RpLog_Free(log);
+    fclose(out);
+    g_hash_table_destroy(context.attempts);
+    free(text);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stop_handles_arrived_datagrams),
         cmocka_unit_test(test_http_body_limit),
+        cmocka_unit_test(test_conn_end_is_logged),
+        cmocka_unit_test(test_failed_attempts_are_bounded),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
