A replica without a quorum names the voters that do not answer

event=replica_without_quorum, when a replica knows no leader or is not fresh and then at most every 2 s: its role and term, how many voters there are and answer, and the name and address of each that does not, with the age of its last message and whether the connection to it is open.

A voter that is connected and was never heard is one whose address another process has now (a lost disk).

--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -370,6 +370,7 @@
     RpControl_LogMembersIfChanged(control);
     RpControlLinks_Tick(control->links, now);
     update_freshness(control, now);
+    RpControl_LogLackOfQuorum(control, now);
     expire_leases(control, now);
     run_periodic_tasks(control, now);
     RpDistribution_Flush(control->distribution, now);
@@ -627,6 +628,7 @@
                                              g_free, g_free);
     control->links = RpControlLinks_Create(control);
     RpDisconnectPolicy_Init(&control->disconnect_policy, RpClock_Now());
+    control->next_quorum_line = RpClock_Now() + RP_QUORUM_LINE_INTERVAL_US;
     g_timeout_add(TICK_MS, on_tick, control);
     RpDistribution_MarkAllChanged(control->distribution, RpClock_Now());
     RpDistribution_SetGatheringUntil(control->distribution,
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -10,6 +10,8 @@
 #include "rp_registry.h"
 #include "rp_disconnect_policy.h"
 
+#define RP_QUORUM_LINE_INTERVAL_US (2 * RP_US_PER_SECOND)
+
 struct control_settings {
     struct rp_common_settings common;
     struct rp_endpoint listen;
@@ -61,6 +63,10 @@
     uint64_t logged_members;        /* digest of the list in the last
                                      * "replica_members" log line */
     uint64_t logged_resident_bytes; /* in the last "memory_changed" line */
+    int64_t quorum_lost_at;         /* since when it knows no leader or is not
+                                     * fresh; 0: it does and is */
+    int64_t next_quorum_line;       /* "replica_without_quorum" is not logged
+                                     * before */
     int64_t next_periodic_run;      /* when to run the periodic tasks again */
 };
 
@@ -78,6 +84,16 @@
  * members has changed. */
 void RpControl_LogMembersIfChanged(struct control *control);
 
+/* Returns the instance name of a member, "none" for NULL. The list of the
+ * first members has placeholders, which are returned until a member was in
+ * contact. */
+const char *RpControl_MemberName(const struct control *control,
+                                 const struct rp_replica_member *member);
+
+/* Logs which voters do not answer while this replica knows no leader or is not
+ * fresh, at most once in RP_QUORUM_LINE_INTERVAL_US. */
+void RpControl_LogLackOfQuorum(struct control *control, int64_t now);
+
 /* Writes the numbers of voters and learners, and on the leader how many more
  * failures the group tolerates. */
 void RpControl_WriteMemberGauges(const struct control *control, GString *out);
@@ -157,10 +173,25 @@
 void RpControlLinks_Send(struct control_links *links, uint64_t to,
                          const struct rp_msg *msg);
 
-/* Records the instance name of the replica with this id. */
+/* Records the instance name of the replica with this id, which has just sent a
+ * message of the replicated log. */
 void RpControlLinks_SetReplicaName(struct control_links *links, uint64_t id,
                                    const struct rp_name *name);
 
+/* Returns when the last message of the replicated log came from the replica
+ * with this id; 0: none since the start. */
+int64_t RpControlLinks_LastHeard(const struct control_links *links,
+                                 uint64_t id);
+
+/* Returns the instance name of the replica with this id; NULL if it was never
+ * in contact. */
+const struct rp_name *
+RpControlLinks_ReplicaName(const struct control_links *links, uint64_t id);
+
+/* Returns whether the own connection to the replica with this id is open. */
+bool RpControlLinks_IsConnected(const struct control_links *links,
+                                uint64_t id);
+
 /* Handles an incoming connection from a replica at this address. An own
  * attempt to connect to it that began while its machine was down is restarted
  * at once. */
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -37,11 +37,17 @@
     int64_t keep_until;
 };
 
+/* What is known of a replica from its messages of the replicated log. */
+struct heard {
+    struct rp_name name; /* of its instance */
+    int64_t at;          /* when the last one came */
+};
+
 struct control_links {
     struct control *control;
     GPtrArray *list;     /* of struct link */
     GHashTable *reports; /* replica name -> struct report */
-    GHashTable *names;   /* replica id -> instance name, from its messages */
+    GHashTable *heard;   /* replica id -> struct heard */
     int64_t next_join;
 };
 
@@ -54,7 +60,7 @@
     links->list = g_ptr_array_new();
     links->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                            g_free);
-    links->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+    links->heard = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                          g_free);
     return links;
 }
@@ -293,8 +299,10 @@
 RpControlLinks_SetReplicaName(struct control_links *links, uint64_t id,
                               const struct rp_name *name)
 {
-    g_hash_table_replace(links->names, g_memdup2(&id, sizeof id),
-                         g_memdup2(name, sizeof *name));
+    const struct heard heard = {.name = *name, .at = RpClock_Now()};
+
+    g_hash_table_replace(links->heard, g_memdup2(&id, sizeof id),
+                         g_memdup2(&heard, sizeof heard));
 }
 
 /* Finds the link to a replica: by the address that the log has for its id, or
@@ -305,7 +313,7 @@
 {
     const GArray *members = RpReplica_Members(
         RpControlReplica_Replica(links->control->replica));
-    const struct rp_name *name = g_hash_table_lookup(links->names, &id);
+    const struct heard *heard = g_hash_table_lookup(links->heard, &id);
 
     for (guint i = 0; i < members->len; i++) {
         const struct rp_replica_member *member = &g_array_index(
@@ -316,9 +324,9 @@
                 (struct rp_endpoint){.ip = member->ip, .port = member->port});
         }
     }
-    for (guint i = 0; name && i < links->list->len; i++) {
+    for (guint i = 0; heard && i < links->list->len; i++) {
         const struct link *link = g_ptr_array_index(links->list, i);
-        if (RpName_Equal(&link->name, name)) {
+        if (RpName_Equal(&link->name, &heard->name)) {
             return link;
         }
     }
@@ -336,6 +344,34 @@
     }
 }
 
+int64_t
+RpControlLinks_LastHeard(const struct control_links *links, uint64_t id)
+{
+    const struct heard *heard = g_hash_table_lookup(links->heard, &id);
+
+    return heard ? heard->at : 0;
+}
+
+const struct rp_name *
+RpControlLinks_ReplicaName(const struct control_links *links, uint64_t id)
+{
+    const struct heard *heard = g_hash_table_lookup(links->heard, &id);
+    const struct link *link = find_link_by_id(links, id);
+
+    if (heard) {
+        return &heard->name;
+    }
+    return link && link->name.len ? &link->name : NULL;
+}
+
+bool
+RpControlLinks_IsConnected(const struct control_links *links, uint64_t id)
+{
+    const struct link *link = find_link_by_id(links, id);
+
+    return link && link->ready;
+}
+
 uint64_t
 RpControlLinks_QueuedBytes(const struct control_links *links)
 {
--- a/programs/daemon/control_members.c
+++ b/programs/daemon/control_members.c
@@ -3,6 +3,11 @@
 #include "control.h"
 #include "rp_clock.h"
 
+/* A voter that sent no message for this long does not answer. Without a leader
+ * every replica asks the voters for a pre-vote at least once in two election
+ * timeouts, and each that runs replies. */
+#define VOTER_SILENCE_US (3 * RP_ELECTION_TIMEOUT_US)
+
 static const struct rp_replica *
 get_replica(const struct control *control)
 {
@@ -103,6 +108,134 @@
     g_string_free(text, TRUE);
 }
 
+const char *
+RpControl_MemberName(const struct control *control,
+                     const struct rp_replica_member *member)
+{
+    const struct rp_name *name;
+
+    if (!member) {
+        return "none";
+    }
+    if (member->id == RpReplica_Id(get_replica(control))) {
+        return control->settings.common.name.data;
+    }
+    name = RpControlLinks_ReplicaName(control->links, member->id);
+    return name ? name->data : member->name.data;
+}
+
+/* Appends `value` to a list of values separated by commas. */
+static void
+append_item(GString *list, const char *value)
+{
+    g_string_append_printf(list, "%s%s", list->len ? "," : "", value);
+}
+
+/* The voters that do not answer, as three lists in the same order. */
+struct missing_voters {
+    GString *who; /* name@address */
+    GString *last_heard_ms;
+    GString *connected; /* whether the own connection to it is open */
+};
+
+static void
+append_missing(struct missing_voters *missing, const struct control *control,
+               const struct rp_replica_member *member, int64_t now)
+{
+    int64_t heard_at = RpControlLinks_LastHeard(control->links, member->id);
+    char address[RP_ENDPOINT_TEXT_MAX];
+    gchar *who = g_strdup_printf("%s@%s",
+                                 RpControl_MemberName(control, member),
+                                 format_address(member, address));
+    gchar *age = heard_at ? g_strdup_printf("%" G_GINT64_FORMAT,
+                                            (now - heard_at) / RP_US_PER_MS)
+                          : g_strdup("never");
+
+    append_item(missing->who, who);
+    append_item(missing->last_heard_ms, age);
+    append_item(missing->connected,
+                RpControlLinks_IsConnected(control->links, member->id) ? "1"
+                                                                       : "0");
+    g_free(who);
+    g_free(age);
+}
+
+/* Returns whether a voter answers. Followers send each other nothing while
+ * there is a leader, so the connection to it is enough until it had time to
+ * reply to a pre-vote. */
+static bool
+is_answering(const struct control *control, int64_t now, uint64_t id)
+{
+    int64_t heard_at = RpControlLinks_LastHeard(control->links, id);
+
+    return RpControlLinks_IsConnected(control->links, id) &&
+           ((heard_at && now - heard_at < VOTER_SILENCE_US) ||
+            now - control->quorum_lost_at < VOTER_SILENCE_US);
+}
+
+/* Appends the voters that do not answer and returns how many do, this replica
+ * included. */
+static size_t
+find_missing(const struct control *control, int64_t now,
+             struct missing_voters *missing)
+{
+    const struct rp_replica *replica = get_replica(control);
+    size_t answering = 0;
+
+    for (guint i = 0; i < RpReplica_Members(replica)->len; i++) {
+        const struct rp_replica_member *member = member_at(replica, i);
+        if (!member->voter) {
+            continue;
+        }
+        if (member->id == RpReplica_Id(replica) ||
+            is_answering(control, now, member->id)) {
+            answering++;
+        }
+        else {
+            append_missing(missing, control, member, now);
+        }
+    }
+    return answering;
+}
+
+void
+RpControl_LogLackOfQuorum(struct control *control, int64_t now)
+{
+    const struct rp_replica *replica = get_replica(control);
+    const struct rp_replica_member *leader = RpReplica_Leader(replica);
+    bool fresh = RpReplica_IsFresh(replica, now);
+
+    if (leader && fresh) {
+        control->quorum_lost_at = 0;
+        return;
+    }
+    if (control->quorum_lost_at == 0) {
+        control->quorum_lost_at = now;
+    }
+    if (now < control->next_quorum_line) {
+        return;
+    }
+    control->next_quorum_line = now + RP_QUORUM_LINE_INTERVAL_US;
+    struct missing_voters missing = {.who = g_string_new(NULL),
+                                     .last_heard_ms = g_string_new(NULL),
+                                     .connected = g_string_new(NULL)};
+    size_t answering = find_missing(control, now, &missing);
+    bool none = missing.who->len == 0;
+    RpLog_Event(control->daemon.log, RP_LOG_WARN, "replica_without_quorum",
+                "role=%s term=%" G_GUINT64_FORMAT " leader=%s fresh=%d "
+                "voters=%zu quorum=%zu answering=%zu missing=%s "
+                "last_heard_ms=%s connected=%s",
+                RpReplica_RoleName(replica), RpReplica_Term(replica),
+                RpControl_MemberName(control, leader), fresh,
+                RpReplica_VoterCount(replica), RpReplica_Quorum(replica),
+                answering, none ? "none" : missing.who->str,
+                none ? "none" : missing.last_heard_ms->str,
+                none ? "none" : missing.connected->str);
+    g_string_free(missing.who, TRUE);
+    g_string_free(missing.last_heard_ms, TRUE);
+    g_string_free(missing.connected, TRUE);
+}
+
 void
 RpControl_WriteMemberGauges(const struct control *control, GString *out)
 {
