One line for each answered call of the operator

event=edition_answered, on replicas and on instances without a disk: read or write, its number, the caller, the result, the version and the milliseconds, and what decided it: role, leader, term and lease of a replica, or whether a relay is connected and how many replicas it knows; the address of a redirection; for a call that was given up, how many voters had confirmed it. New counters tell reads, redirections, calls without a majority and lost leads apart. change_timeout counts what it did before.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -147,6 +147,15 @@
     X(NODE_SENT_ON, "node_sent_on",                                           \
       "nodes disconnected: this replica has no log yet")                      \
     X(PEERS_ACCEPTED, "peers_accepted", "peers authenticated")                \
+    /* The operator's reads and writes of editions. */                        \
+    X(EDITION_READ, "edition_read", "reads answered with the edition")        \
+    X(EDITION_NONE, "edition_none", "reads refused: no edition stored yet")   \
+    X(EDITION_REDIRECTED, "edition_redirected",                               \
+      "reads and writes redirected to another control instance")              \
+    X(EDITION_TIMEOUT, "edition_timeout",                                     \
+      "reads and writes that no majority confirmed in time")                  \
+    X(EDITION_LEAD_LOST, "edition_lead_lost",                                 \
+      "reads and writes during which this replica lost the lead")             \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -450,14 +450,13 @@
     return replica->round;
 }
 
-bool
-RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
-                     uint64_t round)
+size_t
+RpReplica_CountAnswered(const struct rp_replica *replica, uint64_t round)
 {
     size_t answered = RpReplica_IsVoter(replica, replica->id);
 
-    if (replica->role != RP_REPLICA_LEADER || replica->term != term) {
-        return false;
+    if (replica->role != RP_REPLICA_LEADER) {
+        return 0;
     }
     for (guint i = 0; i < replica->peers->len; i++) {
         const struct rp_peer *peer = &g_array_index(replica->peers,
@@ -465,7 +464,33 @@
         answered += peer->acked_round >= round &&
                     RpReplica_IsVoter(replica, peer->id);
     }
-    return answered >= RpReplica_Quorum(replica);
+    return answered;
+}
+
+size_t
+RpReplica_CountStored(const struct rp_replica *replica, uint64_t index)
+{
+    size_t stored = RpReplica_IsVoter(replica, replica->id);
+
+    if (replica->role != RP_REPLICA_LEADER) {
+        return 0;
+    }
+    for (guint i = 0; i < replica->peers->len; i++) {
+        const struct rp_peer *peer = &g_array_index(replica->peers,
+                                                    struct rp_peer, i);
+        stored += peer->match_index >= index &&
+                  RpReplica_IsVoter(replica, peer->id);
+    }
+    return stored;
+}
+
+bool
+RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
+                     uint64_t round)
+{
+    return replica->role == RP_REPLICA_LEADER && replica->term == term &&
+           RpReplica_CountAnswered(replica, round) >=
+               RpReplica_Quorum(replica);
 }
 
 const struct rp_replica_member *
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -177,6 +177,13 @@
 bool RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
                           uint64_t round);
 
+/* On the leader: returns how many voters have answered `round` or a later one,
+ * and how many have stored the entry at `index`, itself included; 0 on any
+ * other replica. */
+size_t RpReplica_CountAnswered(const struct rp_replica *replica,
+                               uint64_t round);
+size_t RpReplica_CountStored(const struct rp_replica *replica, uint64_t index);
+
 /* Returns the leader of the current term if this replica knows it, else NULL.
  * The replica owns the result. */
 const struct rp_replica_member *
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -110,11 +110,13 @@
 }
 
 static void
-on_unreadable(void *user, const char *message, const struct rp_error *error)
+on_unreadable(void *user, const char *message, struct rp_endpoint sender,
+              const struct rp_error *error)
 {
     struct agent *agent = user;
     gchar *pairs = g_strdup_printf("what=%s ", message);
 
+    (void)sender;
     RpDaemon_LogFindings(&agent->daemon, RP_LOG_WARN, "message_unreadable",
                          pairs, error);
     g_free(pairs);
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -34,6 +34,15 @@
 struct control_links;
 struct control_editions;
 
+/* A read or a write of the operator, for the line that tells its answer. */
+struct control_call {
+    uint64_t number; /* from 1, in the order in which calls arrived */
+    bool is_write;
+    struct rp_endpoint caller;
+    uint64_t version; /* of the edition that it brought; 0: a read */
+    int64_t received_at;
+};
+
 struct control {
     struct control_settings settings;
     struct rp_daemon daemon;
@@ -146,6 +155,27 @@
 int RpControlRelay_Run(const struct control_settings *settings,
                        const struct rp_settings_source *source);
 
+/* control_calls.c: tells what each call of the operator was answered with. */
+
+/* Returns a call that has just arrived from `caller`. */
+struct control_call RpControlCall_Begin(bool is_write, uint64_t version,
+                                        struct rp_endpoint caller);
+
+/* Logs event=edition_answered. `version` is that of the edition in force here,
+ * or that was written; 0: none. `pairs` are key=value pairs that say what
+ * decided the answer. */
+void RpControlCall_LogAnswer(const struct rp_daemon *daemon,
+                             const struct control_call *call, uint64_t version,
+                             const char *result, const char *pairs);
+
+/* Logs that an unreadable edition was refused: event=edition_refused with the
+ * findings, then event=edition_answered. */
+void RpControlCall_RefuseUnreadable(struct rp_daemon *daemon,
+                                    const char *message,
+                                    struct rp_endpoint caller,
+                                    const struct rp_error *error,
+                                    const char *pairs);
+
 /* control_editions.c: serves the operator's configurations (editions) over
  * HTTP. Returns NULL and adds a finding on failure. */
 struct control_editions *RpControlEditions_Open(struct control *control,
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -17,9 +17,11 @@
 /* A request that waits for its log entry or for a majority. */
 struct pending_request {
     struct rp_platform_request *request;
+    struct control_call call;
     uint64_t term;
-    uint64_t index; /* log index of a write; 0: this is a read */
-    uint64_t round; /* heartbeat round that confirms a read; 0: a write */
+    uint64_t index;   /* log index of a write; 0: this is a read */
+    uint64_t round;   /* heartbeat round that confirms a read; 0: a write */
+    size_t confirmed; /* voters that had confirmed it while this replica led */
     int64_t deadline;
 };
 
@@ -41,31 +43,85 @@
     return RpControlReplica_Catalog(editions->control->replica);
 }
 
+/* Returns the version of the edition in force here; 0: none. */
+static uint64_t
+get_version(const struct control_editions *editions)
+{
+    const struct rp_edition *edition = RpCatalog_Edition(
+        get_catalog(editions));
+
+    return edition ? edition->version : 0;
+}
+
+/* Returns what this replica believes of the group, as key=value pairs. Free
+ * them with g_free. */
+static gchar *
+describe_replica(const struct control_editions *editions)
+{
+    const struct rp_replica *replica = get_replica(editions);
+    const struct rp_replica_member *leader = RpReplica_Leader(replica);
+
+    return g_strdup_printf(
+        "role=%s leader=%s term=%" G_GUINT64_FORMAT " fresh=%d",
+        RpReplica_RoleName(replica),
+        RpControl_MemberName(editions->control, leader),
+        RpReplica_Term(replica), RpReplica_IsFresh(replica, RpClock_Now()));
+}
+
+/* Logs the answer to a call. `more` is empty, or further pairs that begin with
+ * a space. */
+static void
+log_answer(const struct control_editions *editions,
+           const struct control_call *call, const char *result,
+           const char *more)
+{
+    gchar *replica = describe_replica(editions);
+    gchar *pairs = g_strconcat(replica, more, NULL);
+
+    RpControlCall_LogAnswer(
+        &editions->control->daemon, call,
+        call->is_write ? call->version : get_version(editions), result, pairs);
+    g_free(pairs);
+    g_free(replica);
+}
+
 /* Redirects a request that this replica cannot answer to the leader, or
  * rejects it if no other leader is known. */
 static void
 redirect_to_leader(struct control_editions *editions,
-                   struct rp_platform_request *request)
+                   struct rp_platform_request *request,
+                   const struct control_call *call)
 {
     const struct rp_replica *replica = get_replica(editions);
     const struct rp_replica_member *leader = RpReplica_Leader(replica);
+    struct rp_counters *counters = &editions->control->daemon.counters;
 
     if (leader && leader->id != RpReplica_Id(replica)) {
+        char text[RP_ENDPOINT_TEXT_MAX];
+        gchar *to = g_strdup_printf(
+            " to=%s",
+            RpEndpoint_Format(RpPlatform_RedirectTarget(request, leader->ip),
+                              text));
+        RpCounters_Add(counters, RP_COUNT_EDITION_REDIRECTED);
+        log_answer(editions, call, "redirected", to);
+        g_free(to);
         RpPlatform_Redirect(request, leader->ip);
         return;
     }
-    RpCounters_Add(&editions->control->daemon.counters,
-                   RP_COUNT_CHANGE_NO_LEADER);
+    RpCounters_Add(counters, RP_COUNT_CHANGE_NO_LEADER);
+    log_answer(editions, call, "no_leader", "");
     RpPlatform_Answer(request, RP_ERR_NO_LEADER, NULL);
 }
 
 static struct pending_request *
 add_pending(struct control_editions *editions,
-            struct rp_platform_request *request)
+            struct rp_platform_request *request,
+            const struct control_call *call)
 {
     struct pending_request *waiting = g_new0(struct pending_request, 1);
 
     waiting->request = request;
+    waiting->call = *call;
     waiting->term = RpReplica_Term(get_replica(editions));
     waiting->deadline = RpClock_Now() + ANSWER_TIMEOUT_US;
     g_queue_push_tail(&editions->pending, waiting);
@@ -80,6 +136,8 @@
     struct control *control = editions->control;
     const struct rp_edition *current = RpCatalog_Edition(
         get_catalog(editions));
+    const struct control_call call = RpControlCall_Begin(
+        true, edition->version, RpPlatform_Sender(request));
     uint64_t index;
     uint64_t term;
 
@@ -89,11 +147,12 @@
                 edition->version, current ? current->version : 0,
                 edition->vips->len, RpReplica_RoleName(get_replica(editions)));
     if (RpReplica_Role(get_replica(editions)) != RP_REPLICA_LEADER) {
-        redirect_to_leader(editions, request);
+        redirect_to_leader(editions, request, &call);
         return;
     }
     if (current && edition->version <= current->version) {
         RpCounters_Add(&control->daemon.counters, RP_COUNT_CHANGE_REPEATED);
+        log_answer(editions, &call, "ok", " repeated=1");
         RpPlatform_Answer(request, RP_OK, NULL);
         return;
     }
@@ -101,11 +160,11 @@
     enum rp_code code = RpControlReplica_Propose(
         control->replica, RpClock_Now(), command, &index, &term);
     if (code == RP_OK) {
-        add_pending(editions, request)->index = index;
+        add_pending(editions, request, &call)->index = index;
         RpControlReplica_RunActions(control->replica);
     }
     else {
-        redirect_to_leader(editions, request);
+        redirect_to_leader(editions, request, &call);
     }
     g_string_free(command, TRUE);
 }
@@ -115,27 +174,29 @@
 {
     struct control_editions *editions = user;
     struct control *control = editions->control;
+    const struct control_call call = RpControlCall_Begin(
+        false, 0, RpPlatform_Sender(request));
     uint64_t round = RpReplica_StartRead(get_replica(editions), RpClock_Now());
 
     if (round == 0) {
-        redirect_to_leader(editions, request);
+        redirect_to_leader(editions, request, &call);
         return;
     }
-    add_pending(editions, request)->round = round;
+    add_pending(editions, request, &call)->round = round;
     RpControlReplica_RunActions(control->replica);
     RpControlEditions_AnswerPending(editions, RpClock_Now());
 }
 
 static void
-on_unreadable(void *user, const char *message, const struct rp_error *error)
+on_unreadable(void *user, const char *message, struct rp_endpoint sender,
+              const struct rp_error *error)
 {
     struct control_editions *editions = user;
-    struct rp_daemon *daemon = &editions->control->daemon;
-    gchar *pairs = g_strdup_printf("what=%s ", message);
+    gchar *replica = describe_replica(editions);
 
-    RpCounters_Add(&daemon->counters, RP_COUNT_CHANGE_BAD_DOCUMENT);
-    RpDaemon_LogFindings(daemon, RP_LOG_WARN, "edition_refused", pairs, error);
-    g_free(pairs);
+    RpControlCall_RefuseUnreadable(&editions->control->daemon, message, sender,
+                                   error, replica);
+    g_free(replica);
 }
 
 static void
@@ -145,22 +206,66 @@
     const struct rp_edition *edition = RpCatalog_Edition(
         get_catalog(editions));
 
+    struct rp_counters *counters = &editions->control->daemon.counters;
+
     if (edition) {
+        RpCounters_Add(counters, RP_COUNT_EDITION_READ);
+        log_answer(editions, &waiting->call, "ok", "");
         RpPlatform_AnswerContent(waiting->request, edition->content);
     }
     else {
+        RpCounters_Add(counters, RP_COUNT_EDITION_NONE);
+        log_answer(editions, &waiting->call, "no_edition", "");
         RpPlatform_Answer(waiting->request, RP_ERR_NO_LEADER, NULL);
     }
 }
 
+/* Records how many voters have confirmed a request so far. */
+static void
+count_confirmed(const struct control_editions *editions,
+                struct pending_request *waiting)
+{
+    const struct rp_replica *replica = get_replica(editions);
+
+    if (RpReplica_Role(replica) == RP_REPLICA_LEADER &&
+        RpReplica_Term(replica) == waiting->term) {
+        waiting->confirmed =
+            waiting->round ? RpReplica_CountAnswered(replica, waiting->round)
+                           : RpReplica_CountStored(replica, waiting->index);
+    }
+}
+
+/* Answers a request whose outcome is unknown. */
+static void
+give_up(struct control_editions *editions,
+        const struct pending_request *waiting)
+{
+    const struct rp_replica *replica = get_replica(editions);
+    struct rp_counters *counters = &editions->control->daemon.counters;
+    bool leads = RpReplica_Role(replica) == RP_REPLICA_LEADER &&
+                 RpReplica_Term(replica) == waiting->term;
+    gchar *more = g_strdup_printf(
+        " confirmed=%zu quorum=%zu voters=%zu", waiting->confirmed,
+        RpReplica_Quorum(replica), RpReplica_VoterCount(replica));
+
+    RpCounters_Add(counters, RP_COUNT_CHANGE_TIMEOUT);
+    RpCounters_Add(counters, leads ? RP_COUNT_EDITION_TIMEOUT
+                                   : RP_COUNT_EDITION_LEAD_LOST);
+    log_answer(editions, &waiting->call, leads ? "timeout" : "lead_lost",
+               more);
+    g_free(more);
+    RpPlatform_Answer(waiting->request, RP_ERR_TIMEOUT, NULL);
+}
+
 /* Answers a request if it can be answered now or has failed. Returns whether
  * it was answered. */
 static bool
 answer_if_decided(struct control_editions *editions,
-                  const struct pending_request *waiting, int64_t now)
+                  struct pending_request *waiting, int64_t now)
 {
     const struct rp_replica *replica = get_replica(editions);
 
+    count_confirmed(editions, waiting);
     if (waiting->round &&
         RpReplica_ReadIsSafe(replica, waiting->term, waiting->round)) {
         answer_read(editions, waiting);
@@ -172,9 +277,7 @@
     }
     /* The outcome of the request is unknown, so the operator must repeat
      * it. */
-    RpCounters_Add(&editions->control->daemon.counters,
-                   RP_COUNT_CHANGE_TIMEOUT);
-    RpPlatform_Answer(waiting->request, RP_ERR_TIMEOUT, NULL);
+    give_up(editions, waiting);
     return true;
 }
 
@@ -209,6 +312,14 @@
         enum rp_code code = waiting->term == entry->term
                                 ? (enum rp_code)reply->code
                                 : RP_ERR_TIMEOUT;
+        bool is_own = waiting->term == entry->term;
+        if (!is_own) {
+            RpCounters_Add(&editions->control->daemon.counters,
+                           RP_COUNT_EDITION_LEAD_LOST);
+        }
+        log_answer(editions, &waiting->call,
+                   is_own ? RpCode_Name(code) : "lead_lost",
+                   reply->repeated ? " repeated=1" : "");
         RpPlatform_Answer(waiting->request, code, NULL);
         g_queue_delete_link(&editions->pending, link);
         g_free(waiting);
@@ -242,6 +353,10 @@
 {
     if (editions) {
         RpPlatform_Close(editions->platform);
+        for (GList *link = editions->pending.head; link; link = link->next) {
+            const struct pending_request *waiting = link->data;
+            log_answer(editions, &waiting->call, "stopped", "");
+        }
         g_queue_clear_full(&editions->pending, g_free);
         g_free(editions);
     }
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -15,18 +15,43 @@
     size_t next; /* index of the replica to redirect to next */
 };
 
+/* Logs the answer to a call. `to` is the address that it is redirected to, or
+ * NULL. */
 static void
-redirect(struct relay *relay, struct rp_platform_request *request)
+log_answer(const struct relay *relay, const struct control_call *call,
+           const char *result, const struct rp_endpoint *to)
+{
+    const struct rp_endpoints *controls = RpUplink_AdvertisedControls(
+        relay->uplink);
+    char text[RP_ENDPOINT_TEXT_MAX];
+    gchar *pairs = g_strdup_printf("role=relay connected=%d known=%zu to=%s",
+                                   RpUplink_IsConnected(relay->uplink),
+                                   controls->count,
+                                   to ? RpEndpoint_Format(*to, text) : "none");
+
+    RpControlCall_LogAnswer(&relay->daemon, call, call->version, result,
+                            pairs);
+    g_free(pairs);
+}
+
+static void
+redirect(struct relay *relay, struct rp_platform_request *request,
+         const struct control_call *call)
 {
     const struct rp_endpoints *controls = RpUplink_AdvertisedControls(
         relay->uplink);
 
     if (controls->count == 0) {
         RpCounters_Add(&relay->daemon.counters, RP_COUNT_CHANGE_NO_LEADER);
+        log_answer(relay, call, "no_leader", NULL);
         RpPlatform_Answer(request, RP_ERR_NO_LEADER, NULL);
         return;
     }
     struct rp_endpoint to = controls->item[relay->next++ % controls->count];
+    const struct rp_endpoint target = RpPlatform_RedirectTarget(request,
+                                                                to.ip);
+    RpCounters_Add(&relay->daemon.counters, RP_COUNT_EDITION_REDIRECTED);
+    log_answer(relay, call, "redirected", &target);
     RpPlatform_Redirect(request, to.ip);
 }
 
@@ -34,26 +59,29 @@
 on_edition_submitted(void *user, const struct rp_edition *edition,
                      struct rp_platform_request *request)
 {
-    (void)edition;
-    redirect(user, request);
+    const struct control_call call = RpControlCall_Begin(
+        true, edition->version, RpPlatform_Sender(request));
+
+    redirect(user, request, &call);
 }
 
 static void
 on_edition_requested(void *user, struct rp_platform_request *request)
 {
-    redirect(user, request);
+    const struct control_call call = RpControlCall_Begin(
+        false, 0, RpPlatform_Sender(request));
+
+    redirect(user, request, &call);
 }
 
 static void
-on_unreadable(void *user, const char *message, const struct rp_error *error)
+on_unreadable(void *user, const char *message, struct rp_endpoint sender,
+              const struct rp_error *error)
 {
     struct relay *relay = user;
-    gchar *pairs = g_strdup_printf("what=%s ", message);
 
-    RpCounters_Add(&relay->daemon.counters, RP_COUNT_CHANGE_BAD_DOCUMENT);
-    RpDaemon_LogFindings(&relay->daemon, RP_LOG_WARN, "edition_refused", pairs,
-                         error);
-    g_free(pairs);
+    RpControlCall_RefuseUnreadable(&relay->daemon, message, sender, error,
+                                   "role=relay");
 }
 
 static void
