Lines started and settings_reloaded name the addresses of control

All roles tell the addresses that they were given; control also its own ones, whether it has a data folder, and bootstrap.

--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -617,6 +617,7 @@
 
     RpDaemon_SetPorts(&updated.controls, updated.control_port);
     RpUplink_SetControls(agent->uplink, &updated.controls);
+    RpDaemon_DescribeSettings(&agent->daemon, &updated.controls, "");
 }
 
 static bool
@@ -677,6 +678,7 @@
                         on_stop, &agent)) {
         return agent.daemon.exit_code;
     }
+    RpDaemon_DescribeSettings(&agent.daemon, &agent.settings.controls, "");
     RpLog_SetBudget(agent.daemon.log, "flow_admitted", FLOW_LINES_PER_SECOND);
     RpLog_SetBudget(agent.daemon.log, "request_received",
                     FLOW_LINES_PER_SECOND);
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -329,6 +329,7 @@
 
     RpDaemon_SetPorts(&updated.controls, updated.control_port);
     RpUplink_SetControls(balancer->uplink, &updated.controls);
+    RpDaemon_DescribeSettings(&balancer->daemon, &updated.controls, "");
 }
 
 static bool
@@ -418,6 +419,7 @@
                         on_stop, &balancer)) {
         return daemon->exit_code;
     }
+    RpDaemon_DescribeSettings(daemon, &balancer.settings.controls, "");
     RpLog_SetBudget(daemon->log, "flow_routed", FLOW_LINES_PER_SECOND);
     RpLog_SetBudget(daemon->log, "flow_unrouted", FLOW_LINES_PER_SECOND);
     RpLog_SetBudget(daemon->log, "flow_waits", FLOW_LINES_PER_SECOND);
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -447,6 +447,22 @@
     return RpPlatform_EditionMax(bytes);
 }
 
+void
+RpControl_DescribeSettings(struct rp_daemon *daemon,
+                           const struct control_settings *settings)
+{
+    char listen[RP_ENDPOINT_TEXT_MAX];
+    char operator_http[RP_ENDPOINT_TEXT_MAX];
+    gchar *pairs = g_strdup_printf(
+        "listen=%s operator_http=%s data=%d bootstrap=%d",
+        RpEndpoint_Format(settings->listen, listen),
+        RpEndpoint_Format(settings->operator_http, operator_http),
+        settings->data != NULL, settings->bootstrap);
+
+    RpDaemon_DescribeSettings(daemon, &settings->peers, pairs);
+    g_free(pairs);
+}
+
 /* Returns how many voters the group must keep; 0: not known. How many of them
  * a whole data centre or region takes along is not known here. */
 static size_t
@@ -539,6 +555,7 @@
 
     RpDaemon_SetPorts(&updated.peers, updated.control_port);
     control->settings.peers = updated.peers;
+    RpControl_DescribeSettings(&control->daemon, &updated);
     RpControlReplica_SetMinVoters(control->replica, min_voters(&updated));
 }
 
@@ -685,6 +702,7 @@
                         &control.settings.common, on_stop, &control)) {
         return control.daemon.exit_code;
     }
+    RpControl_DescribeSettings(&control.daemon, &control.settings);
     if (!start_role(&control)) {
         return RP_EXIT_FAILED;
     }
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -82,6 +82,10 @@
 /* control.c: returns the largest body of an edition to accept, in bytes. */
 size_t RpControl_EditionMax(const struct control_settings *settings);
 
+/* control.c: sets what the log tells about the settings. */
+void RpControl_DescribeSettings(struct rp_daemon *daemon,
+                                const struct control_settings *settings);
+
 /* control_members.c: what the logs and metrics tell about the group of
  * replicas. */
 
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -127,6 +127,7 @@
 
     RpDaemon_SetPorts(&updated.peers, updated.control_port);
     RpUplink_SetControls(relay->uplink, &updated.peers);
+    RpControl_DescribeSettings(&relay->daemon, &updated);
 }
 
 static bool
@@ -175,6 +176,7 @@
                         &relay)) {
         return relay.daemon.exit_code;
     }
+    RpControl_DescribeSettings(&relay.daemon, settings);
     relay.uplink = RpUplink_Create(&relay.daemon, &settings->peers,
                                    &no_service, &uplink_ops, &relay);
     RpDaemon_WatchSettings(&relay.daemon, source, on_reload, &relay);
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -130,6 +130,7 @@
         .counters = &daemon->counters,
         .log = daemon->log,
         .attempts = RpConn_NewAttempts()};
+    daemon->given = g_string_new(NULL);
     daemon->loop = g_main_loop_new(NULL, FALSE);
     g_timeout_add_seconds(REPORT_INTERVAL_SECONDS, on_log_report, daemon);
 
@@ -174,7 +175,8 @@
                         source->argc, source->argv, settings,
                         &error) == RP_SETTINGS_READY) {
         daemon->reload(daemon->reload_user, settings);
-        RpLog_Event(daemon->log, RP_LOG_INFO, "settings_reloaded", "%s", "");
+        RpLog_Event(daemon->log, RP_LOG_INFO, "settings_reloaded", "%s",
+                    daemon->given->str);
     }
     else {
         RpDaemon_LogFindings(daemon, RP_LOG_ERROR, "settings_refused", "",
@@ -217,6 +219,24 @@
     }
 }
 
+void
+RpDaemon_DescribeSettings(struct rp_daemon *daemon,
+                          const struct rp_endpoints *controls,
+                          const char *pairs)
+{
+    char address[RP_ENDPOINT_TEXT_MAX];
+
+    g_string_assign(daemon->given, "control=");
+    for (size_t i = 0; i < controls->count; i++) {
+        g_string_append_printf(daemon->given, "%s%s", i ? "," : "",
+                               RpEndpoint_Format(controls->item[i], address));
+    }
+    if (controls->count == 0) {
+        g_string_append(daemon->given, "none");
+    }
+    g_string_append_printf(daemon->given, "%s%s", pairs[0] ? " " : "", pairs);
+}
+
 const struct rp_codec *
 RpDaemon_FindCodec(const GString *name)
 {
@@ -263,7 +283,8 @@
 int
 RpDaemon_Run(struct rp_daemon *daemon)
 {
-    RpLog_Event(daemon->log, RP_LOG_INFO, "started", "version=%s", RP_VERSION);
+    RpLog_Event(daemon->log, RP_LOG_INFO, "started", "version=%s %s",
+                RP_VERSION, daemon->given->str);
     g_main_loop_run(daemon->loop);
     RpLog_Event(daemon->log, RP_LOG_INFO, "stopped", "code=%d",
                 daemon->exit_code);
@@ -284,6 +305,9 @@
     RpLog_Free(daemon->log);
     RpKeyfile_Clear(&daemon->keyring);
     g_clear_pointer(&daemon->context.attempts, g_hash_table_destroy);
+    if (daemon->given) {
+        g_string_free(daemon->given, TRUE);
+    }
     if (daemon->loop) {
         g_main_loop_unref(daemon->loop);
     }
--- a/programs/daemon/rp_daemon.h
+++ b/programs/daemon/rp_daemon.h
@@ -113,6 +113,7 @@
     void *stop_user;
     bool stop_requested;
     int exit_code;
+    GString *given; /* key=value pairs, from RpDaemon_DescribeSettings */
     struct rp_settings_source source;
     RpDaemon_Reload reload; /* NULL: nothing can change while it runs */
     void *reload_user;
@@ -140,6 +141,13 @@
                             const struct rp_settings_source *source,
                             RpDaemon_Reload reload, void *user);
 
+/* Sets what the lines "started" and "settings_reloaded" tell about the
+ * settings: the addresses of control, and `pairs`, which is empty or key=value
+ * pairs. */
+void RpDaemon_DescribeSettings(struct rp_daemon *daemon,
+                               const struct rp_endpoints *controls,
+                               const char *pairs);
+
 /* Returns the codec of a packet format, or NULL after printing an error. */
 const struct rp_codec *RpDaemon_FindCodec(const GString *name);
 
