Metrics of descriptors, the loop's pauses and the accept queues

Admin pages of all roles: open descriptors and their limit, the longest time that the loop kept its sources waiting since the last scrape and a histogram of it, and for each listening TCP socket the connections that wait and the size of the queue. The loop is measured around its poll, without a timer. process_paused exists in all roles now. What cannot be read is left out.

--- a/lib/common/rp_histogram.h
+++ b/lib/common/rp_histogram.h
@@ -22,7 +22,9 @@
     X(CHANGE_DECIDED, "change_decided_seconds",                               \
       "time from receiving an edition until it is committed")                      \
     X(IN_FORCE, "in_force_seconds",                                           \
-      "time from committing a change until a node confirms it")
+      "time from committing a change until a node confirms it")               \
+    X(LOOP_HELD, "loop_held_seconds",                                         \
+      "time that the main loop kept its sources waiting")
 /* clang-format on */
 
 enum rp_histogram_id {
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -10,6 +10,7 @@
 #include "rp_clock.h"
 #include "rp_keyfile.h"
 #include "rp_platform.h"
+#include "rp_process.h"
 
 /* How often the settings file is checked for a change without a SIGHUP.
  * Seconds. */
@@ -107,6 +108,15 @@
     return G_SOURCE_CONTINUE;
 }
 
+static void
+on_paused(void *user, int64_t pause_us)
+{
+    const struct rp_daemon *daemon = user;
+
+    RpLog_Event(daemon->log, RP_LOG_WARN, "process_paused",
+                "ms=%" G_GINT64_FORMAT, pause_us / RP_US_PER_MS);
+}
+
 bool
 RpDaemon_Start(struct rp_daemon *daemon, enum rp_role role,
                const struct rp_common_settings *settings, RpDaemon_Stop stop,
@@ -132,6 +142,9 @@
         .attempts = RpConn_NewAttempts()};
     daemon->given = g_string_new(NULL);
     daemon->loop = g_main_loop_new(NULL, FALSE);
+    /* A control replica detects pauses in its own ticks. */
+    RpProcess_WatchLoop(&daemon->counters,
+                        role == RP_ROLE_CONTROL ? NULL : on_paused, daemon);
     g_timeout_add_seconds(REPORT_INTERVAL_SECONDS, on_log_report, daemon);
 
     daemon->stop = stop;
--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -2,6 +2,7 @@
 #include "rp_admin.h"
 
 #include "rp_http.h"
+#include "rp_process.h"
 
 /* Bytes of a request's body; requests to the admin pages have none. */
 #define ADMIN_BODY_MAX 4096
@@ -50,6 +51,7 @@
     }
     g_strfreev(lines);
     g_string_free(gauges, TRUE);
+    RpProcess_FormatGauges(admin->role, out);
     RpHttp_Answer(message, SOUP_STATUS_OK, "text/plain; version=0.0.4", out);
 }
 
--- a/tests/unit/test_shared.c
+++ b/tests/unit/test_shared.c
@@ -8,6 +8,7 @@
 #include "check.h"
 #include "rp_conn.h"
 #include "rp_http.h"
+#include "rp_process.h"
 #include "rp_udp.h"
 
 #define LOOPBACK 0x7f000001u
@@ -377,6 +378,94 @@
     free(text);
 }
 
+/* The gauges of a process tell how many connections wait to be accepted, and
+ * how many descriptors are open. */
+static void
+test_process_gauges(void **state)
+{
+    struct rp_endpoint at;
+    char address[RP_ENDPOINT_TEXT_MAX];
+    GSocket *listener = listen_on_loopback(&at);
+    GSocketClient *client = g_socket_client_new();
+    GSocketConnection *waiting[3];
+    GString *out = g_string_new(NULL);
+
+    (void)state;
+    RpEndpoint_Format(at, address);
+    for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+        waiting[i] = g_socket_client_connect_to_host(client, address, 0, NULL,
+                                                     NULL);
+        assert_non_null(waiting[i]);
+    }
+    RpProcess_FormatGauges("test", out);
+    gchar *line = g_strdup_printf(
+        "radishport_accept_waiting{role=\"test\",listen=\"%s\"} 3\n", address);
+    assert_non_null(strstr(out->str, line));
+    g_free(line);
+    line = g_strdup_printf(
+        "radishport_accept_queue{role=\"test\",listen=\"%s\"} 10\n", address);
+    assert_non_null(strstr(out->str, line));
+    assert_non_null(
+        strstr(out->str, "radishport_descriptors_open{role=\"test\"} "));
+    assert_non_null(
+        strstr(out->str, "radishport_descriptors_max{role=\"test\"} "));
+    g_free(line);
+    for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+        g_object_unref(waiting[i]);
+    }
+    g_string_free(out, TRUE);
+    g_object_unref(client);
+    g_object_unref(listener);
+}
+
+static gboolean
+hold_loop(gpointer data)
+{
+    bool *held = data;
+
+    g_usleep(RP_PROCESS_PAUSE_US);
+    *held = true;
+    return G_SOURCE_REMOVE;
+}
+
+static void
+add_pause(void *user, int64_t pause_us)
+{
+    int64_t *longest = user;
+
+    *longest = MAX(*longest, pause_us);
+}
+
+/* A handler that holds the loop is measured, and reported as a pause. */
+static void
+test_loop_is_watched(void **state)
+{
+    static struct rp_counters counters;
+    static int64_t longest_us;
+    bool held = false;
+    GString *out = g_string_new(NULL);
+
+    (void)state;
+    RpProcess_WatchLoop(&counters, add_pause, &longest_us);
+    g_timeout_add(1, hold_loop, &held);
+    while (!held) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    g_main_context_iteration(NULL, FALSE);
+    assert_true(longest_us >= RP_PROCESS_PAUSE_US);
+    assert_true(counters.histograms.item[RP_HISTOGRAM_LOOP_HELD].count > 0);
+    RpProcess_FormatGauges("test", out);
+    const char *gauge = strstr(
+        out->str, "radishport_loop_longest_held_ms{role=\"test\"} ");
+    assert_non_null(gauge);
+    assert_true(g_ascii_strtoull(strchr(gauge, ' ') + 1, NULL, 10) >= 300);
+    g_string_truncate(out, 0);
+    RpProcess_FormatGauges("test", out);
+    assert_non_null(strstr(
+        out->str, "radishport_loop_longest_held_ms{role=\"test\"} 0\n"));
+    g_string_free(out, TRUE);
+}
+
 int
 main(void)
 {
@@ -385,6 +474,8 @@
         cmocka_unit_test(test_http_body_limit),
         cmocka_unit_test(test_conn_end_is_logged),
         cmocka_unit_test(test_failed_attempts_are_bounded),
+        cmocka_unit_test(test_process_gauges),
+        cmocka_unit_test(test_loop_is_watched),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
