--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -129,6 +129,16 @@
       "connections closed: frame could not be decoded")                       \
     X(FRAME_UNEXPECTED, "frame_unexpected",                                   \
       "messages not allowed from this peer at this point")                    \
+    X(PEER_REFUSED, "peer_refused",                                           \
+      "failed connects: refused, nothing listens there")                      \
+    X(PEER_CONNECT_FAILED, "peer_connect_failed",                             \
+      "failed connects: other errors, such as no free descriptor here")       \
+    X(PEER_ENDED, "peer_ended", "connections ended by the other end")         \
+    X(PEER_RESET, "peer_reset", "connections reset by the other end")         \
+    X(PEER_FAILED, "peer_failed",                                             \
+      "connections closed: other errors of reads and writes")                 \
+    X(PEER_CLOSED_HERE, "peer_closed_here",                                   \
+      "connections closed by this process, in order")                         \
     X(PEER_TIMEOUT, "peer_timeout",                                           \
       "connections closed: peer was silent for too long")                     \
     X(PEER_TOO_SLOW, "peer_too_slow",                                         \
@@ -139,6 +149,15 @@
     X(NODE_HINTED, "node_hinted",                                             \
       "nodes and replicas told the replicas' addresses by a relay")           \
     X(PEERS_ACCEPTED, "peers_accepted", "peers authenticated")                \
+    /* The operator's reads and writes of editions. */                        \
+    X(EDITION_READ, "edition_read", "reads answered with the edition")        \
+    X(EDITION_NONE, "edition_none", "reads refused: no edition stored yet")   \
+    X(EDITION_REDIRECTED, "edition_redirected",                               \
+      "reads and writes redirected to another control instance")              \
+    X(EDITION_TIMEOUT, "edition_timeout",                                     \
+      "reads and writes that no majority confirmed in time")                  \
+    X(EDITION_LEAD_LOST, "edition_lead_lost",                                 \
+      "reads and writes during which this replica lost the lead")             \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -370,6 +370,7 @@
     RpControl_LogMembersIfChanged(control);
     RpControlLinks_Tick(control->links, now);
     update_freshness(control, now);
+    RpControl_LogLackOfQuorum(control, now);
     expire_leases(control, now);
     run_periodic_tasks(control, now);
     RpDistribution_Flush(control->distribution, now);
@@ -448,6 +449,22 @@
     return RpPlatform_EditionMax(bytes);
 }
 
+void
+RpControl_DescribeSettings(struct rp_daemon *daemon,
+                           const struct control_settings *settings)
+{
+    char listen[RP_ENDPOINT_TEXT_MAX];
+    char operator_http[RP_ENDPOINT_TEXT_MAX];
+    gchar *pairs = g_strdup_printf(
+        "listen=%s operator_http=%s data=%d bootstrap=%d",
+        RpEndpoint_Format(settings->listen, listen),
+        RpEndpoint_Format(settings->operator_http, operator_http),
+        settings->data != NULL, settings->bootstrap);
+
+    RpDaemon_DescribeSettings(daemon, &settings->peers, pairs);
+    g_free(pairs);
+}
+
 /* Returns how many voters the group must keep; 0: not known. How many of them
  * a whole data centre or region takes along is not known here. */
 static size_t
@@ -540,6 +557,7 @@
 
     RpDaemon_SetPorts(&updated.peers, updated.control_port);
     control->settings.peers = updated.peers;
+    RpControl_DescribeSettings(&control->daemon, &updated);
     RpControlReplica_SetMinVoters(control->replica, min_voters(&updated));
 }
 
@@ -629,6 +647,7 @@
                                              g_free, g_free);
     control->links = RpControlLinks_Create(control);
     RpDisconnectPolicy_Init(&control->disconnect_policy, RpClock_Now());
+    control->next_quorum_line = RpClock_Now() + RP_QUORUM_LINE_INTERVAL_US;
     g_timeout_add(TICK_MS, on_tick, control);
     RpDistribution_MarkAllChanged(control->distribution, RpClock_Now());
     RpDistribution_SetGatheringUntil(control->distribution,
@@ -685,6 +704,7 @@
                         &control.settings.common, on_stop, &control)) {
         return control.daemon.exit_code;
     }
+    RpControl_DescribeSettings(&control.daemon, &control.settings);
     if (!start_role(&control)) {
         return RP_EXIT_FAILED;
     }
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -17,21 +17,43 @@
     struct rp_platform *platform;
 };
 
+/* Logs the answer to a call. `to` is the address that it is redirected to, or
+ * NULL. */
 static void
-redirect(struct relay *relay, struct rp_platform_request *request)
+log_answer(const struct relay *relay, const struct control_call *call,
+           const char *result, const struct rp_endpoint *to)
+{
+    char text[RP_ENDPOINT_TEXT_MAX];
+    gchar *pairs = g_strdup_printf("role=relay connected=%d to=%s",
+                                   RpUplink_IsConnected(relay->uplink),
+                                   to ? RpEndpoint_Format(*to, text) : "none");
+
+    RpControlCall_LogAnswer(&relay->daemon, call, call->version, result,
+                            pairs);
+    g_free(pairs);
+}
+
+static void
+redirect(struct relay *relay, struct rp_platform_request *request,
+         const struct control_call *call)
 {
     struct rp_referral_view view = {.self_ip = relay->settings->listen.ip};
 
     RpUplink_FillReferralView(relay->uplink, &view);
     struct rp_referral referral = RpReferral_Choose(&view);
     if (referral.ip != 0) {
+        const struct rp_endpoint target = RpPlatform_RedirectTarget(
+            request, referral.ip);
+        RpCounters_Add(&relay->daemon.counters, RP_COUNT_EDITION_REDIRECTED);
+        log_answer(relay, call, "redirected", &target);
         RpPlatform_Redirect(request, referral.ip);
         return;
     }
+    bool connected = referral.kind != RP_REFERRAL_NOT_CONNECTED;
     RpCounters_Add(&relay->daemon.counters,
-                   referral.kind == RP_REFERRAL_NOT_CONNECTED
-                       ? RP_COUNT_CHANGE_NOT_CONNECTED
-                       : RP_COUNT_CHANGE_NO_LEADER);
+                   connected ? RP_COUNT_CHANGE_NO_LEADER
+                             : RP_COUNT_CHANGE_NOT_CONNECTED);
+    log_answer(relay, call, connected ? "no_leader" : "not_connected", NULL);
     RpPlatform_Answer(request, RP_ERR_NO_LEADER, NULL);
 }
 
@@ -39,26 +61,29 @@
 on_edition_submitted(void *user, const struct rp_edition *edition,
                      struct rp_platform_request *request)
 {
-    (void)edition;
-    redirect(user, request);
+    const struct control_call call = RpControlCall_Begin(
+        true, edition->version, RpPlatform_Sender(request));
+
+    redirect(user, request, &call);
 }
 
 static void
 on_edition_requested(void *user, struct rp_platform_request *request)
 {
-    redirect(user, request);
+    const struct control_call call = RpControlCall_Begin(
+        false, 0, RpPlatform_Sender(request));
+
+    redirect(user, request, &call);
 }
 
 static void
-on_unreadable(void *user, const char *message, const struct rp_error *error)
+on_unreadable(void *user, const char *message, struct rp_endpoint sender,
+              const struct rp_error *error)
 {
     struct relay *relay = user;
-    gchar *pairs = g_strdup_printf("what=%s ", message);
 
-    RpCounters_Add(&relay->daemon.counters, RP_COUNT_CHANGE_BAD_DOCUMENT);
-    RpDaemon_LogFindings(&relay->daemon, RP_LOG_WARN, "edition_refused", pairs,
-                         error);
-    g_free(pairs);
+    RpControlCall_RefuseUnreadable(&relay->daemon, message, sender, error,
+                                   "role=relay");
 }
 
 static void
@@ -104,6 +129,7 @@
 
     RpDaemon_SetPorts(&updated.peers, updated.control_port);
     RpUplink_SetControls(relay->uplink, &updated.peers);
+    RpControl_DescribeSettings(&relay->daemon, &updated);
 }
 
 static bool
@@ -152,6 +178,7 @@
                         &relay)) {
         return relay.daemon.exit_code;
     }
+    RpControl_DescribeSettings(&relay.daemon, settings);
     relay.uplink = RpUplink_Create(&relay.daemon, settings->listen,
                                    &settings->peers, &no_service, &uplink_ops,
                                    &relay);
