HTTP ports outlive a failed accept

Seen by callers: after the operator's port had once no descriptor for a connection, it answered nobody any more, although all connections were closed again and the process lived. No line said so.

Cause: the listener of libsoup ends with the first accept that fails. There is no signal for it and no way to start it again.

Evidence before: test_answers_after_descriptors_ran_out gets no answer within 1 s after a herd took all descriptors and has gone.

Change: lib/net/rp_listener accepts on the main loop, in batches of 64, and gives the streams to libsoup. rp_accept decides on errors: those of one connection are skipped; EMFILE, ENFILE, ENOBUFS and ENOMEM pause accepting for 100 ms, or until one of the port's connections is closed; any other opens the listening socket anew after that pause. A batch of errors only pauses too, so no error can keep the loop busy. Counters: accept_aborted, accept_no_descriptor, accept_no_memory, accept_broken. Lines: accept_failed, at most one a second a port, accept_resumed, listener_reopened.

libsoup keeps a connection open between requests only while it listens itself, so it gets a listener whose socket is closed. Without it, test_keeps_a_regular_caller failed at the second request.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -137,6 +137,14 @@
     X(NODE_SENT_ON, "node_sent_on",                                           \
       "nodes disconnected: this replica has no log yet")                      \
     X(PEERS_ACCEPTED, "peers_accepted", "peers authenticated")                \
+    X(ACCEPT_ABORTED, "accept_aborted",                                       \
+      "connections that failed before they were accepted")                    \
+    X(ACCEPT_NO_DESCRIPTOR, "accept_no_descriptor",                           \
+      "pauses of accepting: no descriptor is free")                           \
+    X(ACCEPT_NO_MEMORY, "accept_no_memory",                                   \
+      "pauses of accepting: no memory for a connection")                      \
+    X(ACCEPT_BROKEN, "accept_broken",                                         \
+      "listening sockets given up for another error, and opened again")       \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/lib/http/rp_http.c
+++ b/lib/http/rp_http.c
@@ -1,7 +1,11 @@
 /* Listening and answering with libsoup. */
 #include "rp_http.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #define LENGTH_KEY "rp-body-length"
+#define LISTENER_KEY "rp-listener"
 #define TOO_LONG_KEY "rp-body-too-long"
 
 /* Stops keeping the body of a request, and frees what is there. */
@@ -61,30 +65,83 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), data);
 }
 
+/* Gives an accepted connection to the server. */
+static void
+on_accepted(void *user, GSocketConnection *stream)
+{
+    SoupServer *server = user;
+    GSocketAddress *local = g_socket_connection_get_local_address(stream,
+                                                                  NULL);
+    GSocketAddress *remote = g_socket_connection_get_remote_address(stream,
+                                                                    NULL);
+
+    /* Either is NULL if the caller has closed the connection already. */
+    if (local && remote) {
+        soup_server_accept_iostream(server, G_IO_STREAM(stream), local, remote,
+                                    NULL);
+    }
+    g_clear_object(&local);
+    g_clear_object(&remote);
+}
+
+/* Makes the server keep connections open between requests, which it does only
+ * while it listens: it gets one end of a pair of sockets, which is closed
+ * again at once, in a main context that never runs. Only the listener of
+ * rp_listener.h accepts. Returns whether the server took it. */
+static bool
+keep_connections_open(SoupServer *server)
+{
+    int pair[2];
+
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
+                   pair) < 0) {
+        return false;
+    }
+    close(pair[1]);
+    GSocket *socket = g_socket_new_from_fd(pair[0], NULL);
+    if (!socket) {
+        close(pair[0]);
+        return false;
+    }
+    GMainContext *never_run = g_main_context_new();
+    g_main_context_push_thread_default(never_run);
+    bool taken = soup_server_listen_socket(server, socket,
+                                           (SoupServerListenOptions)0, NULL);
+    g_main_context_pop_thread_default(never_run);
+    g_main_context_unref(never_run);
+    g_socket_close(socket, NULL);
+    g_object_unref(socket);
+    return taken;
+}
+
+static void
+close_listener(gpointer data)
+{
+    RpListener_Close(data);
+}
+
 SoupServer *
 RpHttp_Serve(struct rp_endpoint listen, goffset body_max,
-             struct rp_error *error)
+             const struct rp_net_context *context, struct rp_error *error)
 {
+    static const struct rp_listener_ops ops = {.accepted = on_accepted};
     SoupServer *server = soup_server_new("server-header", "radishport", NULL);
-    char text[RP_ENDPOINT_TEXT_MAX];
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        RpIp_Format(listen.ip, text), listen.port);
-    GError *failure = NULL;
-    gboolean is_listening = soup_server_listen(
-        server, address, (SoupServerListenOptions)0, &failure);
-
-    g_object_unref(address);
-    if (is_listening) {
-        g_signal_connect(server, "request-started",
-                         G_CALLBACK(on_request_started),
-                         GSIZE_TO_POINTER((gsize)body_max));
-        return server;
+    struct rp_listener *listener = RpListener_Open(listen, context, &ops,
+                                                   server, error);
+
+    if (!listener) {
+        g_object_unref(server);
+        return NULL;
+    }
+    if (!keep_connections_open(server)) {
+        RpLog_Event(context->log, RP_LOG_WARN, "http_connections_not_kept",
+                    "port=%u", listen.port);
     }
-    RpError_Add(error, RP_ERR_IO, RpEndpoint_Format(listen, text),
-                "cannot listen for HTTP: %s", failure->message);
-    g_error_free(failure);
-    g_object_unref(server);
-    return NULL;
+    g_object_set_data_full(G_OBJECT(server), LISTENER_KEY, listener,
+                           close_listener);
+    g_signal_connect(server, "request-started", G_CALLBACK(on_request_started),
+                     GSIZE_TO_POINTER((gsize)body_max));
+    return server;
 }
 
 void
--- a/lib/http/rp_http.h
+++ b/lib/http/rp_http.h
@@ -7,13 +7,15 @@
 
 #include "rp_endpoint.h"
 #include "rp_error.h"
+#include "rp_listener.h"
 
 /* Creates a server that listens on `listen` and has no handlers yet. It
  * serves while the main loop runs; release it with g_object_unref. Of a
  * request whose body is longer than `body_max` bytes, the body is discarded
- * while it arrives. Returns NULL and adds a finding to `error` if it cannot
- * listen there. */
+ * while it arrives. `context` is borrowed until then. Returns NULL and adds a
+ * finding to `error` if it cannot listen there. */
 SoupServer *RpHttp_Serve(struct rp_endpoint listen, goffset body_max,
+                         const struct rp_net_context *context,
                          struct rp_error *error);
 
 /* Returns whether the request's body was discarded because of its length. */
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -138,8 +138,8 @@
                 agent->settings.report_ms * RP_US_PER_MS);
     RpError_Init(&error);
     agent->platform = RpPlatform_Open(agent->settings.host_reports,
-                                      RP_PLATFORM_REPORT_MAX, &ops, agent,
-                                      &error);
+                                      RP_PLATFORM_REPORT_MAX,
+                                      &agent->daemon.net, &ops, agent, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return agent->platform != NULL;
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -341,9 +341,9 @@
         return true;
     }
     RpError_Init(&error);
-    balancer->platform = RpPlatform_Open(balancer->settings.fabric_ready,
-                                         RP_PLATFORM_REPORT_MAX, &ops,
-                                         balancer, &error);
+    balancer->platform = RpPlatform_Open(
+        balancer->settings.fabric_ready, RP_PLATFORM_REPORT_MAX,
+        &balancer->daemon.net, &ops, balancer, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return balancer->platform != NULL;
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -229,7 +229,8 @@
     g_queue_init(&editions->pending);
     editions->platform = RpPlatform_Open(
         control->settings.operator_http,
-        RpControl_EditionMax(&control->settings), &ops, editions, error);
+        RpControl_EditionMax(&control->settings), &control->daemon.net, &ops,
+        editions, error);
     if (!editions->platform) {
         g_free(editions);
         return NULL;
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -116,7 +116,7 @@
     RpError_Init(&error);
     relay->platform = RpPlatform_Open(relay->settings->operator_http,
                                       RpControl_EditionMax(relay->settings),
-                                      &ops, relay, &error);
+                                      &relay->daemon.net, &ops, relay, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return relay->platform != NULL;
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -129,6 +129,8 @@
                   .zone = settings->zone},
         .counters = &daemon->counters,
         .log = daemon->log};
+    daemon->net = (struct rp_net_context){.counters = &daemon->counters,
+                                          .log = daemon->log};
     daemon->loop = g_main_loop_new(NULL, FALSE);
     g_timeout_add_seconds(REPORT_INTERVAL_SECONDS, on_log_report, daemon);
 
@@ -253,7 +255,7 @@
     }
     RpError_Init(&error);
     daemon->admin = RpAdmin_Open(settings->admin, daemon->role_name,
-                                 &daemon->counters, ops, user, &error);
+                                 &daemon->net, ops, user, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return daemon->admin != NULL;
--- a/programs/daemon/rp_daemon.h
+++ b/programs/daemon/rp_daemon.h
@@ -108,6 +108,7 @@
     struct rp_counters counters;
     struct rp_keyring keyring;
     struct rp_conn_context context;
+    struct rp_net_context net;
     struct rp_admin *admin;
     RpDaemon_Stop stop;
     void *stop_user;
--- a/programs/shared/rp_admin.c
+++ b/programs/shared/rp_admin.c
@@ -72,11 +72,11 @@
 
 struct rp_admin *
 RpAdmin_Open(struct rp_endpoint listen, const char *role,
-             const struct rp_counters *counters,
+             const struct rp_net_context *context,
              const struct rp_admin_ops *ops, void *user,
              struct rp_error *error)
 {
-    SoupServer *server = RpHttp_Serve(listen, ADMIN_BODY_MAX, error);
+    SoupServer *server = RpHttp_Serve(listen, ADMIN_BODY_MAX, context, error);
 
     if (!server) {
         return NULL;
@@ -84,7 +84,7 @@
     struct rp_admin *admin = g_new0(struct rp_admin, 1);
     *admin = (struct rp_admin){.server = server,
                                .role = role,
-                               .counters = counters,
+                               .counters = context->counters,
                                .ops = ops,
                                .user = user};
     soup_server_add_handler(admin->server, "/metrics", on_metrics, admin,
--- a/programs/shared/rp_admin.h
+++ b/programs/shared/rp_admin.h
@@ -5,9 +5,9 @@
 
 #include <glib.h>
 
-#include "rp_counters.h"
 #include "rp_endpoint.h"
 #include "rp_error.h"
+#include "rp_listener.h"
 
 struct rp_admin;
 
@@ -24,7 +24,7 @@
 /* Starts the HTTP server. All pointers but `error` are borrowed until
  * RpAdmin_Close. Returns NULL and adds a finding on failure. */
 struct rp_admin *RpAdmin_Open(struct rp_endpoint listen, const char *role,
-                              const struct rp_counters *counters,
+                              const struct rp_net_context *context,
                               const struct rp_admin_ops *ops, void *user,
                               struct rp_error *error);
 
--- a/tests/unit/sockets.c
+++ b/tests/unit/sockets.c
@@ -8,7 +8,6 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
-#include <string.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -25,6 +24,7 @@
 
 static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 static const char answer_start[] = "HTTP/1.1 200 ";
+static const char answer_end[] = "\r\n\r\nx";
 
 static struct rlimit limit_at_start;
 static int64_t skipped_us;
@@ -202,16 +202,26 @@
 bool
 ask_on(int fd, unsigned ms)
 {
-    char answer[sizeof answer_start + 4096] = "";
+    char answer[4096] = "";
+    size_t len = 0;
 
     if (send(fd, request, sizeof request - 1, MSG_NOSIGNAL) !=
-            (ssize_t)sizeof request - 1 ||
-        !run_until_readable(fd, ms)) {
+        (ssize_t)sizeof request - 1) {
         return false;
     }
-    ssize_t got = recv(fd, answer, sizeof answer - 1, MSG_DONTWAIT);
-    return got >= (ssize_t)sizeof answer_start - 1 &&
-           !strncmp(answer, answer_start, sizeof answer_start - 1);
+    /* The head and the body may arrive apart. */
+    while (!g_str_has_suffix(answer, answer_end)) {
+        if (!run_until_readable(fd, ms)) {
+            return false;
+        }
+        ssize_t got = recv(fd, answer + len, sizeof answer - 1 - len,
+                           MSG_DONTWAIT);
+        if (got <= 0) {
+            return false;
+        }
+        len += (size_t)got;
+    }
+    return g_str_has_prefix(answer, answer_start);
 }
 
 bool
--- a/tests/unit/sockets.h
+++ b/tests/unit/sockets.h
@@ -50,7 +50,8 @@
 bool has_ended(int fd);
 
 /* Sends a GET request on the connection and runs the main loop until its
- * answer or for `ms`. Returns whether it was answered with 200. */
+ * answer or for `ms`. Returns whether it was answered with 200 and the body
+ * "x". */
 bool ask_on(int fd, unsigned ms);
 
 /* The same on a new connection, which is closed afterwards. */
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -15,6 +15,8 @@
 #define HERD_OF_CALLERS 150u /* at once, while the process does not run */
 
 struct port {
+    struct rp_counters counters;
+    struct rp_net_context context;
     SoupServer *server;
     uint16_t number;
 };
@@ -30,16 +32,18 @@
     RpHttp_Answer(message, SOUP_STATUS_OK, "text/plain", g_string_new("x"));
 }
 
-static struct port
+static struct port *
 open_port(void)
 {
-    struct port port = {.number = find_tcp_port()};
-
-    port.server = RpHttp_Serve(
-        (struct rp_endpoint){.ip = LOOPBACK, .port = port.number}, BODY_MAX,
-        NULL);
-    assert_non_null(port.server);
-    soup_server_add_handler(port.server, NULL, on_request, NULL, NULL);
+    struct port *port = g_new0(struct port, 1);
+
+    port->number = find_tcp_port();
+    port->context.counters = &port->counters;
+    port->server = RpHttp_Serve(
+        (struct rp_endpoint){.ip = LOOPBACK, .port = port->number}, BODY_MAX,
+        &port->context, NULL);
+    assert_non_null(port->server);
+    soup_server_add_handler(port->server, NULL, on_request, NULL, NULL);
     return port;
 }
 
@@ -48,6 +52,7 @@
 {
     g_object_unref(port->server);
     run_loop(5);
+    g_free(port);
 }
 
 static int
@@ -63,18 +68,18 @@
 static void
 test_answers_after_descriptors_ran_out(void **state)
 {
-    struct port port = open_port();
-    struct herd herd = start_herd(port.number, 60);
+    struct port *port = open_port();
 
     (void)state;
+    struct herd herd = start_herd(port->number, 60);
     set_descriptor_limit(count_descriptors() + 20);
     wait_for_herd(&herd);
     run_loop(100);
     stop_herd(&herd);
     run_loop(200);
-    assert_true(ask(port.number, ANSWER_MS));
+    assert_true(ask(port->number, ANSWER_MS));
     restore_descriptor_limit();
-    close_port(&port);
+    close_port(port);
 }
 
 /* Guards against an accept queue that is too short for a herd: SYNs that do
@@ -82,13 +87,13 @@
 static void
 test_queue_holds_a_herd(void **state)
 {
-    struct port port = open_port();
+    struct port *port = open_port();
     int callers[HERD_OF_CALLERS];
     unsigned connected = 0;
 
     (void)state;
     for (unsigned i = 0; i < HERD_OF_CALLERS; i++) {
-        callers[i] = start_connect(port.number);
+        callers[i] = start_connect(port->number);
     }
     g_usleep(50 * 1000);
     for (unsigned i = 0; i < HERD_OF_CALLERS; i++) {
@@ -99,7 +104,7 @@
         assert_true(ask_on(callers[i], ANSWER_MS));
         close(callers[i]);
     }
-    close_port(&port);
+    close_port(port);
 }
 
 /* Guards against connections that keep a descriptor for good: their callers
@@ -110,13 +115,13 @@
     static const char part_of_head[] = "GET / HTTP/1.1\r\nHos";
     static const char part_of_body[] = "PUT / HTTP/1.1\r\nHost: x\r\n"
                                        "Content-Length: 9\r\n\r\nx";
-    struct port port = open_port();
-    int silent = start_connect(port.number);
-    int answered = start_connect(port.number);
-    int in_head = start_connect(port.number);
-    int in_body = start_connect(port.number);
+    struct port *port = open_port();
 
     (void)state;
+    int silent = start_connect(port->number);
+    int answered = start_connect(port->number);
+    int in_head = start_connect(port->number);
+    int in_body = start_connect(port->number);
     run_loop(20);
     assert_true(ask_on(answered, ANSWER_MS));
     assert_true(write(in_head, part_of_head, sizeof part_of_head - 1) > 0);
@@ -133,24 +138,24 @@
     close(answered);
     close(in_head);
     close(in_body);
-    close_port(&port);
+    close_port(port);
 }
 
 /* Guards against closing the connection of a caller that asks regularly. */
 static void
 test_keeps_a_regular_caller(void **state)
 {
-    struct port port = open_port();
-    int caller = start_connect(port.number);
+    struct port *port = open_port();
 
     (void)state;
+    int caller = start_connect(port->number);
     for (unsigned ms = 0; ms < 3 * IDLE_LIMIT_MS; ms += BEAT_MS) {
         assert_true(ask_on(caller, ANSWER_MS));
         skip_time(BEAT_MS);
     }
     assert_false(has_ended(caller));
     close(caller);
-    close_port(&port);
+    close_port(port);
 }
 
 /* Guards against idle connections that take all descriptors: new callers are
@@ -160,8 +165,8 @@
 {
     (void)state;
     set_descriptor_limit(count_descriptors() + 60);
-    struct port port = open_port();
-    struct herd herd = start_herd(port.number, 100);
+    struct port *port = open_port();
+    struct herd herd = start_herd(port->number, 100);
     bool connected = wait_for_herd(&herd);
     skip_time(BEAT_MS);
     int spare[10];
@@ -170,7 +175,7 @@
         assert_true(spare[i] >= 0);
     }
     for (unsigned i = 0; i < 20; i++) {
-        assert_true(ask(port.number, ANSWER_MS));
+        assert_true(ask(port->number, ANSWER_MS));
     }
     assert_true(connected);
     for (unsigned i = 0; i < G_N_ELEMENTS(spare); i++) {
@@ -178,7 +183,7 @@
     }
     stop_herd(&herd);
     restore_descriptor_limit();
-    close_port(&port);
+    close_port(port);
 }
 
 int
--- a/tests/unit/test_shared.c
+++ b/tests/unit/test_shared.c
@@ -162,8 +162,11 @@
          100000, true, 413, 0},
     };
     uint16_t port = find_port(G_SOCKET_TYPE_STREAM);
+    struct rp_counters counters = {.value = {0}};
+    const struct rp_net_context context = {.counters = &counters};
     SoupServer *server = RpHttp_Serve(
-        (struct rp_endpoint){.ip = LOOPBACK, .port = port}, BODY_MAX, NULL);
+        (struct rp_endpoint){.ip = LOOPBACK, .port = port}, BODY_MAX, &context,
+        NULL);
     struct http_run run = {.loop = g_main_loop_new(NULL, FALSE)};
 
     (void)state;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -15,7 +15,7 @@
     --enable=warning,performance,portability --library=gtk \
     --suppress=missingInclude --suppress=unknownMacro \
     -I lib/common -I lib/wire -I lib/flow -I lib/state -I lib/control \
-    -I platform -I programs/shared $sources
+    -I lib/net -I lib/http -I platform -I programs/shared $sources
 echo "lint: clang-tidy"
 echo "$sources" | xargs -P "$JOBS" -n 4 clang-tidy -p "$BUILD" --quiet \
     2> /dev/null
