HTTP ports: an accept queue of 1024

The port between nodes has 1024.

Evidence before: test_queue_holds_a_herd, 11 of 150 connected within 50 ms.

--- a/lib/net/rp_listener.c
+++ b/lib/net/rp_listener.c
@@ -15,8 +15,10 @@
 #include "rp_descriptors.h"
 #include "rp_timer.h"
 
-/* Connections that the kernel completes before they are accepted. */
-#define BACKLOG 10
+/* Connections that the kernel completes before they are accepted. The kernel
+ * drops the SYNs that do not fit, and their callers see silence for a second
+ * or more: a herd must fit in that comes while the process is held up. */
+#define BACKLOG 1024
 /* Limits the work of one dispatch, so that other sources of the main loop get
  * to run. */
 #define BATCH 64
