Port between nodes: no spinning after a failed accept

The only line was a warning of GLib without keys.

Cause: GSocketService starts the next accept at once when one has failed, and the pending connection makes that fail at once.

Change: the port uses rp_listener, which pauses after such an error and logs event=accept_failed. Errors of the address at the start are printed with it.

--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -689,7 +689,7 @@
     RpDaemon_WatchSettings(&control.daemon, &source, on_reload, &control);
     exit_code = RpDaemon_Run(&control.daemon);
     RpControlEditions_Close(control.editions);
-    g_socket_service_stop(control.listener);
+    RpListener_Close(control.listener);
     RpControlReplica_Close(control.replica);
     RpDaemon_Clear(&control.daemon);
     return exit_code;
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -43,7 +43,7 @@
                                         * operator */
     uint64_t sent_members_digest; /* digest of the replica list that nodes were
                                    * last sent */
-    GSocketService *listener;
+    struct rp_listener *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
     /* Leader: former targets up to this revision are forgotten at the
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -5,7 +5,6 @@
 #include "rp_clock.h"
 
 #define MAX_CONNECTIONS 30000
-#define LISTEN_BACKLOG 1024
 
 /* One accepted connection and the hello of its peer. */
 struct client {
@@ -589,19 +588,16 @@
     g_hash_table_remove(control->clients, &number);
 }
 
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *stream,
-            GObject *source, gpointer data)
+static void
+on_accepted(void *user, GSocketConnection *stream)
 {
     static const struct rp_conn_ops ops = {
         .ready = on_ready, .message = on_message, .closed = on_closed};
-    struct control *control = data;
+    struct control *control = user;
 
-    (void)service;
-    (void)source;
     if (g_hash_table_size(control->clients) >= MAX_CONNECTIONS) {
         RpCounters_Add(&control->daemon.counters, RP_COUNT_PEER_LIMIT);
-        return TRUE;
+        return;
     }
     struct client *client = g_new0(struct client, 1);
     client->control = control;
@@ -610,31 +606,18 @@
     guint64 number = RpConn_Number(client->conn);
     g_hash_table_insert(control->clients, g_memdup2(&number, sizeof number),
                         client);
-    return TRUE;
 }
 
 bool
 RpControl_Listen(struct control *control)
 {
-    char ip[RP_ENDPOINT_TEXT_MAX];
-    GError *failure = NULL;
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        RpIp_Format(control->settings.listen.ip, ip),
-        control->settings.listen.port);
-
-    control->listener = g_socket_service_new();
-    g_socket_listener_set_backlog(G_SOCKET_LISTENER(control->listener),
-                                  LISTEN_BACKLOG);
-    gboolean added = g_socket_listener_add_address(
-        G_SOCKET_LISTENER(control->listener), address, G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, NULL, NULL, &failure);
-    g_object_unref(address);
-    if (!added) {
-        fprintf(stderr, "--listen: %s\n", failure->message);
-        g_error_free(failure);
-        return false;
-    }
-    g_signal_connect(control->listener, "incoming", G_CALLBACK(on_incoming),
-                     control);
-    return true;
+    static const struct rp_listener_ops ops = {.accepted = on_accepted};
+    struct rp_error error;
+
+    RpError_Init(&error);
+    control->listener = RpListener_Open(
+        control->settings.listen, &control->daemon.net, &ops, control, &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    return control->listener != NULL;
 }
--- a/tests/unit/test_node_listener.c
+++ b/tests/unit/test_node_listener.c
@@ -40,6 +40,8 @@
         .keyring = &control->daemon.keyring,
         .counters = &control->daemon.counters,
         .log = control->daemon.log};
+    control->daemon.net = (struct rp_net_context){
+        .counters = &control->daemon.counters, .log = control->daemon.log};
     control->settings.listen = (struct rp_endpoint){.ip = LOOPBACK,
                                                     .port = find_tcp_port()};
     port->catalog = RpCatalog_Create();
