--- a/tests/unit/sockets.c
+++ b/tests/unit/sockets.c
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -199,18 +200,35 @@
     return is_readable(fd) && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
+void
+send_text(int fd, const char *text)
+{
+    ssize_t len = (ssize_t)strlen(text);
+
+    assert_int_equal(send(fd, text, (size_t)len, MSG_NOSIGNAL), len);
+}
+
+/* Counts the complete answers in a text; each ends like answer_end. */
+static unsigned
+count_answers(const char *text)
+{
+    unsigned count = 0;
+
+    for (const char *at = text; (at = strstr(at, answer_end)) != NULL;
+         at += sizeof answer_end - 1) {
+        count++;
+    }
+    return count;
+}
+
 bool
-ask_on(int fd, unsigned ms)
+receive_answers(int fd, unsigned count, unsigned ms)
 {
     char answer[4096] = "";
     size_t len = 0;
 
-    if (send(fd, request, sizeof request - 1, MSG_NOSIGNAL) !=
-        (ssize_t)sizeof request - 1) {
-        return false;
-    }
     /* The head and the body may arrive apart. */
-    while (!g_str_has_suffix(answer, answer_end)) {
+    while (count_answers(answer) < count) {
         if (!run_until_readable(fd, ms)) {
             return false;
         }
@@ -224,6 +242,14 @@
     return g_str_has_prefix(answer, answer_start);
 }
 
+bool
+ask_on(int fd, unsigned ms)
+{
+    return send(fd, request, sizeof request - 1, MSG_NOSIGNAL) ==
+               (ssize_t)sizeof request - 1 &&
+           receive_answers(fd, 1, ms);
+}
+
 bool
 ask(uint16_t port, unsigned ms)
 {
--- a/tests/unit/sockets.h
+++ b/tests/unit/sockets.h
@@ -49,6 +49,13 @@
 /* Whether the other end has closed the connection. */
 bool has_ended(int fd);
 
+/* Sends a text on the connection. */
+void send_text(int fd, const char *text);
+
+/* Runs the main loop until `count` answers have arrived on the connection or
+ * for `ms`. Returns whether all are 200 with the body "x". */
+bool receive_answers(int fd, unsigned count, unsigned ms);
+
 /* Sends a GET request on the connection and runs the main loop until its
  * answer or for `ms`. Returns whether it was answered with 200 and the body
  * "x". */
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -158,6 +158,53 @@
     close_port(port);
 }
 
+/* Guards against a descriptor that each caller leaves behind when it closes
+ * its connection after an answer. */
+static void
+test_closed_callers_leave_nothing(void **state)
+{
+    struct port *port = open_port();
+    unsigned before = count_descriptors();
+
+    (void)state;
+    for (unsigned i = 0; i < 20; i++) {
+        assert_true(ask(port->number, ANSWER_MS));
+    }
+    int caller = start_connect(port->number);
+    assert_true(ask_on(caller, ANSWER_MS));
+    assert_true(ask_on(caller, ANSWER_MS));
+    close(caller);
+    run_loop(20);
+    assert_int_equal(count_descriptors(), before);
+    close_port(port);
+}
+
+/* Guards against losing the second of two requests that arrive together, and
+ * against keeping a connection that its caller wants closed. */
+static void
+test_requests_in_a_row(void **state)
+{
+    struct port *port = open_port();
+    int caller = start_connect(port->number);
+
+    (void)state;
+    run_loop(5);
+    send_text(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+                      "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+                      "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                      "\r\nb");
+    assert_true(receive_answers(caller, 3, ANSWER_MS));
+    assert_true(ask_on(caller, ANSWER_MS));
+    assert_false(has_ended(caller));
+    send_text(caller,
+              "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    assert_true(receive_answers(caller, 1, ANSWER_MS));
+    run_loop(20);
+    assert_true(has_ended(caller));
+    close(caller);
+    close_port(port);
+}
+
 /* Guards against idle connections that take all descriptors: new callers are
  * answered, and files and other connections can still be opened. */
 static void
@@ -195,6 +242,9 @@
         cmocka_unit_test_teardown(test_queue_holds_a_herd, restore_limit),
         cmocka_unit_test_teardown(test_closes_what_stays_idle, restore_limit),
         cmocka_unit_test_teardown(test_keeps_a_regular_caller, restore_limit),
+        cmocka_unit_test_teardown(test_closed_callers_leave_nothing,
+                                  restore_limit),
+        cmocka_unit_test_teardown(test_requests_in_a_row, restore_limit),
         cmocka_unit_test_teardown(test_idle_give_way_to_new_callers,
                                   restore_limit),
     };
