--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -158,6 +158,14 @@
       "reads and writes that no majority confirmed in time")                  \
     X(EDITION_LEAD_LOST, "edition_lead_lost",                                 \
       "reads and writes during which this replica lost the lead")             \
+    X(ACCEPT_ABORTED, "accept_aborted",                                       \
+      "connections that failed before they were accepted")                    \
+    X(ACCEPT_NO_DESCRIPTOR, "accept_no_descriptor",                           \
+      "pauses of accepting: no descriptor is free")                           \
+    X(ACCEPT_NO_MEMORY, "accept_no_memory",                                   \
+      "pauses of accepting: no memory for a connection")                      \
+    X(ACCEPT_BROKEN, "accept_broken",                                         \
+      "listening sockets given up for another error, and opened again")       \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -54,7 +54,7 @@
                                         * operator */
     uint64_t sent_members_digest; /* digest of the replicas and the leader that
                                    * nodes were last told */
-    GSocketService *listener;
+    struct rp_listener *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
     /* Leader: former targets up to this revision are forgotten at the
--- a/programs/daemon/control_relay_nodes.c
+++ b/programs/daemon/control_relay_nodes.c
@@ -8,7 +8,6 @@
 /* Connections at the same time. A node needs its connection for two round
  * trips, so this is enough for 400 nodes in a herd. */
 #define MAX_CONNECTIONS 256
-#define LISTEN_BACKLOG 1024
 /* How long a connection stays open: until its peer has sent a hello and a
  * subscription, and then until the peer has closed it. A node of an earlier
  * release does not close it. */
@@ -19,7 +18,7 @@
     const struct rp_daemon *daemon;
     struct rp_counters *counters;
     const struct rp_uplink *uplink;
-    GSocketService *listener;
+    struct rp_listener *listener;
     unsigned connections;
 };
 
@@ -96,56 +95,44 @@
     g_free(asker);
 }
 
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *stream,
-            GObject *source, gpointer data)
+static void
+on_accepted(void *user, GSocketConnection *stream)
 {
     static const struct rp_conn_ops ops = {
         .ready = on_ready, .message = on_message, .closed = on_closed};
-    struct rp_relay_nodes *nodes = data;
+    struct rp_relay_nodes *nodes = user;
 
-    (void)service;
-    (void)source;
     if (nodes->connections >= MAX_CONNECTIONS) {
         RpCounters_Add(nodes->counters, RP_COUNT_PEER_LIMIT);
-        return TRUE;
+        return;
     }
     struct asker *asker = g_new0(struct asker, 1);
     asker->nodes = nodes;
     nodes->connections++;
     asker->conn = RpConn_Accept(&nodes->daemon->context, stream, &ops, asker);
     close_after(asker, ASK_TIMEOUT_MS);
-    return TRUE;
 }
 
 struct rp_relay_nodes *
 RpRelayNodes_Open(struct rp_daemon *daemon, struct rp_endpoint listen,
                   const struct rp_uplink *uplink)
 {
+    static const struct rp_listener_ops ops = {.accepted = on_accepted};
     struct rp_relay_nodes *nodes = g_new0(struct rp_relay_nodes, 1);
-    char ip[RP_ENDPOINT_TEXT_MAX];
-    GError *failure = NULL;
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        RpIp_Format(listen.ip, ip), listen.port);
+    struct rp_error error;
 
     nodes->daemon = daemon;
     nodes->counters = &daemon->counters;
     nodes->uplink = uplink;
-    nodes->listener = g_socket_service_new();
-    g_socket_listener_set_backlog(G_SOCKET_LISTENER(nodes->listener),
-                                  LISTEN_BACKLOG);
-    gboolean added = g_socket_listener_add_address(
-        G_SOCKET_LISTENER(nodes->listener), address, G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, NULL, NULL, &failure);
-    g_object_unref(address);
-    if (!added) {
-        fprintf(stderr, "--listen: %s\n", failure->message);
-        g_error_free(failure);
+    RpError_Init(&error);
+    nodes->listener = RpListener_Open(listen, &daemon->net, &ops, nodes,
+                                      &error);
+    RpDaemon_PrintFindings(&error);
+    RpError_Clear(&error);
+    if (!nodes->listener) {
         RpRelayNodes_Close(nodes);
         return NULL;
     }
-    g_signal_connect(nodes->listener, "incoming", G_CALLBACK(on_incoming),
-                     nodes);
     return nodes;
 }
 
@@ -153,9 +140,7 @@
 RpRelayNodes_Close(struct rp_relay_nodes *nodes)
 {
     if (nodes) {
-        g_socket_service_stop(nodes->listener);
-        g_socket_listener_close(G_SOCKET_LISTENER(nodes->listener));
-        g_object_unref(nodes->listener);
+        RpListener_Close(nodes->listener);
         while (nodes->connections > 0) {
             g_main_context_iteration(NULL, TRUE);
         }
--- a/programs/daemon/rp_daemon.c
+++ b/programs/daemon/rp_daemon.c
@@ -140,6 +140,8 @@
         .counters = &daemon->counters,
         .log = daemon->log,
         .attempts = RpConn_NewAttempts()};
+    daemon->net = (struct rp_net_context){.counters = &daemon->counters,
+                                          .log = daemon->log};
     daemon->given = g_string_new(NULL);
     daemon->loop = g_main_loop_new(NULL, FALSE);
     /* A control replica detects pauses in its own ticks. */
@@ -287,7 +289,7 @@
     }
     RpError_Init(&error);
     daemon->admin = RpAdmin_Open(settings->admin, daemon->role_name,
-                                 &daemon->counters, ops, user, &error);
+                                 &daemon->net, ops, user, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return daemon->admin != NULL;
