Balancer: the owner of an open flow tells it, and gets later packets first

Cause: a packet of an open flow goes from candidate to candidate and is lost if one of them is stopped; the next copy takes the same way. The agents on the way are the only ones that remember the owner, and a restart clears that. A flow opened while a member was draining after a start has an owner outside the three candidates, and its packets walk through all agents.

Ruled out: a copy of a repeated packet to all agents (cost on lossy links at 300 machines); leaving stopping agents out of the way (they are back after 0.5 s and have forgotten); a hint with the SYN-ACK (two hosts may answer one SYN).

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -52,6 +52,9 @@
       "dropped: no table or members before the deadline")                     \
     X(DROP_WAITING_FULL, "drop_waiting_full",                                 \
       "dropped: too many newer packets wait for a table")                     \
+    X(HINT_STORED, "hint_stored", "hints about owners of flows stored")       \
+    X(HINT_FOLLOWED, "hint_followed",                                         \
+      "packets sent to the owner that a hint names")                          \
     X(RESET_NO_MEMBER, "reset_no_member",                                     \
       "new flows reset by a balancer: no upstream is ready")                  \
     /* New flows at an agent. */                                              \
@@ -102,6 +105,8 @@
       "flows reset: no agent owns them any more")                             \
     X(RESET_OWNER_UNREACHABLE, "reset_owner_unreachable",                     \
       "requests refused: no agent known yet owns their flow")                 \
+    X(HINT_SENT, "hint_sent",                                                 \
+      "hints to balancers that this agent owns a flow")                       \
     X(OWNER_SEARCHED, "owner_searched",                                       \
       "searches for the owner of a flow, one for each service asked")         \
     X(SEARCH_ANSWERED, "search_answered",                                     \
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -232,6 +232,7 @@
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_TO_HOST:
         forward_to_host(agent, now, flow, packet, actions);
+        RpAgent_HintOwner(agent, flow, packet, chain, actions);
         break;
     case RP_FLOW_DO_TO_HOST_AND_NEXT_AGENT:
         /* In formats where the host returns packets of unknown flows, it
@@ -385,7 +386,7 @@
         forward_to_caller(agent, now, flow, packet, actions);
         break;
     case RP_FLOW_DO_TAKE_OWNERSHIP:
-        RpAgent_TakeOwnership(agent, flow, step.next, now);
+        RpAgent_ConfirmOwnership(agent, flow, step.next, now, actions);
         forward_to_caller(agent, now, flow, packet, actions);
         break;
     case RP_FLOW_DO_RELEASE_TO_NEXT_AGENT:
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -36,7 +36,8 @@
     RP_ACTION_TO_CALLER,
     RP_ACTION_TO_NEXT_AGENT, /* to the agent at `next` */
     RP_ACTION_SEARCH,        /* to each of `targets`, as a search */
-    RP_ACTION_SEARCH_ANSWER  /* the verdict, to the agent at `next` */
+    RP_ACTION_SEARCH_ANSWER, /* the verdict, to the agent at `next` */
+    RP_ACTION_HINT           /* the hint, to the balancer at `next` */
 };
 
 /* One action. `data` is borrowed: it points into the packet that was passed
@@ -45,10 +46,11 @@
 struct rp_action {
     enum rp_action_kind kind;
     enum rp_counter reason; /* already counted when the call returns */
-    const uint8_t *data;    /* the packet to send; NULL with RP_ACTION_DROP */
+    const uint8_t *data;    /* the packet to send; NULL with RP_ACTION_DROP,
+                             * RP_ACTION_SEARCH_ANSWER and RP_ACTION_HINT */
     size_t len;
+    struct rp_endpoint next; /* the receiver, where it is not implied */
     /* Only with RP_ACTION_TO_NEXT_AGENT: */
-    struct rp_endpoint next;
     struct rp_chain chain;
     struct rp_service_tag tag; /* also with RP_ACTION_SEARCH */
     /* Only with RP_ACTION_SEARCH, and `search_id` also with an answer: */
@@ -56,6 +58,7 @@
     const struct rp_endpoint *targets; /* borrowed, as `data` */
     size_t target_count;
     enum rp_search_verdict verdict; /* only with RP_ACTION_SEARCH_ANSWER */
+    struct rp_owner_hint hint;      /* only with RP_ACTION_HINT */
 };
 
 struct rp_actions {
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -254,6 +254,20 @@
                          const struct rp_chain *chain,
                          struct rp_actions *actions);
 
+/* rp_agent_hint.c: tells the balancer that sent the packet that this agent
+ * owns its flow, if that is certain and the packet went to another agent
+ * first. */
+void RpAgent_HintOwner(struct rp_agent *agent, const struct rp_flow *flow,
+                       const struct rp_packet *packet,
+                       const struct rp_chain *chain,
+                       struct rp_actions *actions);
+
+/* Takes the ownership of a flow that the host has just proved, and hints it
+ * for the packet that was kept while the host was queried. */
+void RpAgent_ConfirmOwnership(struct rp_agent *agent, struct rp_flow *flow,
+                              uint8_t state, int64_t now,
+                              struct rp_actions *actions);
+
 /* rp_agent_learn.c: queries the host about a flow without an entry: sends it
  * the packet and keeps a copy. */
 void RpAgent_QueryHost(struct rp_agent *agent, int64_t now,
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -398,7 +398,8 @@
         struct rp_chain sibling_chain = {
             .lowest_utilisation = RP_CHAIN_NO_UTILISATION,
             .forced = true,
-            .visited = 1};
+            .visited = 1,
+            .origin = chain->origin};
         if (!service || service == agent->service) {
             continue;
         }
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -92,6 +92,7 @@
         return;
     }
     uint64_t hash = RpTable_HashFlow(table, packet->key);
+    route->flow_hash = hash;
     const struct rp_service *service = RpTable_SelectService(table, address,
                                                              hash);
     if (!service) {
@@ -135,3 +136,65 @@
         route->reason = RP_COUNT_DROP_NO_MEMBER;
     }
 }
+
+/* Whether the service lists the agent as serving. A hint to a lost one is not
+ * followed: if it were wrong, nobody else would get the packet. */
+static bool
+is_serving(const struct rp_service *service, struct rp_endpoint agent)
+{
+    for (size_t i = 0; service && i < service->count; i++) {
+        const struct rp_member *member = &service->members[i];
+        if (RpEndpoint_Equal(member->agent, agent)) {
+            return (1u << member->state) & RP_MEMBERS_SERVING;
+        }
+    }
+    return false;
+}
+
+/* Moves the owner to the front of the chain, and adds it if the chain lacks
+ * it. Returns false if there is no room or the chain lacks its service. */
+static bool
+move_to_front(struct rp_chain *chain, const struct rp_owner *owner)
+{
+    size_t index = 0;
+
+    while (index < chain->count &&
+           !RpEndpoint_Equal(chain->hop[index], owner->agent)) {
+        index++;
+    }
+    if (index == chain->count &&
+        !RpChain_AppendOf(chain, owner->agent, owner->service_id)) {
+        return false;
+    }
+    uint8_t hop_service = chain->hop_service[index];
+    for (; index > 0; index--) {
+        chain->hop[index] = chain->hop[index - 1];
+        chain->hop_service[index] = chain->hop_service[index - 1];
+    }
+    chain->hop[0] = owner->agent;
+    chain->hop_service[0] = hop_service;
+    return true;
+}
+
+void
+RpBalancer_PreferOwner(const struct rp_table *table,
+                       struct rp_owner_hints *hints, int64_t now,
+                       const struct rp_packet *packet, struct rp_route *route)
+{
+    struct rp_chain *chain = &route->chain;
+    const struct rp_owner *owner = RpOwnerHints_Find(hints, now,
+                                                     route->flow_hash, packet);
+
+    if (!owner || route->kind != RP_ROUTE_SEND ||
+        (chain->service_count == 0 &&
+         owner->service_id != route->tag.service_id) ||
+        !is_serving(RpTable_FindById(table, owner->service_id),
+                    owner->agent) ||
+        !move_to_front(chain, owner)) {
+        return;
+    }
+    route->reason = RP_COUNT_HINT_FOLLOWED;
+    if (chain->service_count > 0) {
+        route->tag = RpChain_HopTag(chain, 0, chain->service[0]);
+    }
+}
--- a/lib/flow/rp_balancer.h
+++ b/lib/flow/rp_balancer.h
@@ -1,10 +1,12 @@
 /* The routing decision of a balancer: which agents may receive a packet.
  *
- * A balancer keeps no state per flow. The decision depends only on the
- * service table and the packet. */
+ * The decision depends only on the service table and the packet: a balancer
+ * keeps no state per flow that matters. What it was told about owners of flows
+ * (rp_owner_hints.h) only changes which candidate gets a packet first. */
 #ifndef RP_BALANCER_H
 #define RP_BALANCER_H
 
+#include "rp_owner_hints.h"
 #include "rp_table.h"
 
 enum rp_route_kind {
@@ -19,6 +21,7 @@
     enum rp_counter reason; /* the counter to increment */
     struct rp_service_tag tag;
     struct rp_chain chain; /* candidate agents, best first */
+    uint64_t flow_hash;    /* 0 without a table */
 };
 
 /* Decides where a caller's packet goes and fills `*route`.
@@ -35,4 +38,11 @@
 void RpBalancer_Route(const struct rp_table *table,
                       const struct rp_packet *packet, struct rp_route *route);
 
+/* Makes the owner that a hint names the first candidate of the route of a
+ * packet, if the table lists it as serving. The other candidates follow. */
+void RpBalancer_PreferOwner(const struct rp_table *table,
+                            struct rp_owner_hints *hints, int64_t now,
+                            const struct rp_packet *packet,
+                            struct rp_route *route);
+
 #endif
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -14,9 +14,13 @@
 #define OPTION_SERVICES 0x03
 #define OPTION_SEARCH 0x84
 #define OPTION_ANSWER 0x85
+#define OPTION_ORIGIN 0x06
+#define OPTION_HINT 0x87
 #define SERVICE_SIZE 16
 #define SEARCH_SIZE 12
 #define ANSWER_SIZE 8
+#define ORIGIN_SIZE 8
+#define HINT_SIZE 20
 #define CHAIN_HEADER_SIZE 4
 #define CHAIN_HOP_SIZE 8
 #define CHAIN_FORCED 0x80 /* flag in the byte of the best candidate */
@@ -83,6 +87,35 @@
     return true;
 }
 
+static bool
+parse_origin(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    if (len != ORIGIN_SIZE || out->chain.origin.port != 0) {
+        return false;
+    }
+    out->chain.origin.ip = RpBytes_Get32(data);
+    out->chain.origin.port = RpBytes_Get16(data + 4);
+    return true;
+}
+
+static bool
+parse_hint(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    struct rp_owner_hint *hint = &out->hint;
+
+    if (len != HINT_SIZE || out->has_hint) {
+        return false;
+    }
+    out->has_hint = true;
+    hint->flow.src_ip = RpBytes_Get32(data);
+    hint->flow.dst_ip = RpBytes_Get32(data + 4);
+    hint->flow.src_port = RpBytes_Get16(data + 8);
+    hint->flow.dst_port = RpBytes_Get16(data + 10);
+    hint->service_id = RpBytes_Get32(data + 12);
+    hint->seq = RpBytes_Get32(data + 16);
+    return true;
+}
+
 /* Whether every candidate refers to a service of the chain. */
 static bool
 has_valid_services(const struct rp_chain *chain)
@@ -157,6 +190,12 @@
         else if (class == OPTION_CLASS && type == OPTION_ANSWER) {
             accepted = parse_answer(value, body_size, out);
         }
+        else if (class == OPTION_CLASS && type == OPTION_ORIGIN) {
+            accepted = parse_origin(value, body_size, out);
+        }
+        else if (class == OPTION_CLASS && type == OPTION_HINT) {
+            accepted = parse_hint(value, body_size, out);
+        }
         else {
             accepted = !(type & OPTION_CRITICAL);
         }
@@ -177,6 +216,8 @@
     out->has_chain = false;
     out->has_search = false;
     out->has_answer = false;
+    out->has_hint = false;
+    out->chain.origin = (struct rp_endpoint){0};
     out->chain.count = 0;
     out->chain.visited = 0;
     out->chain.best = 0;
@@ -263,6 +304,16 @@
     return p;
 }
 
+static uint8_t *
+write_origin(uint8_t *p, struct rp_endpoint origin)
+{
+    p = write_option_header(p, OPTION_ORIGIN, ORIGIN_SIZE);
+    RpBytes_Put32(p, origin.ip);
+    RpBytes_Put16(p + 4, origin.port);
+    RpBytes_Put16(p + 6, 0);
+    return p + ORIGIN_SIZE;
+}
+
 /* Writes the fixed part of the header, whose options end at `end`. Returns the
  * size of the header. */
 static size_t
@@ -292,6 +343,9 @@
     if (chain && chain->service_count > 0) {
         p = write_services(p, chain);
     }
+    if (chain && chain->origin.port != 0) {
+        p = write_origin(p, chain->origin);
+    }
     return finish_header(out, p, protocol);
 }
 
@@ -326,6 +380,23 @@
     return finish_header(out, p + ANSWER_SIZE, protocol);
 }
 
+size_t
+RpGeneve_WriteHint(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                   const struct rp_owner_hint *hint)
+{
+    uint8_t *p = out + RP_GENEVE_HEADER;
+
+    memset(out, 0, RP_GENEVE_HEADER);
+    p = write_option_header(p, OPTION_HINT, HINT_SIZE);
+    RpBytes_Put32(p, hint->flow.src_ip);
+    RpBytes_Put32(p + 4, hint->flow.dst_ip);
+    RpBytes_Put16(p + 8, hint->flow.src_port);
+    RpBytes_Put16(p + 10, hint->flow.dst_port);
+    RpBytes_Put32(p + 12, hint->service_id);
+    RpBytes_Put32(p + 16, hint->seq);
+    return finish_header(out, p + HINT_SIZE, protocol);
+}
+
 bool
 RpChain_Contains(const struct rp_chain *chain, struct rp_endpoint endpoint)
 {
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -11,6 +11,11 @@
  *   of these was the least busy and its utilisation;
  * - services (16 * n bytes), only if the candidates belong to more than one
  *   service: the services' tags, which the candidates refer to by their index;
+ * - origin (8 bytes): the address at which the balancer that sent the packet
+ *   takes hints about owners;
+ * - hint (critical, 20 bytes): the flow of a caller, the service of its owner
+ *   and a sequence number of the caller; the owner is the agent that sends
+ *   this, and there is no inner packet;
  * - search (critical, 12 bytes): the agent that searches the owner of the
  *   packet's flow, and the id of its search;
  * - answer (critical, 8 bytes): the id of a search and the verdict of the
@@ -27,12 +32,13 @@
 
 #include "rp_counters.h"
 #include "rp_endpoint.h"
+#include "rp_packet.h"
 
 #define RP_GENEVE_IPV4 0x0800   /* protocol type of an inner IPv4 packet */
 #define RP_MAX_CHAIN 15         /* most candidates that fit into one option */
 #define RP_GENEVE_HEADER 8      /* bytes */
 #define RP_CHAIN_MAX_SERVICES 4 /* most services of one chain's candidates */
-#define RP_GENEVE_HEADROOM 224  /* bytes; largest header with its options */
+#define RP_GENEVE_HEADROOM 236  /* bytes; largest header with its options */
 #define RP_DATAGRAM_MAX (9216 + RP_GENEVE_HEADROOM) /* bytes */
 
 /* Identifies a service: its id, the incarnation of that id, and the generation
@@ -67,6 +73,16 @@
     uint8_t service_count;
     uint8_t hop_service[RP_MAX_CHAIN];
     struct rp_service_tag service[RP_CHAIN_MAX_SERVICES];
+    /* Where the balancer that sent the packet takes hints; port 0: nowhere. */
+    struct rp_endpoint origin;
+};
+
+/* What the owner of an open flow tells a balancer that sent a packet of the
+ * flow to another agent first. */
+struct rp_owner_hint {
+    struct rp_flow_key flow; /* its source is the caller */
+    uint32_t service_id;     /* of the owner */
+    uint32_t seq;            /* of that packet */
 };
 
 /* What an agent answers to another one that searches the owner of a flow. */
@@ -82,6 +98,8 @@
     bool has_chain;
     bool has_search;
     bool has_answer;
+    bool has_hint;
+    struct rp_owner_hint hint;      /* with a hint */
     uint32_t search_id;             /* with a search or an answer */
     struct rp_endpoint searcher;    /* with a search */
     enum rp_search_verdict verdict; /* with an answer */
@@ -113,6 +131,10 @@
                             uint32_t search_id,
                             enum rp_search_verdict verdict);
 
+/* Writes the header of a hint. The size is as for RpGeneve_Write. */
+size_t RpGeneve_WriteHint(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                          const struct rp_owner_hint *hint);
+
 /* Returns whether `endpoint` is one of the candidates. */
 bool RpChain_Contains(const struct rp_chain *chain,
                       struct rp_endpoint endpoint);
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -183,6 +183,10 @@
         RpUdp_SendCopy(agent->balancer_side, action->next, header, len, NULL,
                        0);
         break;
+    case RP_ACTION_HINT:
+        len = RpGeneve_WriteHint(header, ops->protocol, &action->hint);
+        RpUdp_Send(agent->balancer_side, action->next, header, len, NULL, 0);
+        break;
     }
 }
 
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -24,12 +24,15 @@
     uint32_t zone_weight;
     GString *packets;
     struct rp_endpoint fabric_ready; /* port 0: no readiness endpoint */
+    struct rp_endpoint hint_listen;  /* port 0: takes no hints */
 };
 
 struct balancer {
     struct balancer_settings settings;
     struct rp_daemon daemon;
     struct rp_udp *udp;
+    struct rp_udp *hint_side; /* from agents; NULL: takes no hints */
+    struct rp_owner_hints *hints;
     struct rp_uplink *uplink;
     const struct rp_codec *codec;
     struct rp_platform *platform;
@@ -71,6 +74,13 @@
      .value = "ADDR:PORT",
      .help = "answer the fabric's readiness checks on this address",
      .optional = true},
+    {.flag = "hint-listen",
+     .kind = RP_SETTING_ENDPOINT,
+     .offset = offsetof(struct balancer_settings, hint_listen),
+     .value = "ADDR:PORT",
+     .help = "receive hints of agents about the owners of flows on this "
+             "address; later packets go straight to the owner",
+     .optional = true},
     RP_PACKETS_SETTING(balancer_settings, packets),
     RP_CONTROL_PORT_SETTING(balancer_settings, control_port),
 };
@@ -196,7 +206,15 @@
     uint8_t header[RP_GENEVE_HEADROOM];
     struct rp_route route;
 
-    RpBalancer_Route(RpUplink_Table(balancer->uplink), packet, &route);
+    const struct rp_table *table = RpUplink_Table(balancer->uplink);
+    RpBalancer_Route(table, packet, &route);
+    if (balancer->hint_side) {
+        RpBalancer_PreferOwner(table, balancer->hints, RpClock_Now(), packet,
+                               &route);
+        if (!RpPacket_Opens(packet)) {
+            route.chain.origin = balancer->settings.hint_listen;
+        }
+    }
     if (RpPacket_Opens(packet) && (!waited || route.kind == RP_ROUTE_SEND)) {
         log_route(balancer, packet, &route);
     }
@@ -268,6 +286,26 @@
     }
 }
 
+static void
+on_hint(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
+{
+    struct balancer *balancer = user;
+    struct rp_geneve geneve;
+    enum rp_counter reason = RP_COUNT_DROP_WRONG_SIDE;
+
+    if (!RpGeneve_Parse(data, len, balancer->codec->ops->protocol, &geneve,
+                        &reason) ||
+        !geneve.has_hint) {
+        count_and_log_drop(balancer, reason, from);
+        return;
+    }
+    RpCounters_Add(&balancer->daemon.counters, RP_COUNT_HINT_STORED);
+    RpOwnerHints_Put(
+        balancer->hints, RpClock_Now(),
+        RpTable_HashFlow(RpUplink_Table(balancer->uplink), geneve.hint.flow),
+        &geneve.hint, from);
+}
+
 static void
 ignore_uplink_event(void *user)
 {
@@ -375,16 +413,22 @@
 }
 
 static bool
-open_socket(struct balancer *balancer)
+open_sockets(struct balancer *balancer)
 {
     struct rp_error error;
+    bool takes_hints = balancer->settings.hint_listen.port != 0;
 
     RpError_Init(&error);
     balancer->udp = RpUdp_Open(balancer->settings.listen, on_datagram,
                                balancer, &balancer->daemon.counters, &error);
+    if (takes_hints) {
+        balancer->hint_side = RpUdp_Open(balancer->settings.hint_listen,
+                                         on_hint, balancer,
+                                         &balancer->daemon.counters, &error);
+    }
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
-    return balancer->udp != NULL;
+    return balancer->udp && (!takes_hints || balancer->hint_side);
 }
 
 int
@@ -422,13 +466,14 @@
     RpLog_SetBudget(daemon->log, "flow_unrouted", FLOW_LINES_PER_SECOND);
     RpLog_SetBudget(daemon->log, "flow_waits", FLOW_LINES_PER_SECOND);
     balancer.waiting = RpWaiting_Create();
+    balancer.hints = RpOwnerHints_Create();
     balancer.wait_timer = RpTimer_Create(expire_waiting, &balancer);
     balancer.uplink = RpUplink_Create(daemon, &balancer.settings.controls,
                                       &all_services, &uplink_ops, &balancer);
     RpUplink_PreferZone(balancer.uplink, &balancer.settings.common.zone,
                         balancer.settings.zone_weight);
     RpDaemon_WatchSettings(daemon, &source, on_reload, &balancer);
-    if (!open_socket(&balancer) || !open_platform(&balancer) ||
+    if (!open_sockets(&balancer) || !open_platform(&balancer) ||
         !RpDaemon_OpenAdmin(daemon, &balancer.settings.common, &admin_ops,
                             &balancer)) {
         return RP_EXIT_FAILED;
@@ -437,9 +482,11 @@
     RpUdp_ReceivePending(balancer.udp);
     RpPlatform_Close(balancer.platform);
     RpUdp_Close(balancer.udp);
+    RpUdp_Close(balancer.hint_side);
     RpUplink_Free(balancer.uplink);
     RpTimer_Free(balancer.wait_timer);
     RpWaiting_Free(balancer.waiting);
+    RpOwnerHints_Free(balancer.hints);
     RpDaemon_Clear(daemon);
     return exit_code;
 }
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -17,7 +17,8 @@
  *   connected | disconnected         sets whether control is connected
  *   gathering | complete             whether later tables may lack members;
  *                                    sends one
- *   search ID FLAGS PORT SEQ ACK LEN AGENT
+ *   origin NAME                      the balancer of later packets from
+ * callers takes hints at this endpoint search ID FLAGS PORT SEQ ACK LEN AGENT
  *                                    a search of AGENT for the packet's owner
  *   search-answer ID AGENT owns|not_owned|unsure
  *                                    the answer of AGENT to a search
@@ -67,6 +68,7 @@
     struct rp_agent *agent;
     struct rp_actions actions;
     const struct rp_codec *codec;
+    struct rp_endpoint origin; /* of callers' packets */
     int64_t now;
     uint64_t revision;
 };
@@ -141,14 +143,17 @@
         printf(" best=%c/%u%s", member_name(chain->hop[chain->best]),
                chain->lowest_utilisation, chain->forced ? " forced" : "");
     }
+    if (chain->origin.port != 0) {
+        printf(" origin=%c", member_name(chain->origin));
+    }
 }
 
 static void
 print_action(const struct session *session, const struct rp_action *action)
 {
-    static const char *const kinds[] = {"drop",      "to_host",
-                                        "to_caller", "to_next_agent",
-                                        "search",    "search_answer"};
+    static const char *const kinds[] = {
+        "drop",   "to_host",       "to_caller", "to_next_agent",
+        "search", "search_answer", "hint"};
     static const char *const verdicts[] = {"none", "owns", "not_owned",
                                            "unsure"};
     struct rp_packet packet;
@@ -181,6 +186,11 @@
         printf(" id=%u next=%c verdict=%s", action->search_id,
                member_name(action->next), verdicts[action->verdict]);
     }
+    if (action->kind == RP_ACTION_HINT) {
+        printf(" next=%c port=%u service=%u seq=%u", member_name(action->next),
+               action->hint.flow.src_port, action->hint.service_id,
+               action->hint.seq);
+    }
     printf("\n");
 }
 
@@ -395,7 +405,8 @@
         .has_chain = true,
         .tag = {.service_id = session->service.id,
                 .incarnation = session->service.incarnation},
-        .chain = {.lowest_utilisation = RP_CHAIN_NO_UTILISATION}};
+        .chain = {.lowest_utilisation = RP_CHAIN_NO_UTILISATION,
+                  .origin = session->origin}};
 
     make_packet(session, bytes, &packet, caller_key(session, words[2]), words);
     for (const char *c = words[6]; *c; c++) {
@@ -565,6 +576,9 @@
     else if (!strcmp(words[0], "format")) {
         session->codec = &rp_codec_platform;
     }
+    else if (!strcmp(words[0], "origin")) {
+        session->origin = member_endpoint(words[1]);
+    }
     else if (!strcmp(words[0], "sibling")) {
         do_sibling(session, words);
     }
--- a/tests/measure/cost.c
+++ b/tests/measure/cost.c
@@ -21,6 +21,7 @@
 #include "rp_session.h"
 #include "rp_udp.h"
 
+#define FLOWS_PER_BALANCER 32000u /* at the size of the target */
 #define PACKETS 2000000
 #define RELAY_ROUNDS 6000
 #define PAYLOAD 512
@@ -168,6 +169,56 @@
     }
 }
 
+/* As measure_route, for FLOWS_PER_BALANCER flows in turn, with hints for a
+ * part of them. */
+static void
+measure_hints(void)
+{
+    static const unsigned hinted[] = {0, 8000, 32000};
+    struct rp_msg msg;
+    struct rp_table *table = RpTable_Create();
+
+    build_table(&msg, 10, 70);
+    RpTable_Apply(table, &msg.table);
+    const struct rp_service *service = RpTable_FindByAddress(
+        table, (struct rp_endpoint){.ip = 0x0a500003, .port = 7000});
+    for (size_t i = 0; i < G_N_ELEMENTS(hinted); i++) {
+        struct rp_owner_hints *hints = RpOwnerHints_Create();
+        uint8_t bytes[1024];
+        struct rp_packet packet;
+        struct rp_route route;
+        enum rp_counter reason;
+        unsigned followed = 0;
+        for (unsigned j = 0; j < hinted[i]; j++) {
+            size_t len = make_packet(bytes, 3, j, RP_TCP_ACK);
+            RpPacket_Parse(bytes, len, &packet, &reason);
+            const struct rp_owner_hint hint = {
+                .flow = packet.key,
+                .service_id = service->tag.service_id,
+                .seq = packet.seq};
+            RpOwnerHints_Put(hints, 0, RpTable_HashFlow(table, packet.key),
+                             &hint, service->members[j % 7].agent);
+        }
+        int64_t start = now_ns();
+        for (unsigned j = 0; j < PACKETS; j++) {
+            size_t len = make_packet(bytes, 3, j % FLOWS_PER_BALANCER,
+                                     RP_TCP_ACK);
+            RpPacket_Parse(bytes, len, &packet, &reason);
+            RpBalancer_Route(table, &packet, &route);
+            RpBalancer_PreferOwner(table, hints, 0, &packet, &route);
+            followed += route.reason == RP_COUNT_HINT_FOLLOWED;
+        }
+        double each = (double)(now_ns() - start) / PACKETS;
+        printf("cost hints flows=%u hinted=%u ns_per_packet=%.1f "
+               "followed=%.2f\n",
+               FLOWS_PER_BALANCER, hinted[i], each,
+               (double)followed / PACKETS);
+        RpOwnerHints_Free(hints);
+    }
+    RpMsg_Clear(&msg);
+    RpTable_Free(table);
+}
+
 static struct rp_agent *
 create_agent(struct rp_chart *chart, struct rp_counters *counters,
              struct rp_table *table)
@@ -658,6 +709,7 @@
     }
     measure_relay();
     measure_route();
+    measure_hints();
     measure_agent();
     measure_tables();
     measure_registry();
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -25,6 +25,7 @@
 # NAME_port INDEX: prints the port of an instance.
 control_port() { echo $((BASE + 1 + $1)); }
 balancer_port() { echo $((BASE + 100 + $1)); }
+hint_port() { echo $((BASE + 150 + $1)); }
 agent_port() { echo $((BASE + 200 + $1)); }
 host_side_port() { echo $((BASE + 300 + $1)); }
 host_port() { echo $((BASE + 400 + $1)); }
@@ -108,6 +109,7 @@
 start_balancer() {
     start "balancer-$1" "$BIN/programs/radishportd" balancer \
         --name "balancer-$1" --listen "127.0.0.1:$(balancer_port "$1")" \
+        --hint-listen "127.0.0.1:$(hint_port "$1")" \
         --admin "127.0.0.1:$(admin_port $((100 + $1)))"
 }
 
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -68,10 +68,18 @@
 
 /* A packet in flight and its next receiver. */
 struct sim_packet {
-    enum { TO_BALANCER, TO_AGENT, TO_HOST, TO_AGENT_FROM_HOST, TO_CALLER } at;
+    enum {
+        TO_BALANCER,
+        TO_AGENT,
+        TO_HOST,
+        TO_AGENT_FROM_HOST,
+        TO_CALLER,
+        HINT_TO_BALANCER
+    } at;
+    unsigned balancer; /* of HINT_TO_BALANCER */
     unsigned service;
     unsigned upstream;
-    struct rp_geneve geneve; /* of TO_AGENT */
+    struct rp_geneve geneve; /* of TO_AGENT and HINT_TO_BALANCER */
     uint8_t bytes[128];
     size_t len;
 };
@@ -83,12 +91,14 @@
     struct rp_counters counters;
     struct upstream upstreams[SERVICES][UPSTREAMS];
     struct rp_table *tables[BALANCERS];
+    struct rp_owner_hints *hints[BALANCERS]; /* NULL: takes no hints */
     struct rp_table *agent_tables[SERVICES][UPSTREAMS];
     struct caller_flow flows[FLOWS];
     GPtrArray *in_flight;
     uint64_t revision;
     uint32_t seed;
-    bool faulty; /* packets are lost, duplicated and delayed */
+    unsigned hinted; /* hints that balancers got */
+    bool faulty;     /* packets are lost, duplicated and delayed */
 };
 
 #define CHECK(sim, condition, text)                                           \
@@ -115,6 +125,12 @@
                                 .port = 1};
 }
 
+static struct rp_endpoint
+balancer_endpoint(unsigned balancer)
+{
+    return (struct rp_endpoint){.ip = 0x0a000100u + balancer, .port = 2};
+}
+
 static struct rp_flow_key
 flow_key(const struct simulation *sim, unsigned number)
 {
@@ -399,8 +415,13 @@
 
     assert_true(
         RpPacket_Parse(sim_packet->bytes, sim_packet->len, &packet, &reason));
-    RpBalancer_Route(sim->tables[random_below(sim, BALANCERS)], &packet,
-                     &route);
+    unsigned balancer = (unsigned)random_below(sim, BALANCERS);
+    RpBalancer_Route(sim->tables[balancer], &packet, &route);
+    if (sim->hints[balancer]) {
+        RpBalancer_PreferOwner(sim->tables[balancer], sim->hints[balancer],
+                               sim->now, &packet, &route);
+        route.chain.origin = balancer_endpoint(balancer);
+    }
     if (route.kind == RP_ROUTE_SEND) {
         if (random_below(sim, 100) == 0) {
             /* Misdelivery: the packet arrives at another service. */
@@ -417,6 +438,20 @@
     }
 }
 
+static void
+balancer_receives_hint(struct simulation *sim,
+                       const struct sim_packet *sim_packet)
+{
+    unsigned number = sim_packet->balancer;
+    const struct rp_owner_hint *hint = &sim_packet->geneve.hint;
+
+    RpOwnerHints_Put(
+        sim->hints[number], sim->now,
+        RpTable_HashFlow(sim->tables[number], hint->flow), hint,
+        agent_endpoint(sim_packet->service, sim_packet->upstream));
+    sim->hinted++;
+}
+
 static void
 perform_actions(struct simulation *sim, unsigned service, unsigned upstream,
                 const struct rp_actions *actions)
@@ -428,6 +463,13 @@
         if (action->kind == RP_ACTION_DROP) {
             continue;
         }
+        if (action->kind == RP_ACTION_HINT) {
+            sim_packet.at = HINT_TO_BALANCER;
+            sim_packet.balancer = action->next.ip & 0xff;
+            sim_packet.geneve.hint = action->hint;
+            send_sim_packet(sim, &sim_packet);
+            continue;
+        }
         sim_packet.len = action->len;
         memcpy(sim_packet.bytes, action->data, action->len);
         if (action->kind == RP_ACTION_TO_HOST) {
@@ -479,8 +521,8 @@
 print_sim_packet(const struct simulation *sim,
                  const struct sim_packet *sim_packet)
 {
-    static const char *const places[] = {"balancer", "agent", "host",
-                                         "agent from host", "caller"};
+    static const char *const places[] = {"balancer",        "agent",  "host",
+                                         "agent from host", "caller", "hint"};
     struct rp_packet packet;
     enum rp_counter reason;
 
@@ -530,6 +572,9 @@
     case TO_CALLER:
         caller_receives(sim, sim_packet);
         break;
+    case HINT_TO_BALANCER:
+        balancer_receives_hint(sim, sim_packet);
+        break;
     }
     g_free(sim_packet);
 }
@@ -654,6 +699,10 @@
     }
 }
 
+/* Whether balancers take hints about the owners of flows. */
+static bool takes_hints;
+static unsigned hinted;
+
 static void
 init_simulation(struct simulation *sim, uint32_t seed)
 {
@@ -676,6 +725,7 @@
     for (unsigned i = 0; i < BALANCERS; i++) {
         sim->tables[i] = RpTable_Create();
         update_table(sim, sim->tables[i]);
+        sim->hints[i] = takes_hints ? RpOwnerHints_Create() : NULL;
     }
     for (unsigned i = 0; i < FLOWS; i++) {
         sim->flows[i].service = i % SERVICES;
@@ -693,7 +743,9 @@
     }
     for (unsigned i = 0; i < BALANCERS; i++) {
         RpTable_Free(sim->tables[i]);
+        RpOwnerHints_Free(sim->hints[i]);
     }
+    hinted += sim->hinted;
     g_ptr_array_unref(sim->in_flight);
     g_rand_free(sim->random);
 }
@@ -734,6 +786,7 @@
     uint32_t ran;
 
     (void)state;
+    takes_hints = false;
     unsigned established = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
                                      G_N_ELEMENTS(extra_seeds), &ran);
     print_message("%u seeds, %u flows established, none broken\n", ran,
@@ -741,11 +794,29 @@
     assert_true(established > ran * FLOWS / 2);
 }
 
+/* The same where balancers are told the owners of flows. Hints are lost,
+ * repeated and delayed as other packets are. */
+static void
+test_ownership_with_hints(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    takes_hints = true;
+    unsigned established = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
+                                     G_N_ELEMENTS(extra_seeds), &ran);
+    print_message("%u seeds, %u flows established, none broken, %u hints\n",
+                  ran, established, hinted);
+    assert_true(established > ran * FLOWS / 2);
+    assert_true(hinted > ran);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_ownership_property),
+        cmocka_unit_test(test_ownership_with_hints),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_rollouts.c
+++ b/tests/unit/test_rollouts.c
@@ -95,11 +95,18 @@
 };
 
 struct sim_packet {
-    enum { TO_BALANCER, TO_AGENT, TO_HOST, TO_AGENT_FROM_HOST, TO_CALLER } at;
+    enum {
+        TO_BALANCER,
+        TO_AGENT,
+        TO_HOST,
+        TO_AGENT_FROM_HOST,
+        TO_CALLER,
+        HINT_TO_BALANCER
+    } at;
     int64_t time; /* of its arrival */
     unsigned balancer;
     unsigned upstream;
-    struct rp_geneve geneve; /* of TO_AGENT */
+    struct rp_geneve geneve; /* of TO_AGENT and HINT_TO_BALANCER */
     uint8_t bytes[128];
     size_t len;
 };
@@ -117,6 +124,7 @@
     struct rp_counters counters;
     struct upstream upstreams[UPSTREAMS];
     struct rp_table *tables[BALANCERS];
+    struct rp_owner_hints *hints[BALANCERS];
     struct caller_flow flows[FLOWS];
     struct stop stops[ROLLOUTS * UPSTREAMS];
     GPtrArray *in_flight;
@@ -137,6 +145,12 @@
     return (struct rp_endpoint){.ip = 0x0a000000u + upstream, .port = 1};
 }
 
+static struct rp_endpoint
+balancer_endpoint(unsigned balancer)
+{
+    return (struct rp_endpoint){.ip = 0x0a000100u + balancer, .port = 2};
+}
+
 static struct rp_flow_key
 flow_key(unsigned number)
 {
@@ -481,7 +495,10 @@
 
     assert_true(
         RpPacket_Parse(sim_packet->bytes, sim_packet->len, &packet, &reason));
-    RpBalancer_Route(sim->tables[sim_packet->balancer], &packet, &route);
+    const struct rp_table *table = sim->tables[sim_packet->balancer];
+    RpBalancer_Route(table, &packet, &route);
+    RpBalancer_PreferOwner(table, sim->hints[sim_packet->balancer], sim->now,
+                           &packet, &route);
     if (route.kind == RP_ROUTE_SEND) {
         next.at = TO_AGENT;
         next.upstream = route.chain.hop[0].ip & 0xff;
@@ -490,10 +507,23 @@
                                          .tag = route.tag,
                                          .chain = route.chain};
         next.geneve.chain.visited = 1;
+        next.geneve.chain.origin = balancer_endpoint(sim_packet->balancer);
         send_sim_packet(sim, &next);
     }
 }
 
+static void
+balancer_receives_hint(struct simulation *sim,
+                       const struct sim_packet *sim_packet)
+{
+    unsigned number = sim_packet->balancer;
+    const struct rp_owner_hint *hint = &sim_packet->geneve.hint;
+
+    RpOwnerHints_Put(sim->hints[number], sim->now,
+                     RpTable_HashFlow(sim->tables[number], hint->flow), hint,
+                     agent_endpoint(sim_packet->upstream));
+}
+
 static void
 perform_actions(struct simulation *sim, unsigned upstream,
                 const struct rp_actions *actions)
@@ -516,6 +546,12 @@
                                                    .tag = action->tag,
                                                    .chain = action->chain};
             break;
+        case RP_ACTION_HINT:
+            sim_packet.at = HINT_TO_BALANCER;
+            sim_packet.balancer = action->next.ip & 0xff;
+            sim_packet.geneve.hint = action->hint;
+            send_sim_packet(sim, &sim_packet);
+            continue;
         default:
             continue;
         }
@@ -552,8 +588,8 @@
 print_sim_packet(const struct simulation *sim,
                  const struct sim_packet *sim_packet)
 {
-    static const char *const places[] = {"balancer", "agent", "host",
-                                         "agent from host", "caller"};
+    static const char *const places[] = {"balancer",        "agent",  "host",
+                                         "agent from host", "caller", "hint"};
     struct rp_packet packet;
     enum rp_counter reason;
 
@@ -606,6 +642,9 @@
         case TO_CALLER:
             caller_receives(sim, sim_packet);
             break;
+        case HINT_TO_BALANCER:
+            balancer_receives_hint(sim, sim_packet);
+            break;
         }
         g_free(sim_packet);
     }
@@ -666,7 +705,7 @@
 plan_rollouts(struct simulation *sim)
 {
     for (unsigned i = 0; i < ROLLOUTS; i++) {
-        unsigned order[UPSTREAMS];
+        unsigned order[UPSTREAMS] = {0};
         for (unsigned j = 0; j < UPSTREAMS; j++) {
             unsigned other = (unsigned)random_below(sim, (int)j + 1);
             order[j] = order[other];
@@ -692,6 +731,7 @@
         struct rp_name zone;
         set_zone_name(&zone, i);
         sim->tables[i] = RpTable_Create();
+        sim->hints[i] = RpOwnerHints_Create();
         RpTable_PreferZone(sim->tables[i], &zone, ZONE_WEIGHT);
     }
     for (unsigned i = 0; i < UPSTREAMS; i++) {
@@ -719,6 +759,7 @@
     }
     for (unsigned i = 0; i < BALANCERS; i++) {
         RpTable_Free(sim->tables[i]);
+        RpOwnerHints_Free(sim->hints[i]);
     }
     g_ptr_array_unref(sim->in_flight);
     g_rand_free(sim->random);
--- a/tests/unit/test_route_moves.c
+++ b/tests/unit/test_route_moves.c
@@ -66,9 +66,11 @@
     struct rp_catalog *catalog;
     struct rp_registry *registry;
     struct node nodes[NODES];
+    struct rp_owner_hints *hints[BALANCERS]; /* NULL: takes no hints */
     struct open_flow flows[FLOWS];
     unsigned uses[ADDRESSES]; /* bit set: services that the edition names */
     unsigned next_port;
+    unsigned hinted; /* hints that balancers got */
 };
 
 #define CHECK(sim, condition, text)                                           \
@@ -184,6 +186,13 @@
                                 .port = 1};
 }
 
+static struct rp_endpoint
+balancer_endpoint(int balancer)
+{
+    return (struct rp_endpoint){.ip = 0x0a000100u + (uint32_t)balancer,
+                                .port = 2};
+}
+
 /* Starts an agent that knows no flow; it keeps the table. */
 static void
 start_agent(struct simulation *sim, int agent)
@@ -239,6 +248,25 @@
         rp_codec_platform.ops->parse(bytes, HEADER_SIZE, packet, &reason));
 }
 
+/* Hands the hints among the actions of `agent` to their balancers. */
+static void
+deliver_hints(struct simulation *sim, int agent,
+              const struct rp_actions *actions)
+{
+    for (size_t i = 0; i < actions->count; i++) {
+        const struct rp_action *action = &actions->item[i];
+        if (action->kind != RP_ACTION_HINT) {
+            continue;
+        }
+        int balancer = (int)(action->next.ip & 0xff);
+        RpOwnerHints_Put(
+            sim->hints[balancer], sim->now,
+            RpTable_HashFlow(sim->nodes[balancer].table, action->hint.flow),
+            &action->hint, agent_endpoint(agent));
+        sim->hinted++;
+    }
+}
+
 /* Lets the host of `agent` answer a packet. */
 static void
 answer(struct simulation *sim, int agent, const struct open_flow *flow,
@@ -253,6 +281,7 @@
 
     RpAgent_FromHost(sim->nodes[BALANCERS + agent].agent, sim->now, &reply,
                      actions);
+    deliver_hints(sim, agent, actions);
 }
 
 /* Returns the agent at an endpoint as an engine, or NULL if it is silent. */
@@ -330,8 +359,14 @@
     struct rp_route route;
 
     make_packet(bytes, &packet, flow, opens);
-    RpBalancer_Route(sim->nodes[random_below(sim, BALANCERS)].table, &packet,
-                     &route);
+    int balancer = random_below(sim, BALANCERS);
+    const struct rp_table *table = sim->nodes[balancer].table;
+    RpBalancer_Route(table, &packet, &route);
+    if (sim->hints[balancer]) {
+        RpBalancer_PreferOwner(table, sim->hints[balancer], sim->now, &packet,
+                               &route);
+        route.chain.origin = balancer_endpoint(balancer);
+    }
     if (route.kind != RP_ROUTE_SEND) {
         return NOT_DELIVERED;
     }
@@ -356,6 +391,7 @@
         else {
             RpAgent_FromCaller(engine, sim->now, &packet, &geneve, &actions);
         }
+        deliver_hints(sim, agent, &actions);
         const struct rp_action *action = &actions.item[0];
         if (actions.count == 0 || action->kind == RP_ACTION_DROP ||
             action->kind == RP_ACTION_TO_CALLER) {
@@ -509,6 +545,10 @@
     return open;
 }
 
+/* Whether balancers take hints about the owners of flows. */
+static bool takes_hints;
+static unsigned hinted;
+
 static unsigned
 run_seed(uint32_t seed)
 {
@@ -529,6 +569,9 @@
         }
         update_node(&sim, i);
     }
+    for (int i = 0; i < BALANCERS && takes_hints; i++) {
+        sim.hints[i] = RpOwnerHints_Create();
+    }
     for (unsigned i = 0; i < FLOWS; i++) {
         sim.flows[i].owner = -1;
     }
@@ -547,9 +590,13 @@
         RpAgent_Free(sim.nodes[i].agent);
         RpTable_Free(sim.nodes[i].table);
     }
+    for (int i = 0; i < BALANCERS; i++) {
+        RpOwnerHints_Free(sim.hints[i]);
+    }
     RpCatalog_Free(sim.catalog);
     RpRegistry_Free(sim.registry);
     g_rand_free(sim.random);
+    hinted += sim.hinted;
     return open;
 }
 
@@ -559,16 +606,33 @@
     uint32_t ran;
 
     (void)state;
+    takes_hints = false;
     unsigned open = run_seeds(run_seed, DEFAULT_SEEDS, NULL, 0, &ran);
     print_message("%u seeds, %u open flows, each reached\n", ran, open);
     assert_true(open > ran * FLOWS / 2);
 }
 
+/* The same where balancers are told the owners of flows. */
+static void
+test_moved_addresses_with_hints(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    takes_hints = true;
+    unsigned open = run_seeds(run_seed, DEFAULT_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds, %u open flows, each reached, %u hints\n", ran,
+                  open, hinted);
+    assert_true(open > ran * FLOWS / 2);
+    assert_true(hinted > ran);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_moved_addresses_keep_their_flows),
+        cmocka_unit_test(test_moved_addresses_with_hints),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -161,6 +161,44 @@
     assert_int_equal(reason, RP_COUNT_DROP_BAD_OPTION);
 }
 
+/* The option that says where hints go, and the header of a hint, also
+ * damaged. */
+static void
+test_geneve_hint(void **state)
+{
+    const struct rp_owner_hint hint = {
+        .flow = {0x64400007, 0xc6120001, 40001, 443},
+        .service_id = 3,
+        .seq = 0xfffffff0};
+    const struct rp_service_tag tag = {.service_id = 3};
+    struct rp_chain chain = {.origin = {.ip = 0x0a000001, .port = 7735}};
+    uint8_t data[RP_GENEVE_HEADROOM];
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+
+    (void)state;
+    RpChain_Append(&chain, (struct rp_endpoint){.ip = 1, .port = 2});
+    size_t len = RpGeneve_Write(data, RP_GENEVE_IPV4, &tag, &chain);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_true(RpEndpoint_Equal(geneve.chain.origin, chain.origin));
+    assert_false(geneve.has_hint);
+    data[len - 8 - 1] = 3; /* one word longer than the datagram */
+    assert_false(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_int_equal(reason, RP_COUNT_DROP_BAD_OPTION);
+
+    len = RpGeneve_WriteHint(data, RP_GENEVE_IPV4, &hint);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_true(geneve.has_hint && !geneve.has_tag && !geneve.has_chain);
+    assert_int_equal(geneve.chain.origin.port, 0);
+    assert_true(RpFlowKey_Equal(geneve.hint.flow, hint.flow));
+    assert_int_equal(geneve.hint.service_id, 3);
+    assert_int_equal(geneve.hint.seq, 0xfffffff0);
+    for (size_t cut = 1; cut < len; cut++) {
+        assert_false(
+            RpGeneve_Parse(data, len - cut, RP_GENEVE_IPV4, &geneve, &reason));
+    }
+}
+
 /* Candidates of several services: each keeps its tag, and the service that
  * handles the packet replaces its own by a newer one. */
 static void
@@ -530,6 +568,7 @@
         cmocka_unit_test(test_trim_payload_and_make_reset),
         cmocka_unit_test(test_geneve_round_trip),
         cmocka_unit_test(test_geneve_search),
+        cmocka_unit_test(test_geneve_hint),
         cmocka_unit_test(test_geneve_services),
         cmocka_unit_test(test_bad_geneve),
         cmocka_unit_test(test_unknown_option),
