--- a/tests/runs/configuration-read.sh
+++ b/tests/runs/configuration-read.sh
@@ -120,6 +120,7 @@
         -e "s|{{data-dir}}|$7|" \
         -e "s/{{listen.control}}/$4:$OPERATOR_PORT/" \
         -e "s/{{internal-ports.0}}/$CONTROL_PORT/" \
+        -e "s/{{internal-ports.1}}/$((BASE + 7))/" \
         -e "s/{{listen.datagram-addr}}/$4:$((BASE + 3))/" \
         -e "s/{{listen.ready}}/$4:$((BASE + 4))/" \
         -e "s/{{listen.outbound}}/$4:$((BASE + 5))/" \
