Replicas: one without a log asks those that connect to it

Callers see what the incident showed: a group that stays one voter short, until the next two lost disks end it.

Now it asks on the connections that other replicas have opened, as long as it has none of its own, and gets the answer on the same connection. The leader's answer names the members also if the same request made it a member.

A message to a replica for which no connection exists was dropped without a trace. It is counted now (replica_unreached), and logged if not even an address is known: that line alone names the cause of this incident.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -171,6 +171,8 @@
       "pauses of accepting: no memory for a connection")                      \
     X(ACCEPT_BROKEN, "accept_broken",                                         \
       "listening sockets given up for another error, and opened again")       \
+    X(REPLICA_UNREACHED, "replica_unreached",                                 \
+      "messages to replicas dropped: no connection to the replica")           \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -128,6 +128,19 @@
 void RpControl_SendTable(void *user, uint64_t connection,
                          const struct rp_msg *msg);
 
+/* Sends to every replica that has connected to this one, on the connection
+ * that it has opened. */
+void RpControl_SendToConnectedReplicas(const struct control *control,
+                                       const struct rp_msg *msg);
+
+/* Handles a wish to join that `sender` has sent on `conn`. A replica that asks
+ * for itself and has not been let in is told the members on the same
+ * connection: the leader, whose log it must answer, may be none of those that
+ * its settings name. */
+void RpControl_OnJoin(struct control *control, struct rp_conn *conn,
+                      const struct rp_name *sender,
+                      const struct rp_replica_member *member);
+
 /* Handles an applied command: sends changes to the nodes, and replies to the
  * operator that waits for the command. */
 void RpControl_OnApplied(void *user, const struct rp_log_entry *entry,
@@ -236,6 +249,15 @@
  * tries to. */
 guint RpControlLinks_Count(const struct control_links *links);
 
+/* Asks a replica that has connected to this one to let it join, if this
+ * replica wants to join and reaches nobody itself. */
+void RpControlLinks_AskPeer(const struct control_links *links,
+                            struct rp_conn *conn);
+
+/* Handles the answer to a wish to join: the addresses of the members. */
+void RpControlLinks_OnMembersTold(struct control_links *links,
+                                  const struct rp_msg_controls *controls);
+
 /* Returns the bytes queued for the other replicas. */
 uint64_t RpControlLinks_QueuedBytes(const struct control_links *links);
 
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -1,9 +1,11 @@
 /* Connections from this replica to the others.
  *
  * Each replica opens a connection to every other one and only sends on it; it
- * receives on the connections that the others open. The one exception: an
- * instance that a replica without a log has asked to let it join answers with
- * the addresses of the members, one of which leads.
+ * receives on the connections that the others open. The exceptions are those
+ * of a replica without a log, which may know nobody's address: it may ask to
+ * join on a connection that another one has opened, and whoever is asked
+ * answers on the same connection with the addresses of the members, one of
+ * which leads.
  */
 #include "control.h"
 
@@ -164,24 +166,35 @@
                 "peer=%s", hello->name.data);
 }
 
+void
+RpControlLinks_OnMembersTold(struct control_links *links,
+                             const struct rp_msg_controls *controls)
+{
+    struct rp_endpoints members;
+
+    if (should_ask_to_join(links->control, RpClock_Now())) {
+        RpContacts_FromMsg(controls, &members);
+        RpContacts_SetHints(&links->contacts, &members, randombytes_uniform);
+    }
+}
+
 static void
 on_message(void *user, struct rp_conn *conn, struct rp_msg *msg)
 {
     const struct link *link = user;
     struct control *control = link->links->control;
-    struct rp_endpoints members;
 
     if (msg->type == RP_MSG_CONTROLS) {
-        if (should_ask_to_join(control, RpClock_Now())) {
-            RpContacts_FromMsg(&msg->controls, &members);
-            RpContacts_SetHints(&link->links->contacts, &members,
-                                randombytes_uniform);
-        }
+        RpControlLinks_OnMembersTold(link->links, &msg->controls);
         if (link->is_relay) {
             RpConn_Close(conn);
         }
         return;
     }
+    if (msg->type == RP_MSG_JOIN && !link->is_relay) {
+        RpControl_OnJoin(control, conn, &link->name, &msg->join.member);
+        return;
+    }
     /* Replies arrive on the connection that the peer opens, so any other
      * message here is an error. */
     RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
@@ -231,6 +244,30 @@
     }
 }
 
+static bool
+has_ready_link(const struct control_links *links)
+{
+    for (guint i = 0; i < links->list->len; i++) {
+        const struct link *link = g_ptr_array_index(links->list, i);
+        if (link->ready) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+RpControlLinks_AskPeer(const struct control_links *links, struct rp_conn *conn)
+{
+    const struct control *control = links->control;
+
+    if (!has_ready_link(links) && should_ask_to_join(control, RpClock_Now())) {
+        const struct rp_msg msg = {.type = RP_MSG_JOIN,
+                                   .join = {.member = describe_self(control)}};
+        RpConn_Send(conn, &msg);
+    }
+}
+
 void
 RpControlLinks_OnPeerConnected(struct control_links *links, int64_t now,
                                uint32_t ip)
@@ -358,6 +395,9 @@
     const struct rp_msg msg = {.type = RP_MSG_JOIN,
                                .join = {.member = describe_self(control)}};
     RpControlLinks_SendAll(links, &msg);
+    if (!has_ready_link(links)) {
+        RpControl_SendToConnectedReplicas(control, &msg);
+    }
     /* A leader whose own address has changed must process its own request.
      * `forwarded` is true, because the request was just sent to all
      * replicas. */
@@ -424,6 +464,17 @@
 
     if (link && link->ready) {
         RpConn_Send(link->conn, msg);
+        return;
+    }
+    RpCounters_Add(&links->control->daemon.counters,
+                   RP_COUNT_REPLICA_UNREACHED);
+    if (!link) {
+        const struct heard *heard = g_hash_table_lookup(links->heard, &to);
+        RpLog_Event(
+            links->control->daemon.log, RP_LOG_WARN, "replica_unreached",
+            "peer=%s replica=%" G_GINT64_MODIFIER
+            "x type=%s reason=no_address",
+            heard ? heard->name.data : "unknown", to, RpMsg_Name(msg->type));
     }
 }
 
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -331,6 +331,22 @@
     return digest;
 }
 
+void
+RpControl_SendToConnectedReplicas(const struct control *control,
+                                  const struct rp_msg *msg)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->clients);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct client *client = value;
+        if (client->hello.role == RP_ROLE_CONTROL) {
+            RpConn_Send(client->conn, msg);
+        }
+    }
+}
+
 uint64_t
 RpControl_QueuedBytes(const struct control *control)
 {
@@ -493,6 +509,7 @@
     case RP_MSG_SNAPSHOT:
     case RP_MSG_SNAPSHOT_REPLY:
     case RP_MSG_JOIN:
+    case RP_MSG_CONTROLS:
         return role == RP_ROLE_CONTROL;
     default:
         return false;
@@ -534,23 +551,22 @@
     return false;
 }
 
-/* Handles a wish to join. A replica that asks for itself and has not been let
- * in is told the members: the leader, whose log it must answer, may be none of
- * those that its settings name. */
-static void
-on_join(struct control *control, const struct client *client,
-        const struct rp_replica_member *member)
+void
+RpControl_OnJoin(struct control *control, struct rp_conn *conn,
+                 const struct rp_name *sender,
+                 const struct rp_replica_member *member)
 {
-    bool forwarded = !RpName_Equal(&client->hello.name, &member->name);
+    bool forwarded = !RpName_Equal(sender, &member->name);
+    bool was_member = is_member(control, member->id);
     struct rp_msg msg;
 
     RpControlReplica_Join(control->replica, RpClock_Now(), member, forwarded);
-    if (forwarded || RpReplica_Members(get_replica(control))->len == 0 ||
-        is_member(control, member->id)) {
+    if (forwarded || was_member ||
+        RpReplica_Members(get_replica(control))->len == 0) {
         return;
     }
     build_controls_msg(control, &msg);
-    RpConn_Send(client->conn, &msg);
+    RpConn_Send(conn, &msg);
     RpMsg_Clear(&msg);
 }
 
@@ -586,7 +602,11 @@
         on_confirm(control, client, msg->confirm.revision);
         break;
     case RP_MSG_JOIN:
-        on_join(control, client, &msg->join.member);
+        RpControl_OnJoin(control, client->conn, &client->hello.name,
+                         &msg->join.member);
+        break;
+    case RP_MSG_CONTROLS:
+        RpControlLinks_OnMembersTold(control->links, &msg->controls);
         break;
     default: /* a message of the replicated log */
         RpControlLinks_SetReplicaName(control->links, RpReplica_Sender(msg),
@@ -628,6 +648,7 @@
     if (hello->role == RP_ROLE_CONTROL) {
         RpControlLinks_OnPeerConnected(client->control->links, RpClock_Now(),
                                        RpConn_PeerIp(conn));
+        RpControlLinks_AskPeer(client->control->links, conn);
     }
 }
 
--- a/tests/runs/joining.sh
+++ b/tests/runs/joining.sh
@@ -74,13 +74,24 @@
 known=("${followers[@]:1}")
 wipe "$wiped"
 start_replica "$wiped" "$(addresses "${known[@]}")"
-sleep 1 # until then the leader counts the vote of the lost disk
-wait_until "$JOIN_SECONDS" has_voters "$leader" 5 ||
+wait_until "$JOIN_SECONDS" has_voters "$wiped" 5 &&
+    wait_until "$JOIN_SECONDS" has_voters "$leader" 5 ||
     fail "control-$wiped has no vote after $JOIN_SECONDS s; control-$leader" \
         "leads and is not in its settings"
 say "control-$wiped joined under control-$leader, which its settings do not name"
 change || fail "no change is acknowledged after the lost disk"
 
+# Guards against a replica that only its own settings can bring back: nobody is
+# at the address there, but the others still connect to it.
+wipe "$wiped"
+start_replica "$wiped" "127.0.0.1:$((BASE + 99))"
+wait_until "$JOIN_SECONDS" has_voters "$wiped" 5 &&
+    wait_until "$JOIN_SECONDS" has_voters "$leader" 5 ||
+    fail "control-$wiped has no vote after $JOIN_SECONDS s; its settings name" \
+        "an address that is gone"
+say "control-$wiped joined although its settings name nobody who is there"
+change || fail "no change is acknowledged after the second lost disk"
+
 wipe "$leader" "${known[0]}"
 start_replica "$leader" "$(control_list)"
 start_replica "${known[0]}" "$(control_list)"
