HTTP ports: connections without a request, or stuck in one, are closed

Seen by callers: nothing at first.

Cause: nothing bounded how long a connection could stay without a request.

Evidence before: test_closes_what_stays_idle, a connection without a request, one after an answer, one with half a head and one with half a body are open after 60 s.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -145,6 +145,10 @@
       "pauses of accepting: no memory for a connection")                      \
     X(ACCEPT_BROKEN, "accept_broken",                                         \
       "listening sockets given up for another error, and opened again")       \
+    X(CALLER_IDLE, "caller_idle",                                             \
+      "HTTP connections closed: no request for too long")                     \
+    X(CALLER_STALLED, "caller_stalled",                                       \
+      "HTTP connections closed: request or answer stuck half way")            \
     /* Control replicas. */                                                   \
     X(CHANGE_APPLIED, "change_applied", "changes applied")                    \
     X(CHANGE_REPEATED, "change_repeated",                                     \
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -118,6 +118,7 @@
     struct port *port = open_port();
 
     (void)state;
+    unsigned before = count_descriptors();
     int silent = start_connect(port->number);
     int answered = start_connect(port->number);
     int in_head = start_connect(port->number);
@@ -134,6 +135,11 @@
     assert_true(has_ended(answered));
     assert_true(has_ended(in_head));
     assert_true(has_ended(in_body));
+    /* No descriptor stays behind: four are those of the callers. */
+    run_loop(20);
+    assert_int_equal(count_descriptors(), before + 4);
+    assert_int_equal(port->counters.value[RP_COUNT_CALLER_IDLE], 3);
+    assert_int_equal(port->counters.value[RP_COUNT_CALLER_STALLED], 1);
     close(silent);
     close(answered);
     close(in_head);
