Ports leave a reserve of descriptors; idle HTTP callers give way to new ones

Seen by callers: idle connections took the last descriptor, and then neither a new caller nor a file nor a connection to another replica got one. The port between nodes allowed 30000 connections whatever the process may open.

Cause: no bound went by the limit on descriptors.

Change: each port has a bound when it opens, from RLIMIT_NOFILE without a reserve of 200, or a quarter if that is less: three quarters for the port between nodes, an eighth for each of two HTTP ports. Beyond it, peers are refused at once (peer_refused, peer_limit). On an HTTP port the connection that was idle the longest is closed when another one waits; never one whose request is being answered, nor one with bytes not read yet, nor one that was opened within 100 ms and has not asked yet, for its request may be on its way. If none can, the new one waits in the queue (accept_all_busy). The same happens when there is no descriptor for a reason outside the port.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -143,10 +143,14 @@
       "pauses of accepting: no descriptor is free")                           \
     X(ACCEPT_NO_MEMORY, "accept_no_memory",                                   \
       "pauses of accepting: no memory for a connection")                      \
+    X(ACCEPT_ALL_BUSY, "accept_all_busy",                                     \
+      "pauses of accepting: no connection can give way to a new one")         \
     X(ACCEPT_BROKEN, "accept_broken",                                         \
       "listening sockets given up for another error, and opened again")       \
     X(CALLER_IDLE, "caller_idle",                                             \
       "HTTP connections closed: no request for too long")                     \
+    X(CALLER_GAVE_WAY, "caller_gave_way",                                     \
+      "HTTP connections closed: idle while new callers wait")                 \
     X(CALLER_STALLED, "caller_stalled",                                       \
       "HTTP connections closed: request or answer stuck half way")            \
     /* Control replicas. */                                                   \
--- a/lib/http/rp_callers.c
+++ b/lib/http/rp_callers.c
@@ -11,9 +11,9 @@
 #define ANSWER_TIMEOUT_US (60 * RP_US_PER_SECOND)
 /* A request that has arrived but was not read yet is read within this. */
 #define POSTPONED_US (1 * RP_US_PER_SECOND)
-/* A connection that was heard within this time does not give way: the request
- * of one just opened may still be on its way. A longer time would keep new
- * callers waiting behind a herd that says nothing. */
+/* A connection that was heard within this time does not give way before its
+ * first answer: the request may still be on its way. A longer time would keep
+ * new callers waiting behind a herd that says nothing. */
 #define RECENT_US (100 * RP_US_PER_MS)
 
 static int64_t
@@ -80,6 +80,7 @@
     caller->state = state;
     caller->deadline = find_deadline(state, now);
     caller->is_postponed = false;
+    caller->is_answered = caller->is_answered || state == RP_CALLER_IDLE;
     RpCallers_Touch(callers, caller, now);
 }
 
@@ -120,17 +121,25 @@
     return NULL;
 }
 
+static bool
+can_give_way(const struct rp_caller *caller, int64_t now)
+{
+    bool is_recent = now < caller->active_at + RECENT_US;
+
+    if (caller->state == RP_CALLER_SENDS) {
+        return !is_recent;
+    }
+    return caller->state == RP_CALLER_IDLE &&
+           (caller->is_answered || !is_recent);
+}
+
 struct rp_caller *
 RpCallers_FindIdle(const struct rp_callers *callers, int64_t now)
 {
     for (const GList *link = callers->by_activity.head; link;
          link = link->next) {
         struct rp_caller *caller = link->data;
-        if (now < caller->active_at + RECENT_US) {
-            return NULL;
-        }
-        if (caller->state == RP_CALLER_IDLE ||
-            caller->state == RP_CALLER_SENDS) {
+        if (can_give_way(caller, now)) {
             return caller;
         }
     }
--- a/lib/http/rp_callers.h
+++ b/lib/http/rp_callers.h
@@ -27,6 +27,7 @@
     enum rp_caller_state state;
     int64_t active_at; /* when something of it was last seen */
     int64_t deadline;  /* closed then, unless the state changes */
+    bool is_answered;  /* an earlier request of it was answered */
     bool is_postponed; /* the deadline was moved once in this state */
     GList link;        /* in struct rp_callers */
 };
@@ -69,8 +70,8 @@
                                         int64_t now);
 
 /* Returns the connection that gives way to a new one: the one that was silent
- * the longest without a complete request. NULL if all have one, or were heard
- * a moment ago. */
+ * the longest without a complete request. One just opened does not, because
+ * its first request may be on its way. NULL if there is none. */
 struct rp_caller *RpCallers_FindIdle(const struct rp_callers *callers,
                                      int64_t now);
 
--- a/lib/http/rp_http.c
+++ b/lib/http/rp_http.c
@@ -3,6 +3,7 @@
 
 #include "rp_callers.h"
 #include "rp_clock.h"
+#include "rp_descriptors.h"
 #include "rp_timer.h"
 
 #define LENGTH_KEY "rp-body-length"
@@ -89,6 +90,28 @@
                g_socket_connection_get_socket(caller->stream)) > 0;
 }
 
+/* Closes the connection that was idle the longest, for a new caller. */
+static bool
+make_room(void *user)
+{
+    struct http_port *port = get_port(user);
+    int64_t now = RpClock_Now();
+    unsigned tries = port->callers.by_activity.length;
+    struct rp_caller *idle;
+
+    while (tries-- > 0 &&
+           (idle = RpCallers_FindIdle(&port->callers, now)) != NULL) {
+        struct http_caller *caller = (struct http_caller *)idle;
+        if (!has_input(caller)) {
+            close_caller(caller, RP_COUNT_CALLER_GAVE_WAY);
+            return true;
+        }
+        /* Its request has just arrived. */
+        RpCallers_Touch(&port->callers, idle, now);
+    }
+    return false;
+}
+
 static void
 on_deadline(void *user)
 {
@@ -348,10 +371,13 @@
 RpHttp_Serve(struct rp_endpoint listen, goffset body_max,
              const struct rp_net_context *context, struct rp_error *error)
 {
-    static const struct rp_listener_ops ops = {.accepted = on_accepted};
+    static const struct rp_listener_ops ops = {.accepted = on_accepted,
+                                               .make_room = make_room};
     SoupServer *server = soup_server_new("server-header", "radishport", NULL);
-    struct rp_listener *listener = RpListener_Open(listen, context, &ops,
-                                                   server, error);
+    unsigned bound = RpDescriptors_HttpBound(
+        RpDescriptors_ReadLimit(context->log));
+    struct rp_listener *listener = RpListener_Open(listen, bound, context,
+                                                   &ops, server, error);
 
     if (!listener) {
         g_object_unref(server);
--- a/lib/net/rp_accept.c
+++ b/lib/net/rp_accept.c
@@ -49,10 +49,15 @@
     }
 }
 
-bool
+void
 RpAccept_Pause(struct rp_accept *accept, int64_t now)
 {
     accept->paused_until = now + PAUSE_US;
+}
+
+bool
+RpAccept_MayLog(struct rp_accept *accept, int64_t now)
+{
     if (now < accept->log_deadline) {
         return false;
     }
--- a/lib/net/rp_accept.h
+++ b/lib/net/rp_accept.h
@@ -29,9 +29,12 @@
  * `*reason` to the counter of it, unless the result is RP_ACCEPT_WAIT. */
 enum rp_accept_action RpAccept_Judge(int error, enum rp_counter *reason);
 
-/* Pauses accepting after a failure. Returns whether to log it: at most one
- * line a second. */
-bool RpAccept_Pause(struct rp_accept *accept, int64_t now);
+/* Pauses accepting. */
+void RpAccept_Pause(struct rp_accept *accept, int64_t now);
+
+/* Returns whether to log the failure for which accepting was paused: at most
+ * one line a second. */
+bool RpAccept_MayLog(struct rp_accept *accept, int64_t now);
 
 /* Ends the pause if its deadline has passed; returns whether it has ended. */
 bool RpAccept_Resume(struct rp_accept *accept, int64_t now);
--- a/lib/net/rp_descriptors.c
+++ b/lib/net/rp_descriptors.c
@@ -6,6 +6,13 @@
 #include <sys/resource.h>
 
 #define USUAL_LIMIT 1024u
+/* For the journal, the logs and the connections to other processes; a quarter
+ * where there are few. */
+#define RESERVE 200u
+#define NODES_MAX 30000u
+/* Callers of HTTP are few; each connection takes some ten KB. */
+#define HTTP_MAX 1024u
+#define HTTP_MIN 4u
 #define FOLDER "/proc/self/fd"
 
 unsigned
@@ -37,3 +44,22 @@
     closedir(folder);
     return count - 1; /* without that of the folder */
 }
+
+/* Returns how many descriptors all ports together may use. */
+static unsigned
+subtract_reserve(unsigned limit)
+{
+    return limit - MIN(RESERVE, limit / 4);
+}
+
+unsigned
+RpDescriptors_NodeBound(unsigned limit)
+{
+    return MIN(subtract_reserve(limit) / 4 * 3, NODES_MAX);
+}
+
+unsigned
+RpDescriptors_HttpBound(unsigned limit)
+{
+    return CLAMP(subtract_reserve(limit) / 8, HTTP_MIN, HTTP_MAX);
+}
--- a/lib/net/rp_descriptors.h
+++ b/lib/net/rp_descriptors.h
@@ -1,4 +1,6 @@
-/* The descriptors of a process: how many it may open, and how many it has. */
+/* The descriptors of a process: how many it may open, how many it has, and how
+ * many of them connections may take. The ports of a process share what is left
+ * without a reserve for its files, logs and own connections. */
 #ifndef RP_DESCRIPTORS_H
 #define RP_DESCRIPTORS_H
 
@@ -11,4 +13,10 @@
 /* Returns how many descriptors are open; 0 if not known. */
 unsigned RpDescriptors_CountOpen(void);
 
+/* Return how many connections a port may have open when the process may open
+ * `limit` descriptors: the port between nodes, and one of up to two HTTP
+ * ports. */
+unsigned RpDescriptors_NodeBound(unsigned limit);
+unsigned RpDescriptors_HttpBound(unsigned limit);
+
 #endif
--- a/lib/net/rp_listener.c
+++ b/lib/net/rp_listener.c
@@ -28,6 +28,7 @@
     void *user;
     const struct rp_net_context *context;
     struct rp_endpoint listen;
+    unsigned bound;
     struct rp_accept accept;
     struct rp_timer *timer; /* ends a pause */
     int fd;                 /* -1: to be opened again after the pause */
@@ -78,28 +79,55 @@
     }
 }
 
-/* Counts a failure and accepts nothing until the pause is over. */
+static bool
+is_full(const struct rp_listener *listener)
+{
+    return g_hash_table_size(listener->streams) >= listener->bound;
+}
+
+/* Accepts nothing until a connection is closed, or for a moment. */
+static void
+pause_accepting(struct rp_listener *listener)
+{
+    stop_accepting(listener);
+    RpAccept_Pause(&listener->accept, RpClock_Now());
+    RpTimer_RunBy(listener->timer, listener->accept.paused_until);
+}
+
+/* Counts a failure and accepts nothing until the pause is over. `error` is an
+ * errno value; 0: none. */
 static void
 pause_after_failure(struct rp_listener *listener, enum rp_counter reason,
                     int error)
 {
     const struct rp_net_context *context = listener->context;
 
-    stop_accepting(listener);
+    pause_accepting(listener);
     RpCounters_Add(context->counters, reason);
-    if (RpAccept_Pause(&listener->accept, RpClock_Now())) {
+    if (RpAccept_MayLog(&listener->accept, RpClock_Now())) {
         GString *text = g_string_new(NULL);
         RpLog_Quote(text, RpStr_FromC(g_strerror(error)));
         RpLog_Event(context->log, RP_LOG_WARN, "accept_failed",
-                    "port=%u reason=%s error=%s connections=%u "
+                    "port=%u reason=%s error=%s connections=%u bound=%u "
                     "descriptors=%u limit=%u",
                     listener->listen.port, RpCounter_Name(reason), text->str,
-                    g_hash_table_size(listener->streams),
+                    g_hash_table_size(listener->streams), listener->bound,
                     RpDescriptors_CountOpen(),
                     RpDescriptors_ReadLimit(context->log));
         g_string_free(text, TRUE);
     }
-    RpTimer_RunBy(listener->timer, listener->accept.paused_until);
+}
+
+/* Asks the owner to close a connection for the one that waits. */
+static void
+make_room(struct rp_listener *listener)
+{
+    if (listener->ops->make_room(listener->user)) {
+        pause_accepting(listener);
+    }
+    else {
+        pause_after_failure(listener, RP_COUNT_ACCEPT_ALL_BUSY, 0);
+    }
 }
 
 static void
@@ -177,9 +205,26 @@
     return stream;
 }
 
+/* Closes a connection beyond the bound. */
+static void
+refuse(struct rp_listener *listener, int fd)
+{
+    const struct rp_net_context *context = listener->context;
+
+    close(fd);
+    RpCounters_Add(context->counters, RP_COUNT_PEER_LIMIT);
+    RpLog_Event(context->log, RP_LOG_WARN, "peer_refused",
+                "port=%u reason=%s bound=%u", listener->listen.port,
+                RpCounter_Name(RP_COUNT_PEER_LIMIT), listener->bound);
+}
+
 static void
 hand_over(struct rp_listener *listener, int fd)
 {
+    if (is_full(listener)) {
+        refuse(listener, fd);
+        return;
+    }
     GSocketConnection *stream = make_stream(fd);
 
     if (!stream) {
@@ -210,6 +255,9 @@
         return true;
     case RP_ACCEPT_PAUSE:
         pause_after_failure(listener, reason, error);
+        if (listener->ops->make_room) {
+            listener->ops->make_room(listener->user);
+        }
         return false;
     case RP_ACCEPT_REOPEN:
         close_socket(listener);
@@ -226,7 +274,15 @@
     unsigned failed = 0;
 
     (void)condition;
+    if (is_full(listener) && listener->ops->make_room) {
+        make_room(listener);
+        return G_SOURCE_CONTINUE;
+    }
     for (unsigned i = 0; i < BATCH; i++) {
+        if (is_full(listener) && listener->ops->make_room) {
+            /* Room is made only if another one waits. */
+            return G_SOURCE_CONTINUE;
+        }
         int accepted = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         int error = errno;
         if (accepted >= 0) {
@@ -245,7 +301,7 @@
 }
 
 struct rp_listener *
-RpListener_Open(struct rp_endpoint listen,
+RpListener_Open(struct rp_endpoint listen, unsigned bound,
                 const struct rp_net_context *context,
                 const struct rp_listener_ops *ops, void *user,
                 struct rp_error *error)
@@ -263,6 +319,7 @@
                                      .user = user,
                                      .context = context,
                                      .listen = listen,
+                                     .bound = bound,
                                      .fd = fd,
                                      .streams = g_hash_table_new(NULL, NULL)};
     listener->timer = RpTimer_Create(on_pause_end, listener);
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -1,11 +1,10 @@
 /* Accepts connections to a control instance and handles the messages of nodes,
  * operators and other replicas. */
 #include "control.h"
+#include "rp_descriptors.h"
 #include "rp_status.h"
 #include "rp_clock.h"
 
-#define MAX_CONNECTIONS 30000
-
 /* One accepted connection and the hello of its peer. */
 struct client {
     struct control *control;
@@ -595,10 +594,6 @@
         .ready = on_ready, .message = on_message, .closed = on_closed};
     struct control *control = user;
 
-    if (g_hash_table_size(control->clients) >= MAX_CONNECTIONS) {
-        RpCounters_Add(&control->daemon.counters, RP_COUNT_PEER_LIMIT);
-        return;
-    }
     struct client *client = g_new0(struct client, 1);
     client->control = control;
     client->conn = RpConn_Accept(&control->daemon.context, stream, &ops,
@@ -612,11 +607,14 @@
 RpControl_Listen(struct control *control)
 {
     static const struct rp_listener_ops ops = {.accepted = on_accepted};
+    unsigned bound = RpDescriptors_NodeBound(
+        RpDescriptors_ReadLimit(control->daemon.log));
     struct rp_error error;
 
     RpError_Init(&error);
-    control->listener = RpListener_Open(
-        control->settings.listen, &control->daemon.net, &ops, control, &error);
+    control->listener = RpListener_Open(control->settings.listen, bound,
+                                        &control->daemon.net, &ops, control,
+                                        &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     return control->listener != NULL;
--- a/tests/unit/sockets.c
+++ b/tests/unit/sockets.c
@@ -260,6 +260,26 @@
     return answered;
 }
 
+int
+find_listening_socket(uint16_t port)
+{
+    for (int fd = 0; fd < 4096; fd++) {
+        struct sockaddr_in address = {0};
+        socklen_t len = sizeof address;
+        int listening = 0;
+        socklen_t size = sizeof listening;
+        if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) ==
+                0 &&
+            listening &&
+            getsockname(fd, (struct sockaddr *)&address, &len) == 0 &&
+            ntohs(address.sin_port) == port) {
+            return fd;
+        }
+    }
+    fail_msg("no socket listens on port %u", port);
+    return -1;
+}
+
 unsigned
 count_descriptors(void)
 {
--- a/tests/unit/sockets.h
+++ b/tests/unit/sockets.h
@@ -64,6 +64,9 @@
 /* The same on a new connection, which is closed afterwards. */
 bool ask(uint16_t port, unsigned ms);
 
+/* Returns this process's listening socket of a port. */
+int find_listening_socket(uint16_t port);
+
 /* Returns the number of open descriptors. */
 unsigned count_descriptors(void);
 
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -1,10 +1,15 @@
 /* The HTTP port of a process under load that uses up its descriptors, its
  * accept queue or its patience: it must go on to answer new callers. Uses
  * loopback; the clock is moved ahead instead of waiting. */
+#include <errno.h>
 #include <gio/gio.h>
+#include <limits.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "check.h"
+#include "rp_accept.h"
+#include "rp_descriptors.h"
 #include "rp_http.h"
 #include "sockets.h"
 
@@ -147,6 +152,119 @@
     close_port(port);
 }
 
+/* Answers when the test tells it to. */
+static void
+on_slow_request(SoupServer *server, SoupServerMessage *message,
+                const char *path, GHashTable *query, gpointer data)
+{
+    SoupServerMessage **waiting = data;
+
+    (void)server;
+    (void)path;
+    (void)query;
+    *waiting = g_object_ref(message);
+    soup_server_message_pause(message);
+}
+
+/* Guards against a request that is being answered and loses its connection to
+ * new callers or to a deadline. */
+static void
+test_answered_request_does_not_give_way(void **state)
+{
+    SoupServerMessage *message = NULL;
+
+    (void)state;
+    set_descriptor_limit(count_descriptors() + 60);
+    struct port *port = open_port();
+    soup_server_add_handler(port->server, "/slow", on_slow_request, &message,
+                            NULL);
+    int caller = start_connect(port->number);
+    run_loop(5);
+    send_text(caller, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_loop(20);
+    assert_non_null(message);
+    struct herd herd = start_herd(port->number, 50);
+    wait_for_herd(&herd);
+    for (unsigned ms = 0; ms < 3 * IDLE_LIMIT_MS; ms += 1000) {
+        skip_time(1000);
+    }
+    assert_true(ask(port->number, ANSWER_MS));
+    RpHttp_Answer(message, SOUP_STATUS_OK, "text/plain", g_string_new("x"));
+    soup_server_message_unpause(message);
+    g_object_unref(message);
+    assert_true(receive_answers(caller, 1, ANSWER_MS));
+    close(caller);
+    stop_herd(&herd);
+    restore_descriptor_limit();
+    close_port(port);
+}
+
+/* Guards against an errno value that ends the port or is tried again at
+ * once. */
+static void
+test_errors_of_accept(void **state)
+{
+    static const struct {
+        int error;
+        enum rp_accept_action action;
+    } cases[] = {{EAGAIN, RP_ACCEPT_WAIT},       {EINTR, RP_ACCEPT_NEXT},
+                 {ECONNABORTED, RP_ACCEPT_NEXT}, {EPROTO, RP_ACCEPT_NEXT},
+                 {ENETDOWN, RP_ACCEPT_NEXT},     {EMFILE, RP_ACCEPT_PAUSE},
+                 {ENFILE, RP_ACCEPT_PAUSE},      {ENOBUFS, RP_ACCEPT_PAUSE},
+                 {ENOMEM, RP_ACCEPT_PAUSE},      {EBADF, RP_ACCEPT_REOPEN},
+                 {EINVAL, RP_ACCEPT_REOPEN},     {ENOTSOCK, RP_ACCEPT_REOPEN},
+                 {INT_MAX, RP_ACCEPT_REOPEN}};
+    struct rp_accept accept = {0};
+    enum rp_counter reason;
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        assert_int_equal(RpAccept_Judge(cases[i].error, &reason),
+                         cases[i].action);
+    }
+    assert_false(RpAccept_Succeed(&accept));
+    RpAccept_Pause(&accept, 1000000);
+    assert_true(RpAccept_MayLog(&accept, 1000000));
+    assert_false(RpAccept_MayLog(&accept, 1000001));
+    assert_false(RpAccept_Resume(&accept, accept.paused_until - 1));
+    assert_true(RpAccept_Resume(&accept, accept.paused_until));
+    assert_false(RpAccept_Resume(&accept, accept.paused_until));
+    assert_true(RpAccept_Succeed(&accept));
+    assert_false(RpAccept_Succeed(&accept));
+}
+
+/* Guards against a listening socket that is of no use any more, as after a
+ * shutdown of it by mistake: the port is opened again. */
+static void
+test_opens_a_broken_socket_again(void **state)
+{
+    struct port *port = open_port();
+
+    (void)state;
+    shutdown(find_listening_socket(port->number), SHUT_RDWR);
+    run_loop(300);
+    assert_true(ask(port->number, ANSWER_MS));
+    assert_int_equal(port->counters.value[RP_COUNT_ACCEPT_BROKEN], 1);
+    close_port(port);
+}
+
+/* Guards against bounds that leave nothing for files, or nothing for
+ * callers. */
+static void
+test_bounds_leave_a_reserve(void **state)
+{
+    static const unsigned limits[] = {64, 300, 1024, 4100, 20000, 1u << 20};
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+        unsigned nodes = RpDescriptors_NodeBound(limits[i]);
+        unsigned http = RpDescriptors_HttpBound(limits[i]);
+        assert_true(nodes >= limits[i] / 2 || nodes == 30000);
+        assert_true(http >= 4);
+        assert_true(nodes + 2 * http + MIN(200, limits[i] / 4) <= limits[i]);
+    }
+}
+
 /* Guards against closing the connection of a caller that asks regularly. */
 static void
 test_keeps_a_regular_caller(void **state)
@@ -221,7 +339,9 @@
     struct port *port = open_port();
     struct herd herd = start_herd(port->number, 100);
     bool connected = wait_for_herd(&herd);
-    skip_time(BEAT_MS);
+    for (unsigned ms = 0; ms < 2 * BEAT_MS; ms += 100) {
+        skip_time(100);
+    }
     int spare[10];
     for (unsigned i = 0; i < G_N_ELEMENTS(spare); i++) {
         spare[i] = dup(STDERR_FILENO);
@@ -231,6 +351,7 @@
         assert_true(ask(port->number, ANSWER_MS));
     }
     assert_true(connected);
+    assert_in_range(port->counters.value[RP_COUNT_CALLER_GAVE_WAY], 80, 120);
     for (unsigned i = 0; i < G_N_ELEMENTS(spare); i++) {
         close(spare[i]);
     }
@@ -253,6 +374,11 @@
         cmocka_unit_test_teardown(test_requests_in_a_row, restore_limit),
         cmocka_unit_test_teardown(test_idle_give_way_to_new_callers,
                                   restore_limit),
+        cmocka_unit_test_teardown(test_answered_request_does_not_give_way,
+                                  restore_limit),
+        cmocka_unit_test(test_errors_of_accept),
+        cmocka_unit_test(test_opens_a_broken_socket_again),
+        cmocka_unit_test(test_bounds_leave_a_reserve),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
