--- a/programs/daemon/control_relay_nodes.c
+++ b/programs/daemon/control_relay_nodes.c
@@ -4,6 +4,7 @@
  * finds control this way.
  */
 #include "control_relay.h"
+#include "rp_descriptors.h"
 
 /* Connections at the same time. A node needs its connection for two round
  * trips, so this is enough for 400 nodes in a herd. */
@@ -102,10 +103,6 @@
         .ready = on_ready, .message = on_message, .closed = on_closed};
     struct rp_relay_nodes *nodes = user;
 
-    if (nodes->connections >= MAX_CONNECTIONS) {
-        RpCounters_Add(nodes->counters, RP_COUNT_PEER_LIMIT);
-        return;
-    }
     struct asker *asker = g_new0(struct asker, 1);
     asker->nodes = nodes;
     nodes->connections++;
@@ -119,14 +116,16 @@
 {
     static const struct rp_listener_ops ops = {.accepted = on_accepted};
     struct rp_relay_nodes *nodes = g_new0(struct rp_relay_nodes, 1);
+    unsigned bound = RpDescriptors_NodeBound(
+        RpDescriptors_ReadLimit(daemon->log));
     struct rp_error error;
 
     nodes->daemon = daemon;
     nodes->counters = &daemon->counters;
     nodes->uplink = uplink;
     RpError_Init(&error);
-    nodes->listener = RpListener_Open(listen, &daemon->net, &ops, nodes,
-                                      &error);
+    nodes->listener = RpListener_Open(listen, MIN(bound, MAX_CONNECTIONS),
+                                      &daemon->net, &ops, nodes, &error);
     RpDaemon_PrintFindings(&error);
     RpError_Clear(&error);
     if (!nodes->listener) {
