--- a/lib/net/rp_listener.c
+++ b/lib/net/rp_listener.c
@@ -215,7 +215,7 @@
 
     close(fd);
     RpCounters_Add(context->counters, RP_COUNT_PEER_LIMIT);
-    RpLog_Event(context->log, RP_LOG_WARN, "peer_refused",
+    RpLog_Event(context->log, RP_LOG_WARN, "peer_over_limit",
                 "port=%u reason=%s bound=%u", listener->listen.port,
                 RpCounter_Name(RP_COUNT_PEER_LIMIT), listener->bound);
 }
--- a/programs/shared/rp_process.c
+++ b/programs/shared/rp_process.c
@@ -4,14 +4,12 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 
 #include "rp_clock.h"
+#include "rp_descriptors.h"
 #include "rp_endpoint.h"
 
-#define DESCRIPTORS_PATH "/proc/self/fd"
 /* Listening sockets are opened at the start, so their numbers are low. Those
  * that are opened again later take the lowest number that is free. */
 #define LISTENER_NUMBER_MAX 1024
@@ -75,40 +73,15 @@
                            name, name, role, value);
 }
 
-/* Returns how many descriptors are open; -1 if that cannot be read. */
-static int
-count_descriptors(void)
-{
-    struct stat status;
-    int count = 0;
-
-    /* Since Linux 6.2 the size of the folder is the number of entries. */
-    if (stat(DESCRIPTORS_PATH, &status) == 0 && status.st_size > 0) {
-        return (int)status.st_size;
-    }
-    GDir *folder = g_dir_open(DESCRIPTORS_PATH, 0, NULL);
-    if (!folder) {
-        return -1;
-    }
-    while (g_dir_read_name(folder)) {
-        count++;
-    }
-    g_dir_close(folder);
-    return count - 1; /* without the folder's own one */
-}
-
 static void
 format_descriptors(const char *role, GString *out)
 {
-    struct rlimit limit;
-    int count = count_descriptors();
+    unsigned count = RpDescriptors_CountOpen();
 
-    if (count >= 0) {
-        append_gauge(role, "descriptors_open", (uint64_t)count, out);
-    }
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-        append_gauge(role, "descriptors_max", limit.rlim_cur, out);
+    if (count > 0) {
+        append_gauge(role, "descriptors_open", count, out);
     }
+    append_gauge(role, "descriptors_max", RpDescriptors_ReadLimit(NULL), out);
 }
 
 /* Reads the queue of a listening TCP socket. Returns false if `number` is
