Replicas: whoever sends to a replica can be answered

Cause: an answer goes out only on a connection that this replica has opened, to an address of its log or its settings, and is dropped otherwise. The request to join had the same limits: no others were asked while any connection stood, and a listed replica was not told the members.

Now an answer goes to the address that the log lists if a connection stands there, else to a connection of the same name, else back on the connection on which the other one's last message came; the one who opened it takes messages of the log there, too. A replica that wants to join asks on every connection, and is always told the members. What still cannot be sent is counted and logged.

--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -189,6 +189,10 @@
 const struct rp_replica_member *
 RpReplica_Leader(const struct rp_replica *replica);
 
+/* Returns the member with this id in the newest list in the log, or NULL. */
+const struct rp_replica_member *
+RpReplica_FindMember(const struct rp_replica *replica, uint64_t id);
+
 /* Returns the leader if it is known to be alive: this replica heard it less
  * than RP_LEASE_US ago, or leads itself with a valid lease. Else NULL. */
 const struct rp_replica_member *
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -127,9 +127,7 @@
 const struct rp_log_entry *RpReplica_AppendEntry(struct rp_replica *replica,
                                                  enum rp_entry_kind kind,
                                                  const GString *data);
-/* These return the member or the peer with this id, or NULL. */
-const struct rp_replica_member *
-RpReplica_FindMember(const struct rp_replica *replica, uint64_t id);
+/* Returns the peer with this id, or NULL. */
 struct rp_peer *RpReplica_FindPeer(struct rp_replica *replica, uint64_t id);
 bool RpReplica_IsVoter(const struct rp_replica *replica, uint64_t id);
 
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -128,15 +128,23 @@
 void RpControl_SendTable(void *user, uint64_t connection,
                          const struct rp_msg *msg);
 
+/* Handles a message that another replica has sent on the connection that this
+ * one opened to it. */
+void RpControl_OnLinkMessage(struct control *control, struct rp_conn *conn,
+                             const struct rp_name *sender, struct rp_msg *msg);
+
+/* Sends on an accepted connection. Returns whether it is still open. */
+bool RpControl_SendOnConnection(const struct control *control,
+                                uint64_t connection, const struct rp_msg *msg);
+
 /* Sends to every replica that has connected to this one, on the connection
  * that it has opened. */
 void RpControl_SendToConnectedReplicas(const struct control *control,
                                        const struct rp_msg *msg);
 
 /* Handles a wish to join that `sender` has sent on `conn`. A replica that asks
- * for itself and has not been let in is told the members on the same
- * connection: the leader, whose log it must answer, may be none of those that
- * its settings name. */
+ * for itself is told the members on the same connection: the leader may be
+ * none of those that its settings or its log name. */
 void RpControl_OnJoin(struct control *control, struct rp_conn *conn,
                       const struct rp_name *sender,
                       const struct rp_replica_member *member);
@@ -220,10 +228,10 @@
 void RpControlLinks_Send(struct control_links *links, uint64_t to,
                          const struct rp_msg *msg);
 
-/* Records the instance name of the replica with this id, which has just sent a
- * message of the replicated log. */
-void RpControlLinks_SetReplicaName(struct control_links *links, uint64_t id,
-                                   const struct rp_name *name);
+/* Records the instance name of the replica with this id, and the number of the
+ * connection on which its last message came. */
+void RpControlLinks_SetHeard(struct control_links *links, uint64_t id,
+                             const struct rp_name *name, uint64_t connection);
 
 /* Returns when the last message of the replicated log came from the replica
  * with this id; 0: none since the start. */
@@ -250,7 +258,7 @@
 guint RpControlLinks_Count(const struct control_links *links);
 
 /* Asks a replica that has connected to this one to let it join, if this
- * replica wants to join and reaches nobody itself. */
+ * replica wants to join. */
 void RpControlLinks_AskPeer(const struct control_links *links,
                             struct rp_conn *conn);
 
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -58,6 +58,7 @@
 struct heard {
     struct rp_name name; /* of its instance */
     int64_t at;          /* when the last one came */
+    uint64_t connection; /* number of the connection on which it came */
 };
 
 struct control_links {
@@ -191,14 +192,13 @@
         }
         return;
     }
-    if (msg->type == RP_MSG_JOIN && !link->is_relay) {
-        RpControl_OnJoin(control, conn, &link->name, &msg->join.member);
+    if (link->is_relay) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
+        RpConn_Close(conn);
         return;
     }
-    /* Replies arrive on the connection that the peer opens, so any other
-     * message here is an error. */
-    RpCounters_Add(&control->daemon.counters, RP_COUNT_FRAME_UNEXPECTED);
-    RpConn_Close(conn);
+    /* The peer does not know this replica's address. */
+    RpControl_OnLinkMessage(control, conn, &link->name, msg);
 }
 
 /* Tells the replica that the peer at the other end of a closed connection does
@@ -244,24 +244,12 @@
     }
 }
 
-static bool
-has_ready_link(const struct control_links *links)
-{
-    for (guint i = 0; i < links->list->len; i++) {
-        const struct link *link = g_ptr_array_index(links->list, i);
-        if (link->ready) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 RpControlLinks_AskPeer(const struct control_links *links, struct rp_conn *conn)
 {
     const struct control *control = links->control;
 
-    if (!has_ready_link(links) && should_ask_to_join(control, RpClock_Now())) {
+    if (should_ask_to_join(control, RpClock_Now())) {
         const struct rp_msg msg = {.type = RP_MSG_JOIN,
                                    .join = {.member = describe_self(control)}};
         RpConn_Send(conn, &msg);
@@ -395,9 +383,7 @@
     const struct rp_msg msg = {.type = RP_MSG_JOIN,
                                .join = {.member = describe_self(control)}};
     RpControlLinks_SendAll(links, &msg);
-    if (!has_ready_link(links)) {
-        RpControl_SendToConnectedReplicas(control, &msg);
-    }
+    RpControl_SendToConnectedReplicas(control, &msg);
     /* A leader whose own address has changed must process its own request.
      * `forwarded` is true, because the request was just sent to all
      * replicas. */
@@ -419,63 +405,74 @@
 }
 
 void
-RpControlLinks_SetReplicaName(struct control_links *links, uint64_t id,
-                              const struct rp_name *name)
+RpControlLinks_SetHeard(struct control_links *links, uint64_t id,
+                        const struct rp_name *name, uint64_t connection)
 {
-    const struct heard heard = {.name = *name, .at = RpClock_Now()};
+    const struct heard heard = {
+        .name = *name, .at = RpClock_Now(), .connection = connection};
 
     g_hash_table_replace(links->heard, g_memdup2(&id, sizeof id),
                          g_memdup2(&heard, sizeof heard));
 }
 
-/* Finds the link to a replica: by the address that the log has for its id, or
- * else by the name in its messages. A replica that is just joining has no log
- * yet. */
 static const struct link *
-find_link_by_id(const struct control_links *links, uint64_t id)
+find_ready_link_by_name(const struct control_links *links,
+                        const struct rp_name *name)
 {
-    const GArray *members = RpReplica_Members(
-        RpControlReplica_Replica(links->control->replica));
-    const struct heard *heard = g_hash_table_lookup(links->heard, &id);
-
-    for (guint i = 0; i < members->len; i++) {
-        const struct rp_replica_member *member = &g_array_index(
-            members, struct rp_replica_member, i);
-        if (member->id == id) {
-            return find_link(
-                links,
-                (struct rp_endpoint){.ip = member->ip, .port = member->port});
-        }
-    }
-    for (guint i = 0; heard && i < links->list->len; i++) {
+    for (guint i = 0; i < links->list->len; i++) {
         const struct link *link = g_ptr_array_index(links->list, i);
-        if (RpName_Equal(&link->name, &heard->name)) {
+        if (link->ready && RpName_Equal(&link->name, name)) {
             return link;
         }
     }
     return NULL;
 }
 
+/* Finds the ready link to a replica: at the address that the log has for its
+ * id, or else under the name in its messages or in the log. A replica that is
+ * just joining has no log yet, and a log that is behind has old addresses. */
+static const struct link *
+find_ready_link(const struct control_links *links, uint64_t id)
+{
+    const struct rp_replica_member *member = RpReplica_FindMember(
+        RpControlReplica_Replica(links->control->replica), id);
+    const struct heard *heard = g_hash_table_lookup(links->heard, &id);
+    const struct link *link = NULL;
+
+    if (member) {
+        link = find_link(links, (struct rp_endpoint){.ip = member->ip,
+                                                     .port = member->port});
+    }
+    if (link && link->ready) {
+        return link;
+    }
+    link = heard ? find_ready_link_by_name(links, &heard->name) : NULL;
+    return !link && member ? find_ready_link_by_name(links, &member->name)
+                           : link;
+}
+
 void
 RpControlLinks_Send(struct control_links *links, uint64_t to,
                     const struct rp_msg *msg)
 {
-    const struct link *link = find_link_by_id(links, to);
+    struct control *control = links->control;
+    const struct link *link = find_ready_link(links, to);
+    const struct heard *heard = g_hash_table_lookup(links->heard, &to);
 
-    if (link && link->ready) {
+    if (link) {
         RpConn_Send(link->conn, msg);
         return;
     }
-    RpCounters_Add(&links->control->daemon.counters,
-                   RP_COUNT_REPLICA_UNREACHED);
-    if (!link) {
-        const struct heard *heard = g_hash_table_lookup(links->heard, &to);
-        RpLog_Event(
-            links->control->daemon.log, RP_LOG_WARN, "replica_unreached",
-            "peer=%s replica=%" G_GINT64_MODIFIER
-            "x type=%s reason=no_address",
-            heard ? heard->name.data : "unknown", to, RpMsg_Name(msg->type));
+    /* Whoever sends to this replica can be answered, also if its address is
+     * not known here. */
+    if (heard && RpControl_SendOnConnection(control, heard->connection, msg)) {
+        return;
     }
+    RpCounters_Add(&control->daemon.counters, RP_COUNT_REPLICA_UNREACHED);
+    RpLog_Event(control->daemon.log, RP_LOG_WARN, "replica_unreached",
+                "peer=%s replica=%" G_GINT64_MODIFIER "x type=%s",
+                heard ? heard->name.data : "unknown", to,
+                RpMsg_Name(msg->type));
 }
 
 guint
@@ -496,7 +493,7 @@
 RpControlLinks_ReplicaName(const struct control_links *links, uint64_t id)
 {
     const struct heard *heard = g_hash_table_lookup(links->heard, &id);
-    const struct link *link = find_link_by_id(links, id);
+    const struct link *link = find_ready_link(links, id);
 
     if (heard) {
         return &heard->name;
@@ -507,9 +504,7 @@
 bool
 RpControlLinks_IsConnected(const struct control_links *links, uint64_t id)
 {
-    const struct link *link = find_link_by_id(links, id);
-
-    return link && link->ready;
+    return find_ready_link(links, id) != NULL;
 }
 
 uint64_t
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -537,31 +537,16 @@
     }
 }
 
-static bool
-is_member(const struct control *control, uint64_t id)
-{
-    const GArray *members = RpReplica_Members(get_replica(control));
-
-    for (guint i = 0; i < members->len; i++) {
-        if (g_array_index(members, struct rp_replica_member, i).id == id) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 RpControl_OnJoin(struct control *control, struct rp_conn *conn,
                  const struct rp_name *sender,
                  const struct rp_replica_member *member)
 {
     bool forwarded = !RpName_Equal(sender, &member->name);
-    bool was_member = is_member(control, member->id);
     struct rp_msg msg;
 
     RpControlReplica_Join(control->replica, RpClock_Now(), member, forwarded);
-    if (forwarded || was_member ||
-        RpReplica_Members(get_replica(control))->len == 0) {
+    if (forwarded || RpReplica_Members(get_replica(control))->len == 0) {
         return;
     }
     build_controls_msg(control, &msg);
@@ -608,8 +593,9 @@
         RpControlLinks_OnMembersTold(control->links, &msg->controls);
         break;
     default: /* a message of the replicated log */
-        RpControlLinks_SetReplicaName(control->links, RpReplica_Sender(msg),
-                                      &client->hello.name);
+        RpControlLinks_SetHeard(control->links, RpReplica_Sender(msg),
+                                &client->hello.name,
+                                RpConn_Number(client->conn));
         RpControlReplica_Receive(control->replica, now, msg);
         if (control->editions) {
             RpControlEditions_AnswerPending(control->editions, now);
@@ -635,6 +621,30 @@
     handle_message(control, client, msg);
 }
 
+void
+RpControl_OnLinkMessage(struct control *control, struct rp_conn *conn,
+                        const struct rp_name *sender, struct rp_msg *msg)
+{
+    struct client client = {
+        .control = control,
+        .conn = conn,
+        .hello = {.role = RP_ROLE_CONTROL, .name = *sender}};
+
+    on_message(&client, conn, msg);
+}
+
+bool
+RpControl_SendOnConnection(const struct control *control, uint64_t connection,
+                           const struct rp_msg *msg)
+{
+    const struct client *client = find_client(control, connection);
+
+    if (client) {
+        RpConn_Send(client->conn, msg);
+    }
+    return client != NULL;
+}
+
 static void
 on_ready(void *user, struct rp_conn *conn, const struct rp_msg_hello *hello)
 {
