--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -1,11 +1,12 @@
 /* Connections from this replica to the others.
  *
- * Each replica opens a connection to every other one and only sends on it; it
- * receives on the connections that the others open. The exceptions are those
- * of a replica without a log, which may know nobody's address: it may ask to
- * join on a connection that another one has opened, and whoever is asked
- * answers on the same connection with the addresses of the members, one of
- * which leads.
+ * Each replica opens a connection to every other one and sends on it; it
+ * receives on the connections that the others open. But an address may be
+ * unknown: a replica without a log knows nobody, and one that was away does
+ * not know who has joined or moved meanwhile. So whoever sends to this replica
+ * is answered on the same connection if there is no other, and a replica that
+ * wants to join asks on every connection. Whoever is asked answers with the
+ * addresses of the members, one of which leads.
  */
 #include "control.h"
 
@@ -30,6 +31,8 @@
 /* Reported revisions older than this are ignored: their replica counts as
  * unreachable. */
 #define REPORT_TTL_US (5 * RP_US_PER_SECOND)
+/* A leader sends a member that is down ten heartbeats a second. */
+#define UNREACHED_LINES_PER_SECOND 2
 
 /* One other replica, identified by the address it listens on. */
 struct link {
@@ -76,6 +79,8 @@
     struct control_links *links = g_new0(struct control_links, 1);
 
     links->control = control;
+    RpLog_SetBudget(control->daemon.log, "replica_unreached",
+                    UNREACHED_LINES_PER_SECOND);
     links->list = g_ptr_array_new();
     RpContacts_Init(&links->contacts, control->settings.listen,
                     &control->settings.peers, randombytes_uniform);
