Replicas: what an earlier release does not take is not sent to it

Found by a trial of a rolling upgrade (five replicas of, restarted one by one): a replica of this release that lost its disk never joined while the leader was of the earlier one. It asked on every connection that the leader had opened; the earlier release closes such a connection, opened it again after 0.1 s and was asked again, so the log never got through.

The hello says whether its sender takes messages there. An earlier release ignores the new field, and sends none.

--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -13,10 +13,14 @@
 static const struct rp_field hello_fields[] = {
     UINT(rp_msg_hello, version), UINT(rp_msg_hello, role),
     NAME(rp_msg_hello, name),    NAME(rp_msg_hello, zone),
-    BLOB(rp_msg_hello, nonce),
-};
-static const struct rp_schema rp_msg_hello_schema = RP_SCHEMA(rp_msg_hello,
-                                                              hello_fields);
+    BLOB(rp_msg_hello, nonce),   UINT(rp_msg_hello, two_way),
+};
+/* Processes of earlier releases do not send the last field. */
+static const struct rp_schema rp_msg_hello_schema = {
+    .fields = hello_fields,
+    .count = G_N_ELEMENTS(hello_fields),
+    .required = G_N_ELEMENTS(hello_fields) - 1,
+    .size = sizeof(struct rp_msg_hello)};
 
 static const struct rp_field ping_fields[] = {
     UINT(rp_msg_ping, number),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -53,6 +53,9 @@
     struct rp_name name;
     struct rp_name zone;
     uint8_t nonce[RP_NONCE_SIZE];
+    /* The sender takes the messages of other replicas also on connections that
+     * it has opened. 0: it is of an earlier release and closes them. */
+    uint8_t two_way;
 };
 
 /* Agent to control: the state of its upstream, sent again before the lease
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -133,7 +133,8 @@
 void RpControl_OnLinkMessage(struct control *control, struct rp_conn *conn,
                              const struct rp_name *sender, struct rp_msg *msg);
 
-/* Sends on an accepted connection. Returns whether it is still open. */
+/* Sends on an accepted connection. Returns false if it is closed, or if its
+ * peer takes nothing there. */
 bool RpControl_SendOnConnection(const struct control *control,
                                 uint64_t connection, const struct rp_msg *msg);
 
@@ -146,7 +147,7 @@
  * for itself is told the members on the same connection: the leader may be
  * none of those that its settings or its log name. */
 void RpControl_OnJoin(struct control *control, struct rp_conn *conn,
-                      const struct rp_name *sender,
+                      const struct rp_msg_hello *sender,
                       const struct rp_replica_member *member);
 
 /* Handles an applied command: sends changes to the nodes, and replies to the
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -340,7 +340,7 @@
     g_hash_table_iter_init(&iter, control->clients);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct client *client = value;
-        if (client->hello.role == RP_ROLE_CONTROL) {
+        if (client->hello.role == RP_ROLE_CONTROL && client->hello.two_way) {
             RpConn_Send(client->conn, msg);
         }
     }
@@ -539,14 +539,15 @@
 
 void
 RpControl_OnJoin(struct control *control, struct rp_conn *conn,
-                 const struct rp_name *sender,
+                 const struct rp_msg_hello *sender,
                  const struct rp_replica_member *member)
 {
-    bool forwarded = !RpName_Equal(sender, &member->name);
+    bool forwarded = !RpName_Equal(&sender->name, &member->name);
     struct rp_msg msg;
 
     RpControlReplica_Join(control->replica, RpClock_Now(), member, forwarded);
-    if (forwarded || RpReplica_Members(get_replica(control))->len == 0) {
+    if (forwarded || !sender->two_way ||
+        RpReplica_Members(get_replica(control))->len == 0) {
         return;
     }
     build_controls_msg(control, &msg);
@@ -586,7 +587,7 @@
         on_confirm(control, client, msg->confirm.revision);
         break;
     case RP_MSG_JOIN:
-        RpControl_OnJoin(control, client->conn, &client->hello.name,
+        RpControl_OnJoin(control, client->conn, &client->hello,
                          &msg->join.member);
         break;
     case RP_MSG_CONTROLS:
@@ -628,7 +629,7 @@
     struct client client = {
         .control = control,
         .conn = conn,
-        .hello = {.role = RP_ROLE_CONTROL, .name = *sender}};
+        .hello = {.role = RP_ROLE_CONTROL, .name = *sender, .two_way = 1}};
 
     on_message(&client, conn, msg);
 }
@@ -639,10 +640,11 @@
 {
     const struct client *client = find_client(control, connection);
 
-    if (client) {
-        RpConn_Send(client->conn, msg);
+    if (!client || !client->hello.two_way) {
+        return false;
     }
-    return client != NULL;
+    RpConn_Send(client->conn, msg);
+    return true;
 }
 
 static void
@@ -657,7 +659,9 @@
     if (hello->role == RP_ROLE_CONTROL) {
         RpControlLinks_OnPeerConnected(client->control->links, RpClock_Now(),
                                        RpConn_PeerIp(conn));
-        RpControlLinks_AskPeer(client->control->links, conn);
+        if (hello->two_way) {
+            RpControlLinks_AskPeer(client->control->links, conn);
+        }
     }
 }
 
