--- a/tests/runs/joining.sh
+++ b/tests/runs/joining.sh
@@ -17,8 +17,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-has_voters() { [ "$(metric "$(admin_port "$1")" voters)" = "$2" ]; }
-
 # start_replica INDEX ADDRESSES: the addresses are those of its settings.
 start_replica() {
     start "control-$1" "$BIN/programs/radishportd" control \
@@ -27,17 +25,6 @@
         --control "$2" --tolerate-instances 2
 }
 
-# wipe INDEX...: ends these replicas at the same moment and removes their data.
-wipe() {
-    local i
-    for i in "$@"; do kill -KILL "${PIDS[control-$i]}"; done
-    for i in "$@"; do
-        wait "${PIDS[control-$i]}" 2> /dev/null
-        unset "PIDS[control-$i]"
-        rm -rf "$RUN/control-$i"
-    done
-}
-
 # addresses INDEX...: prints the addresses of these replicas.
 addresses() {
     local i list=""
@@ -47,22 +34,13 @@
     echo "$list"
 }
 
-number=0
-change() {
-    number=$((number + 1))
-    printf '[service]\nname = lens\naddress = 10.80.0.1:7000\n# %s\n' \
-        "$number" > "$RUN/change.conf"
-    cli service apply "$RUN/change.conf" --timeout-seconds "$SERVICE_SECONDS" \
-        > "$RUN/apply.txt" 2>&1
-}
-
 prepare_run
 create_system || fail "control-0 cannot create the system"
 for i in 0 1 2 3 4; do start_replica "$i" "$(control_list)"; done
 for i in 0 1 2 3 4; do
     wait_until 20 has_voters "$i" 5 || fail "control-$i does not know 5 voters"
 done
-change || fail "the first change is not acknowledged"
+apply_next || fail "the first change is not acknowledged"
 
 leader=""
 followers=()
@@ -79,7 +57,7 @@
     fail "control-$wiped has no vote after $JOIN_SECONDS s; control-$leader" \
         "leads and is not in its settings"
 say "control-$wiped joined under control-$leader, which its settings do not name"
-change || fail "no change is acknowledged after the lost disk"
+apply_next || fail "no change is acknowledged after the lost disk"
 
 # Guards against a replica that only its own settings can bring back: nobody is
 # at the address there, but the others still connect to it.
@@ -90,7 +68,7 @@
     fail "control-$wiped has no vote after $JOIN_SECONDS s; its settings name" \
         "an address that is gone"
 say "control-$wiped joined although its settings name nobody who is there"
-change || fail "no change is acknowledged after the second lost disk"
+apply_next || fail "no change is acknowledged after the second lost disk"
 
 wipe "$leader" "${known[0]}"
 start_replica "$leader" "$(control_list)"
@@ -99,5 +77,5 @@
     fail "nothing is read after two more lost disks"
 grep -q "^# $number\$" "$RUN/now.conf" ||
     fail "acknowledged change $number is lost"
-change || fail "no change is acknowledged after two more lost disks"
+apply_next || fail "no change is acknowledged after two more lost disks"
 say "$number changes acknowledged, none lost"
--- a/tests/runs/replacement.sh
+++ b/tests/runs/replacement.sh
@@ -15,8 +15,6 @@
 . tests/system.sh
 trap stop_system EXIT
 
-has_voters() { [ "$(metric "$(admin_port "$1")" voters)" = "$2" ]; }
-
 start_replica() {
     start "control-$1" "$BIN/programs/radishportd" control \
         --name "control-$1" --listen "127.0.0.1:$(control_port "$1")" \
@@ -24,16 +22,6 @@
         --tolerate-instances 1
 }
 
-number=0
-# change: applies one change. Fails if it is not acknowledged.
-change() {
-    number=$((number + 1))
-    printf '[service]\nname = lens\naddress = 10.80.0.1:7000\n# %s\n' \
-        "$number" > "$RUN/change.conf"
-    cli service apply "$RUN/change.conf" --timeout-seconds "$SERVICE_SECONDS" \
-        > "$RUN/apply.txt" 2>&1
-}
-
 # find WHICH INDEX...: prints the first of these instances that leads, or that
 # does not.
 find_replica() {
@@ -55,7 +43,7 @@
     shift 2
     start_replica "$new"
     wait_until 10 has_voters "$new" 4 || fail "control-$new gets no vote"
-    change || fail "no change is acknowledged with four voters"
+    apply_next || fail "no change is acknowledged with four voters"
     old=$(find_replica "$which" "$@")
     [ -n "$old" ] || fail "no $which among $*"
     before=$(date +%s%N)
@@ -70,7 +58,7 @@
         > "$RUN/now.conf" || fail "nothing is read after a lost disk"
     grep -q "^# $number\$" "$RUN/now.conf" ||
         fail "acknowledged change $number is lost"
-    change || fail "no change is acknowledged after a lost disk"
+    apply_next || fail "no change is acknowledged after a lost disk"
     for i in "$@" "$new"; do
         [ "$i" = "$old" ] || wait_until 10 has_voters "$i" 3 ||
             fail "control-$i does not know three voters"
@@ -89,7 +77,7 @@
     wait_until 20 is_fresh $i || fail "control-$i is not up to date"
     wait_until 10 has_voters $i 3 || fail "control-$i does not know 3 voters"
 done
-change || fail "the first change is not acknowledged"
+apply_next || fail "the first change is not acknowledged"
 replace follower 3 0 1 2
 # shellcheck disable=SC2086
 replace leader 4 $remaining
--- a/tests/runs/unknown-addresses.sh
+++ b/tests/runs/unknown-addresses.sh
@@ -18,8 +18,6 @@
 
 declare -A MOVED # index of a replica -> its new port
 
-has_voters() { [ "$(metric "$(admin_port "$1")" voters)" = "$2" ]; }
-
 port_of() { echo "${MOVED[$1]:-$(control_port "$1")}"; }
 
 # start_replica INDEX ADDRESSES: the addresses are those of its settings.
@@ -30,32 +28,12 @@
         --control "$2" --tolerate-instances 2
 }
 
-# wipe INDEX...: ends these replicas at the same moment and removes their data.
-wipe() {
-    local i
-    for i in "$@"; do kill -KILL "${PIDS[control-$i]}"; done
-    for i in "$@"; do
-        wait "${PIDS[control-$i]}" 2> /dev/null
-        unset "PIDS[control-$i]"
-        rm -rf "$RUN/control-$i"
-    done
-}
-
 addresses() {
     local i list=""
     for i in "$@"; do list="$list${list:+,}127.0.0.1:$(port_of "$i")"; done
     echo "$list"
 }
 
-number=0
-change() {
-    number=$((number + 1))
-    printf '[service]\nname = lens\naddress = 10.80.0.1:7000\n# %s\n' \
-        "$number" > "$RUN/change.conf"
-    cli service apply "$RUN/change.conf" --timeout-seconds "$SERVICE_SECONDS" \
-        > "$RUN/apply.txt" 2>&1
-}
-
 # read_back: the newest acknowledged change is read.
 read_back() {
     cli service get lens --timeout-seconds "$SERVICE_SECONDS" \
@@ -73,7 +51,7 @@
     for i in 0 1 2 3 4; do
         wait_until 20 has_voters "$i" 5 || fail "$1: control-$i: no 5 voters"
     done
-    change || fail "$1: the first change is not acknowledged"
+    apply_next || fail "$1: the first change is not acknowledged"
     followers=()
     for i in 0 1 2 3 4; do
         if leads "$i"; then leader=$i; else followers+=("$i"); fi
@@ -105,13 +83,13 @@
     sleep 3 # the one that is gone loses its vote to it
 done
 RADISHPORT_CONTROL=$(addresses 0 1 2 3 4 5 6)
-change || fail "away: no change with the two successors"
+apply_next || fail "away: no change with the two successors"
 stop control-5 KILL
 stop control-6 KILL
 wipe "${lost[@]}"
 for i in 5 6 "$away" "${lost[@]}"; do start_replica "$i" "$(control_list)"; done
 read_back || fail "away: three of five voters run and nothing is read"
-change || fail "away: three of five voters run and no change is acknowledged"
+apply_next || fail "away: three of five voters run and no change is acknowledged"
 say "a voter that was away elects a successor that it does not know"
 stop_system
 
@@ -129,7 +107,7 @@
 done
 wipe "${followers[2]}" "${followers[3]}"
 for i in "${followers[@]:2:2}"; do start_replica "$i" "$(control_list)"; done
-change || fail "two: no change after two more lost disks"
+apply_next || fail "two: no change after two more lost disks"
 say "two replicas without disks that name only each other join"
 stop_system
 
@@ -138,7 +116,7 @@
 begin moved
 moved=${followers[0]} away=${followers[1]}
 for ((n = 0; n < 80; n++)); do
-    change || fail "moved: a change is not acknowledged"
+    apply_next || fail "moved: a change is not acknowledged"
 done
 stop "control-$away" KILL
 stop "control-$moved" KILL
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -189,3 +189,29 @@
 
 # has_ready SERVICE N: succeeds if exactly N of its upstreams are ready.
 has_ready() { [ "$(ready_upstreams "$1")" = "$2" ]; }
+
+# has_voters INDEX N: a control instance knows a group of N voters.
+has_voters() { [ "$(metric "$(admin_port "$1")" voters)" = "$2" ]; }
+
+# wipe INDEX...: ends these control instances at the same moment and removes
+# their data.
+wipe() {
+    local i
+    for i in "$@"; do kill -KILL "${PIDS[control-$i]}"; done
+    for i in "$@"; do
+        wait "${PIDS[control-$i]}" 2> /dev/null
+        unset "PIDS[control-$i]"
+        rm -rf "$RUN/control-$i"
+    done
+}
+
+# apply_next: applies a change with the next number. Fails if it is not
+# acknowledged within SERVICE_SECONDS.
+number=0
+apply_next() {
+    number=$((number + 1))
+    printf '[service]\nname = lens\naddress = 10.80.0.1:7000\n# %s\n' \
+        "$number" > "$RUN/change.conf"
+    cli service apply "$RUN/change.conf" --timeout-seconds "$SERVICE_SECONDS" \
+        > "$RUN/apply.txt" 2>&1
+}
