Health: a host that fails every request gets one flow a second

Cause: health was judged by handshakes alone, so a host that accepts each flow and resets each request had free slots at all times and took flows of busy hosts; as the last candidate it took them whatever its health.

Change: the same chart a second time, by requests; an unhealthy last candidate passes back to the least busy one.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -70,6 +70,10 @@
       "new flows passed on: flow limit reached")                              \
     X(PASS_UNHEALTHY, "pass_unhealthy",                                       \
       "new flows passed on: host is unhealthy")                               \
+    X(REQUEST_RESET, "request_reset",                                         \
+      "requests that the host ended with a reset instead of an answer")       \
+    X(REQUEST_ABANDONED, "request_abandoned",                                 \
+      "requests that callers gave up after the target latency, unanswered")   \
     X(RETRY_HOST_REFUSED, "retry_host_refused",                               \
       "new flows retried elsewhere: host refused")                            \
     X(RETRY_HOST_SILENT, "retry_host_silent",                                 \
--- a/lib/flow/rp_admission.c
+++ b/lib/flow/rp_admission.c
@@ -8,8 +8,10 @@
 uint8_t
 RpLoad_Utilisation(const struct rp_load *load)
 {
-    uint64_t utilisation = (uint64_t)load->busy * RP_UTILISATION_UNIT /
-                           load->slots;
+    uint64_t utilisation = load->unhealthy
+                               ? RP_UTILISATION_MAX
+                               : (uint64_t)load->busy * RP_UTILISATION_UNIT /
+                                     load->slots;
 
     return (uint8_t)MIN(utilisation, RP_UTILISATION_MAX - 1);
 }
@@ -53,7 +55,7 @@
                     enum rp_counter *reason)
 {
     (void)policy;
-    if (load->busy < load->slots) {
+    if (load->busy < load->slots && !load->unhealthy) {
         *reason = RP_COUNT_FLOW_ADMITTED;
         return RP_DECISION_ADMIT;
     }
--- a/lib/flow/rp_admission.h
+++ b/lib/flow/rp_admission.h
@@ -50,6 +50,7 @@
     uint32_t position;   /* number of candidates that passed the flow on */
     uint8_t lowest_utilisation; /* among these candidates */
     bool last;                  /* no candidate follows this one */
+    bool unhealthy;             /* counts as busier than any other candidate */
     uint32_t priority;          /* of the flow's address; 0 is the highest */
     uint32_t target_us;         /* target latency of requests; 0: unknown */
     uint32_t service_time_us;   /* mean of recent requests; 0: unknown */
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -32,7 +32,8 @@
     agent->search_targets = g_array_new(FALSE, FALSE,
                                         sizeof(struct rp_endpoint));
     RpAgent_CreateRequestQueue(agent);
-    if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
+    if (RpHealth_Init(&agent->health, NULL) != RP_OK ||
+        RpHealth_Init(&agent->request_health, NULL) != RP_OK) {
         RpAgent_Free(agent);
         return NULL;
     }
@@ -100,6 +101,7 @@
     g_array_set_size(agent->lost_flows, 0);
     RpFlowTable_CollectFlagged(agent->flows, RP_FLOW_OWNED, agent->lost_flows);
     RpHealth_RecordSuccess(&agent->health, now);
+    RpHealth_RecordSuccess(&agent->request_health, now);
 }
 
 void
@@ -228,6 +230,9 @@
                                                       chain->forced);
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
 
+    if (event == RP_FLOW_EV_RST || event == RP_FLOW_EV_FIN) {
+        RpAgent_RecordRequestAbandoned(agent, flow, now);
+    }
     change_state(agent, flow, step.next, now);
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_TO_HOST:
@@ -374,6 +379,9 @@
          * redirect. */
         change_state(agent, flow, RP_FLOW_QUERYING_HOST, now);
     }
+    if (event == RP_FLOW_EV_HOST_RST) {
+        RpAgent_RecordRequestReset(agent, flow, now);
+    }
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
     switch ((enum rp_flow_action)step.action) {
     case RP_FLOW_DO_TO_CALLER:
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -199,6 +199,7 @@
     flow->host_seen = now;
     if (packet->payload_len > 0 && (flow->flags & RP_FLOW_AWAITS_ANSWER)) {
         flow->flags &= (uint16_t)~RP_FLOW_AWAITS_ANSWER;
+        RpHealth_RecordSuccess(&agent->request_health, now);
         record_service_time(agent, flow, now);
         RpCounters_AddDuration(agent->counters, RP_HISTOGRAM_FIRST_BYTE,
                                now - flow->request_since);
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -60,8 +60,9 @@
     bool draining;
     bool knows_all_flows; /* `flows` has every flow of the host */
     enum rp_host_state host_state;
-    GArray *lost_flows; /* of struct rp_flow_key: lost by the host */
-    struct rp_health health;
+    GArray *lost_flows;      /* of struct rp_flow_key: lost by the host */
+    struct rp_health health; /* by handshakes */
+    struct rp_health request_health; /* by requests */
     struct rp_flow_table *flows;
     struct rp_hold *hold;
     /* The packet that the actions of the last call point into, or NULL. */
@@ -182,6 +183,14 @@
 bool RpAgent_IsLateHostPacket(const struct rp_flow *flow,
                               const struct rp_packet *packet);
 
+/* rp_agent_evidence.c: record a request that the host ended with a reset, or
+ * that its caller gave up after a long wait, before the answer began. Call
+ * them before the flow's state changes. */
+void RpAgent_RecordRequestReset(struct rp_agent *agent,
+                                const struct rp_flow *flow, int64_t now);
+void RpAgent_RecordRequestAbandoned(struct rp_agent *agent,
+                                    const struct rp_flow *flow, int64_t now);
+
 /* rp_agent_chain.c: advances `chain` to the next candidate and sets `*next`.
  * `is_new_flow` says whether the packet opens a flow, as only ready upstreams
  * take new flows. Returns false if no candidate is left. */
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -84,12 +84,16 @@
     RpAgent_FillLoad(agent, now, RpFlowKey_Destination(packet->key), chain,
                      &load);
     load.waited_us = packet->waited_us;
-    /* The last candidate takes the flow even if its host is unhealthy, as no
-     * other is left. */
-    if (!load.last && !RpHealth_AllowsNewFlow(&agent->health, now)) {
+    bool is_healthy = RpHealth_AllowsNewFlow(&agent->health, now) &&
+                      RpHealth_AllowsNewFlow(&agent->request_health, now);
+    if (!load.last && !is_healthy) {
         *reason = RP_COUNT_PASS_UNHEALTHY;
         return RP_DECISION_PASS_ON;
     }
+    /* The last candidate of an unhealthy host leaves the flow to a busy one,
+     * and takes it if there is none. */
+    load.unhealthy = !is_healthy &&
+                     chain->lowest_utilisation != RP_CHAIN_NO_UTILISATION;
     /* The last candidate sent the SYN back: this agent is the least busy. */
     if (chain->forced && load.flows < load.flow_limit) {
         *reason = RP_COUNT_FLOW_ADMITTED_LAST;
--- a/lib/flow/rp_health.h
+++ b/lib/flow/rp_health.h
@@ -1,5 +1,10 @@
-/* Health of a host, judged by how it answers the SYNs of new flows and not by
- * its own reports. The state chart is charts/upstream.chart. */
+/* Health of a host, judged by what it does and not by its own reports. The
+ * state chart is charts/upstream.chart.
+ *
+ * An agent keeps two of these: one for handshakes, whose results are answered,
+ * refused and unanswered SYNs, and one for requests, whose results are answers
+ * and flows that the host resets, or leaves unanswered, while a request is
+ * outstanding. A host may accept every flow and fail every request. */
 #ifndef RP_HEALTH_H
 #define RP_HEALTH_H
 
@@ -32,8 +37,8 @@
  * true once in RP_HEALTH_TRIAL_INTERVAL_US: that flow is the trial. */
 bool RpHealth_AllowsNewFlow(struct rp_health *health, int64_t now);
 
-/* Record the result of a new flow: the host answered its SYN, or refused or
- * did not answer it. */
+/* Record a result: of a new flow, that the host answered its SYN, or refused
+ * or did not answer it; of a request, that the host answered or failed it. */
 void RpHealth_RecordSuccess(struct rp_health *health, int64_t now);
 void RpHealth_RecordFailure(struct rp_health *health, int64_t now);
 
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -11,14 +11,17 @@
  *                                    is in its cold start from FROM to UNTIL
  *                                    (milliseconds)
  *   agent-without-table NAME SLOTS   the same, but the agent gets no table
- *   sibling ID ADDR:PORT NAME        adds a second service, with member NAME,
- *                                    and a virtual address for both
+ *   sibling ID ADDR:PORT NAME [TARGET-MS]
+ *                                    adds a second service, with member NAME,
+ *                                    and a virtual address for both, whose
+ *                                    requests have this target latency
  *   at MS                            sets the time, in milliseconds
  *   connected | disconnected         sets whether control is connected
  *   gathering | complete             whether later tables may lack members;
  *                                    sends one
  *   origin NAME                      the balancer of later packets from
- * callers takes hints at this endpoint search ID FLAGS PORT SEQ ACK LEN AGENT
+ *                                    callers takes hints at this endpoint
+ *   search ID FLAGS PORT SEQ ACK LEN AGENT
  *                                    a search of AGENT for the packet's owner
  *   search-answer ID AGENT owns|not_owned|unsure
  *                                    the answer of AGENT to a search
@@ -297,6 +300,7 @@
         .address = address.ip,
         .port = address.port,
         .timeout_ms = 500,
+        .target_ms = words[4] ? parse_number(words[4]) : 0,
         .targets = RpSchema_NewList(&rp_msg_target_schema)};
     g_array_append_val(session->vip.targets, target);
     target.service_id = session->sibling.id;
