Cold hosts: the configuration's rate is kept at the agent

Cause: editions give services warmup-s and cold-per-s, and hosts report cold-left-ms; nothing read them, so a host that had just started got as many new flows as its slots took.

The agent admits at most the rate, rounded up to a whole flow, in every window (rp_cold_start). A flow beyond it is passed on; the last candidate sends it to the least busy one before it, or refuses it. SYNs of known flows take a place, too, unless the host has answered them. An agent that has not seen its host start takes the window for used up; a changed rate keeps the flows that were counted.

Ruled out: a token bucket, which lets twice the rate into a window; a file with the last openings beside the agent, which is not needed if the first window after a start is given up.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -70,6 +70,8 @@
       "new flows passed on: flow limit reached")                              \
     X(PASS_UNHEALTHY, "pass_unhealthy",                                       \
       "new flows passed on: host is unhealthy")                               \
+    X(PASS_COLD, "pass_cold",                                                 \
+      "new flows passed on: host is cold and at its limit")                   \
     X(RETRY_HOST_REFUSED, "retry_host_refused",                               \
       "new flows retried elsewhere: host refused")                            \
     X(RETRY_HOST_SILENT, "retry_host_silent",                                 \
@@ -80,6 +82,10 @@
       "new flows refused: all candidates are overloaded")                     \
     X(REFUSED_ALL, "refused_all",                                             \
       "new flows refused: no candidate could take them")                      \
+    X(REFUSED_COLD, "refused_cold",                                           \
+      "new flows refused: the last candidate is cold and at its limit")     \
+    X(DROP_COLD, "drop_cold",                                                 \
+      "dropped: SYN of a known flow, host is cold and at its limit")          \
     X(SYN_TRIMMED, "syn_payload_trimmed", "SYNs whose payload was removed")   \
     X(SYN_LATE_ANSWER, "syn_late_answer",                                     \
       "host answers to a SYN that was already retried")                       \
--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -456,6 +456,22 @@
     return RP_OK;
 }
 
+/* Sets the limits that an edition gives its services. Returns whether one of
+ * them changes. */
+static bool
+set_limits(struct rp_document *document,
+           const struct rp_edition_service *service)
+{
+    const struct rp_document old = *document;
+
+    document->flows_per_upstream = MAX(service->flows_per_upstream, 1);
+    document->warmup_ms = service->warmup_ms;
+    document->cold_per_1000_s = service->cold_per_1000_s;
+    return document->flows_per_upstream != old.flows_per_upstream ||
+           document->warmup_ms != old.warmup_ms ||
+           document->cold_per_1000_s != old.cold_per_1000_s;
+}
+
 struct rp_catalog_entry *
 RpCatalog_AddEditionService(struct rp_catalog *catalog,
                             const struct rp_edition_service *service,
@@ -464,7 +480,7 @@
     struct rp_catalog_entry *entry = g_new0(struct rp_catalog_entry, 1);
 
     RpDocument_InitDefaults(&entry->document, &service->name);
-    entry->document.flows_per_upstream = MAX(service->flows_per_upstream, 1);
+    set_limits(&entry->document, service);
     entry->name = service->name;
     entry->id = id;
     entry->incarnation = id;
@@ -529,10 +545,7 @@
             RpCatalog_AddEditionService(catalog, service, catalog->next_id++,
                                         catalog->revision);
         }
-        else if (entry->document.flows_per_upstream !=
-                 MAX(service->flows_per_upstream, 1)) {
-            entry->document.flows_per_upstream = MAX(
-                service->flows_per_upstream, 1);
+        else if (set_limits(&entry->document, service)) {
             entry->revision = catalog->revision;
         }
     }
--- a/lib/control/rp_catalog_snapshot.c
+++ b/lib/control/rp_catalog_snapshot.c
@@ -18,6 +18,8 @@
     uint32_t id;
     uint64_t revision;
     uint32_t flows_per_upstream;
+    uint32_t warmup_ms;
+    uint32_t cold_per_1000_s;
 };
 
 /* A former target of a virtual address. */
@@ -74,12 +76,15 @@
     RP_FIELD(RP_FIELD_UINT, stored_edition_service, id),
     RP_FIELD(RP_FIELD_UINT, stored_edition_service, revision),
     RP_FIELD(RP_FIELD_UINT, stored_edition_service, flows_per_upstream),
+    RP_FIELD(RP_FIELD_UINT, stored_edition_service, warmup_ms),
+    RP_FIELD(RP_FIELD_UINT, stored_edition_service, cold_per_1000_s),
 };
-/* Snapshots of versions without former targets end before the last field. */
+/* Snapshots of versions without former targets end before
+ * `flows_per_upstream`, those without limits of cold hosts after it. */
 static const struct rp_schema edition_service_schema = {
     .fields = edition_service_fields,
     .count = G_N_ELEMENTS(edition_service_fields),
-    .required = G_N_ELEMENTS(edition_service_fields) - 1,
+    .required = G_N_ELEMENTS(edition_service_fields) - 3,
     .size = sizeof(struct stored_edition_service)};
 
 static const struct rp_field former_fields[] = {
@@ -124,7 +129,9 @@
                 .name = entry->name,
                 .id = entry->id,
                 .revision = entry->revision,
-                .flows_per_upstream = entry->document.flows_per_upstream};
+                .flows_per_upstream = entry->document.flows_per_upstream,
+                .warmup_ms = entry->document.warmup_ms,
+                .cold_per_1000_s = entry->document.cold_per_1000_s};
             g_array_append_val(plain, service_row);
             continue;
         }
@@ -259,7 +266,10 @@
         const struct stored_edition_service *row = &g_array_index(
             stored->plain, struct stored_edition_service, i);
         const struct rp_edition_service former = {
-            .name = row->name, .flows_per_upstream = row->flows_per_upstream};
+            .name = row->name,
+            .flows_per_upstream = row->flows_per_upstream,
+            .warmup_ms = row->warmup_ms,
+            .cold_per_1000_s = row->cold_per_1000_s};
         const struct rp_edition_service *service = find_edition_service(
             catalog, &row->name);
         RpCatalog_AddEditionService(catalog, service ? service : &former,
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -111,6 +111,8 @@
         .retries_percent = document->retries_percent,
         .silence_ms = document->silence_ms,
         .long_slots_percent = document->long_slots_percent,
+        .warmup_ms = document->warmup_ms,
+        .cold_per_1000_s = document->cold_per_1000_s,
         .members = RpSchema_NewList(&rp_msg_member_schema)};
 
     append_members(distribution, &entry->name, service.members);
--- a/lib/control/rp_document.c
+++ b/lib/control/rp_document.c
@@ -13,6 +13,7 @@
 #define MAX_SILENCE_SECONDS 3600
 #define MS_PER_SECOND 1000
 #define MAX_LONG_SLOTS_PERCENT 100
+#define THOUSANDTHS 1000
 
 /* The keys that a document may have. */
 enum key_index {
@@ -22,6 +23,8 @@
     KEY_RETRIES,
     KEY_SILENCE,
     KEY_LONG_SLOTS,
+    KEY_WARMUP,
+    KEY_COLD_RATE,
     KEY_COUNT
 };
 
@@ -37,6 +40,8 @@
     [KEY_RETRIES] = {"limits", "retries-percent"},
     [KEY_SILENCE] = {"recovery", "silence-seconds"},
     [KEY_LONG_SLOTS] = {"placement", "long-slots-percent"},
+    [KEY_WARMUP] = {"cold-start", "seconds"},
+    [KEY_COLD_RATE] = {"cold-start", "flows-per-second"},
 };
 
 /* State while one document is parsed. */
@@ -188,6 +193,40 @@
     return (uint32_t)number;
 }
 
+/* Reads a decimal number with at most three digits after the point. Returns
+ * its thousandths, or 0 if the document does not set it. */
+static uint32_t
+parse_thousandths(struct parser *parser, GKeyFile *file, enum key_index index,
+                  uint32_t max)
+{
+    gchar *value = get_value(file, index);
+    struct rp_str fraction = {0};
+    uint64_t whole = 0;
+    uint64_t part = 0;
+
+    if (!value) {
+        return 0;
+    }
+    struct rp_str text = RpStr_FromC(value);
+    struct rp_str digits = RpStr_Split(text, '.', &fraction);
+    bool valid = RpStr_ToUint(digits, max / THOUSANDTHS, &whole) &&
+                 digits.len + 1 != text.len && fraction.len < sizeof "000" &&
+                 (fraction.len == 0 ||
+                  RpStr_ToUint(fraction, THOUSANDTHS - 1, &part));
+    for (size_t i = fraction.len; i < sizeof "000" - 1; i++) {
+        part *= 10;
+    }
+    uint64_t number = whole * THOUSANDTHS + part;
+    if (!valid || number > max) {
+        add_finding(parser, parser->lines[index],
+                    "%s must be a number from 0 to %u with at most three "
+                    "digits after the point",
+                    known_keys[index].key, max / THOUSANDTHS);
+    }
+    g_free(value);
+    return (uint32_t)number;
+}
+
 static void
 parse_name(struct parser *parser, GKeyFile *file, struct rp_document *document)
 {
@@ -244,6 +283,10 @@
     document->long_slots_percent = parse_number(parser, file, KEY_LONG_SLOTS,
                                                 1, MAX_LONG_SLOTS_PERCENT,
                                                 MAX_LONG_SLOTS_PERCENT);
+    document->warmup_ms = parse_thousandths(parser, file, KEY_WARMUP,
+                                            RP_DOCUMENT_MAX_WARMUP_MS);
+    document->cold_per_1000_s = parse_thousandths(
+        parser, file, KEY_COLD_RATE, RP_DOCUMENT_MAX_COLD_PER_1000_S);
 }
 
 void
--- a/lib/control/rp_document.h
+++ b/lib/control/rp_document.h
@@ -37,8 +37,16 @@
     uint32_t retries_percent;
     uint32_t silence_ms;
     uint32_t long_slots_percent;
+    uint32_t warmup_ms; /* cold start of hosts that do not report theirs */
+    uint32_t cold_per_1000_s; /* new flows of a cold host per 1,000 s; 0: any
+                               * number */
 };
 
+/* The highest rate of new flows of a cold host, per 1,000 s; higher ones are
+ * stored as this one. */
+#define RP_DOCUMENT_MAX_COLD_PER_1000_S UINT32_C(10000000)
+#define RP_DOCUMENT_MAX_WARMUP_MS UINT32_C(86400000)
+
 /* Parses and checks a document. Returns RP_OK, RP_ERR_LIMIT if the text is
  * larger than RP_DOCUMENT_MAX, or RP_ERR_DOCUMENT. `error` receives a finding
  * for each error; its place is "line N", or "document" if the error concerns
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -32,6 +32,7 @@
     agent->search_targets = g_array_new(FALSE, FALSE,
                                         sizeof(struct rp_endpoint));
     RpAgent_CreateRequestQueue(agent);
+    RpColdStart_Init(&agent->cold, config->started);
     if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
         RpAgent_Free(agent);
         return NULL;
@@ -50,6 +51,7 @@
     g_queue_clear_full(&agent->reservations, g_free);
     g_array_free(agent->lost_flows, TRUE);
     RpAgent_FreeRequestQueue(agent);
+    RpColdStart_Clear(&agent->cold);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
     RpOwnerSearch_Free(agent->searches);
@@ -66,6 +68,11 @@
     agent->table = table;
     agent->service = service;
     RpAgent_ConfigureRequestQueue(agent);
+    /* Without the service, no flow is admitted: its last rate still holds when
+     * it returns. */
+    if (service) {
+        RpColdStart_SetRate(&agent->cold, service->cold_per_1000_s);
+    }
 }
 
 void
@@ -87,10 +94,23 @@
     RpAgent_ConfigureRequestQueue(agent);
 }
 
+void
+RpAgent_SetHostColdUntil(struct rp_agent *agent, int64_t deadline)
+{
+    RpColdStart_SetColdUntil(&agent->cold, deadline);
+}
+
+bool
+RpAgent_IsHostLimited(const struct rp_agent *agent, int64_t now)
+{
+    return RpColdStart_IsLimited(&agent->cold, now);
+}
+
 void
 RpAgent_SetKnowsAllFlows(struct rp_agent *agent)
 {
     agent->knows_all_flows = true;
+    RpColdStart_SetSeenFromStart(&agent->cold);
 }
 
 void
@@ -194,6 +214,26 @@
     RpAgent_EnterState(agent, flow, next, now);
 }
 
+/* Records that a SYN of a known flow may open a flow at the host. Returns
+ * false if the host must not get it now; the caller repeats it. */
+static bool
+record_opening(struct rp_agent *agent, int64_t now, const struct rp_flow *flow,
+               const struct rp_packet *packet)
+{
+    /* The host has answered this SYN: it repeats its answer. */
+    if (flow->state != RP_FLOW_SYN_SENT &&
+        (flow->flags & RP_FLOW_KNOWS_HOST_ISN) &&
+        (flow->flags & RP_FLOW_KNOWS_CALLER_ISN) &&
+        packet->seq == flow->caller_isn) {
+        return true;
+    }
+    if (!RpColdStart_Allows(&agent->cold, now)) {
+        return false;
+    }
+    RpColdStart_Record(&agent->cold, now);
+    return true;
+}
+
 /* Sends a caller's packet to the host, or queues it if its request must wait
  * for a slot. A SYN is sent without its payload. */
 static void
@@ -203,6 +243,11 @@
     const uint8_t *data = packet->data;
     size_t len = packet->len;
 
+    if ((packet->flags & RP_TCP_SYN) &&
+        !record_opening(agent, now, flow, packet)) {
+        RpAgent_AddAction(agent, actions, RP_ACTION_DROP, RP_COUNT_DROP_COLD);
+        return;
+    }
     actions->begins_request = RpAgent_TrackCaller(agent, flow, packet, now);
     if (!(packet->flags & (RP_TCP_RST | RP_TCP_SYN)) &&
         RpAgent_DeferPacket(agent, now, flow, packet)) {
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -138,6 +138,13 @@
  * longer. */
 void RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots);
 
+/* Sets the end of the host's cold start. Until then the host gets no more new
+ * flows than the rate that its service's configuration gives cold hosts. */
+void RpAgent_SetHostColdUntil(struct rp_agent *agent, int64_t deadline);
+
+/* Returns whether the host is cold and its new flows are limited. */
+bool RpAgent_IsHostLimited(const struct rp_agent *agent, int64_t now);
+
 /* Tells the agent that it has run since before its host started. It then
  * knows every flow of the host, and forwards packets of unknown flows without
  * querying the host. */
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -8,6 +8,7 @@
 #include "rp_flow_chart.h"
 #include "rp_flow_table.h"
 #include "rp_request_queue.h"
+#include "rp_cold_start.h"
 #include "rp_health.h"
 #include "rp_hold.h"
 #include "rp_owner_search.h"
@@ -62,6 +63,7 @@
     enum rp_host_state host_state;
     GArray *lost_flows; /* of struct rp_flow_key: lost by the host */
     struct rp_health health;
+    struct rp_cold_start cold;
     struct rp_flow_table *flows;
     struct rp_hold *hold;
     /* The packet that the actions of the last call point into, or NULL. */
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -63,6 +63,25 @@
     mark_if_unsure(agent, flow, now);
 }
 
+/* Decides about a new flow for which a cold host has no place now. The host
+ * counts as the busiest of all candidates. */
+static enum rp_decision
+decide_without_place(struct rp_agent *agent, const struct rp_chain *chain,
+                     struct rp_load *load, enum rp_counter *reason)
+{
+    if (load->last && !chain->forced &&
+        chain->lowest_utilisation != RP_CHAIN_NO_UTILISATION) {
+        load->busy = load->slots * RP_UTILISATION_MAX;
+        enum rp_decision decision = RpAdmission_Decide(agent->policy, load,
+                                                       reason);
+        if (decision != RP_DECISION_ADMIT) {
+            return decision;
+        }
+    }
+    *reason = RP_COUNT_PASS_COLD;
+    return RP_DECISION_PASS_ON;
+}
+
 /* Decides whether this agent takes a new flow; `*reason` is the counter of
  * the decision. */
 static enum rp_decision
@@ -84,6 +103,9 @@
     RpAgent_FillLoad(agent, now, RpFlowKey_Destination(packet->key), chain,
                      &load);
     load.waited_us = packet->waited_us;
+    if (!RpColdStart_Allows(&agent->cold, now)) {
+        return decide_without_place(agent, chain, &load, reason);
+    }
     /* The last candidate takes the flow even if its host is unhealthy, as no
      * other is left. */
     if (!load.last && !RpHealth_AllowsNewFlow(&agent->health, now)) {
@@ -198,7 +220,10 @@
 
     if (!choose_next_for_syn(agent, now, &next_chain, caller, reason, &next)) {
         RpCounters_Add(agent->counters, reason);
-        refuse_syn(agent, flow, packet, RP_COUNT_REFUSED_ALL, actions);
+        refuse_syn(agent, flow, packet,
+                   reason == RP_COUNT_PASS_COLD ? RP_COUNT_REFUSED_COLD
+                                                : RP_COUNT_REFUSED_ALL,
+                   actions);
         return;
     }
     flow = find_or_insert_entry(agent, flow, caller);
@@ -226,6 +251,7 @@
     RpAgent_EnterState(agent, flow, RP_FLOW_SYN_SENT, now);
     RpAgent_ReserveSlot(agent, flow, now);
     RpHold_Put(agent->hold, flow->caller, chain, scratch, len);
+    RpColdStart_Record(&agent->cold, now);
     RpAgent_AddSendAction(agent, actions, RP_ACTION_TO_HOST, reason, scratch,
                           len);
 }
@@ -273,6 +299,11 @@
                     const struct rp_packet *packet,
                     const struct rp_chain *chain, struct rp_actions *actions)
 {
+    if (!RpColdStart_Allows(&agent->cold, now)) {
+        RpHold_Drop(agent->hold, flow->caller);
+        RpAgent_DecideAdmission(agent, now, flow, packet, chain, actions);
+        return;
+    }
     send_syn_to_host(agent, now, flow, packet, chain, RP_COUNT_FLOW_ADMITTED,
                      actions);
 }
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -163,6 +163,8 @@
     service->retries_percent = from->retries_percent;
     service->silence_ms = from->silence_ms;
     service->long_slots_percent = from->long_slots_percent;
+    service->warmup_ms = from->warmup_ms;
+    service->cold_per_1000_s = from->cold_per_1000_s;
     service->count = from->members->len;
     service->members = g_new0(struct rp_member, service->count);
     for (size_t i = 0; i < service->count; i++) {
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -69,6 +69,9 @@
     uint32_t retries_percent;    /* retries per 100 admitted flows */
     uint32_t silence_ms; /* how long an end may owe an acknowledgement */
     uint32_t long_slots_percent; /* slots that long requests may occupy */
+    uint32_t warmup_ms; /* cold start of hosts that do not report theirs */
+    uint32_t cold_per_1000_s; /* new flows of a cold host per 1,000 s; 0: any
+                               * number */
     size_t count;
     struct rp_member *members;
 };
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -66,9 +66,15 @@
     UINT(rp_msg_service, silence_ms),
     UINT(rp_msg_service, long_slots_percent),
     LIST(rp_msg_service, members, rp_msg_member_schema),
+    UINT(rp_msg_service, warmup_ms),
+    UINT(rp_msg_service, cold_per_1000_s),
 };
-const struct rp_schema rp_msg_service_schema = RP_SCHEMA(rp_msg_service,
-                                                         service_fields);
+/* Replicas of earlier releases do not send the limits of cold hosts. */
+const struct rp_schema rp_msg_service_schema = {
+    .fields = service_fields,
+    .count = G_N_ELEMENTS(service_fields),
+    .required = G_N_ELEMENTS(service_fields) - 2,
+    .size = sizeof(struct rp_msg_service)};
 
 static const struct rp_field removed_fields[] = {
     UINT(rp_msg_removed, id),
@@ -104,9 +110,15 @@
 static const struct rp_field edition_service_fields[] = {
     NAME(rp_edition_service, name),
     UINT(rp_edition_service, flows_per_upstream),
-};
-const struct rp_schema rp_edition_service_schema = RP_SCHEMA(
-    rp_edition_service, edition_service_fields);
+    UINT(rp_edition_service, warmup_ms),
+    UINT(rp_edition_service, cold_per_1000_s),
+};
+/* Editions that earlier releases have stored lack the limits of cold hosts. */
+const struct rp_schema rp_edition_service_schema = {
+    .fields = edition_service_fields,
+    .count = G_N_ELEMENTS(edition_service_fields),
+    .required = G_N_ELEMENTS(edition_service_fields) - 2,
+    .size = sizeof(struct rp_edition_service)};
 
 static const struct rp_field edition_target_fields[] = {
     NAME(rp_edition_target, service),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -137,6 +137,9 @@
     uint32_t silence_ms; /* a flow that is silent for so long is probed */
     uint32_t long_slots_percent; /* slots that long requests may occupy */
     GArray *members;             /* of struct rp_msg_member */
+    uint32_t warmup_ms; /* cold start of hosts that do not report theirs */
+    uint32_t cold_per_1000_s; /* new flows of a cold host per 1,000 s; 0: any
+                               * number */
 };
 
 /* A service that was removed from the table. */
@@ -166,6 +169,8 @@
 struct rp_edition_service {
     struct rp_name name;
     uint32_t flows_per_upstream; /* limit of open flows at one upstream */
+    uint32_t warmup_ms;          /* as in struct rp_msg_service */
+    uint32_t cold_per_1000_s;    /* as in struct rp_msg_service */
 };
 
 /* A service behind a virtual address of an edition, and its weight. */
@@ -194,6 +199,9 @@
     GArray *services; /* of struct rp_edition_service */
     GArray *vips;     /* of struct rp_edition_vip */
     GString *content; /* the text as received; operators can read it back */
+    /* Not encoded: optional values that the text has and that were left out,
+     * because they are out of range or of the wrong type. */
+    uint32_t ignored_values;
 };
 
 /* Address of a control replica. */
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -386,6 +386,12 @@
     agent->service = RpTable_FindByName(table, &agent->settings.service);
     RpAgent_SetTable(agent->flows, table, agent->service);
     RpAgent_TableUpdated(agent->flows, RpClock_Now());
+    if (agent->service && agent->settings.host_reports.port == 0) {
+        /* Without reports, the host counts as started with its agent. */
+        RpAgent_SetHostColdUntil(agent->flows,
+                                 agent->started +
+                                     agent->service->warmup_ms * RP_US_PER_MS);
+    }
 }
 
 static void
@@ -563,10 +569,11 @@
     g_string_append_printf(
         out,
         "revision %" G_GUINT64_FORMAT "\nflows %u\nbusy %u\nslots %u\n"
-        "flow_table_bytes %zu\ncontrol_connected %d\n",
+        "flow_table_bytes %zu\ncontrol_connected %d\nhost_limited %d\n",
         RpTable_Revision(RpUplink_Table(agent->uplink)), load.flows, load.busy,
         load.slots, RpAgent_TableBytes(agent->flows),
-        RpUplink_IsConnected(agent->uplink));
+        RpUplink_IsConnected(agent->uplink),
+        RpAgent_IsHostLimited(agent->flows, RpClock_Now()));
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -90,6 +90,14 @@
         on_host_started(agent, now, had_reported);
     }
     RpAgent_SetHostSlots(agent->flows, report->slots);
+    RpAgent_SetHostColdUntil(agent->flows,
+                             now + report->cold_left_ms * RP_US_PER_MS);
+    if (result != RP_HOST_REPORT_UNCHANGED) {
+        RpLog_Event(agent->daemon.log, RP_LOG_INFO, "host_cold",
+                    "host=%s left_ms=%u limited=%d", report->id.data,
+                    report->cold_left_ms,
+                    RpAgent_IsHostLimited(agent->flows, now));
+    }
     RpAgentHost_UpdateState(agent, now);
     RpAgentRole_RunTimers(agent, now);
     return RP_OK;
--- a/programs/daemon/agent_log.c
+++ b/programs/daemon/agent_log.c
@@ -17,9 +17,11 @@
     case RP_COUNT_PASS_FLOW_LIMIT:
     case RP_COUNT_PASS_UNHEALTHY:
     case RP_COUNT_PASS_HOST_UNKNOWN:
+    case RP_COUNT_PASS_COLD:
         return "flow_passed_on";
     case RP_COUNT_REFUSED_BUSY:
     case RP_COUNT_REFUSED_ALL:
+    case RP_COUNT_REFUSED_COLD:
         return "flow_refused";
     case RP_COUNT_RESET_OWNER_GONE:
     case RP_COUNT_RESET_OWNER_UNREACHABLE:
@@ -33,6 +35,7 @@
     case RP_COUNT_FLOW_ASKED:
         return "flow_asked";
     case RP_COUNT_DROP_NO_OWNER:
+    case RP_COUNT_DROP_COLD:
     case RP_COUNT_SYN_LATE_ANSWER:
         return "flow_dropped";
     default:
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -156,6 +156,11 @@
                 " addresses=%u role=%s",
                 edition->version, current ? current->version : 0,
                 edition->vips->len, RpReplica_RoleName(get_replica(editions)));
+    if (edition->ignored_values > 0) {
+        RpLog_Event(control->daemon.log, RP_LOG_WARN, "edition_values_ignored",
+                    "version=%" G_GUINT64_FORMAT " values=%u",
+                    edition->version, edition->ignored_values);
+    }
     if (RpReplica_Role(get_replica(editions)) != RP_REPLICA_LEADER) {
         redirect_to_leader(editions, request, &call);
         return;
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -5,11 +5,11 @@
  *
  *   service ID INCARNATION ADDR:PORT FLOW-LIMIT RETRIES-PERCENT
  *           [LONG-SLOTS-PERCENT]     sets the service
- *   member NAME SLOTS STATE          adds or changes a member; NAME is one
- *                                    letter
- *   agent NAME SLOTS [FROM UNTIL]    starts the agent of that member; its host
- *                                    is in its cold start from FROM to UNTIL
- *                                    (milliseconds)
+ *   cold-rate PER-1000-S             sets how many new flows its cold hosts
+ * get in 1,000 s; sends a table cold MS                          the host is
+ * cold until then member NAME SLOTS STATE          adds or changes a member;
+ * NAME is one letter agent NAME SLOTS [FROM UNTIL]    starts the agent of that
+ * member; its host is in its cold start from FROM to UNTIL (milliseconds)
  *   agent-without-table NAME SLOTS   the same, but the agent gets no table
  *   sibling ID ADDR:PORT NAME        adds a second service, with member NAME,
  *                                    and a virtual address for both
@@ -310,6 +310,7 @@
     const struct rp_agent_config config = {.codec = session->codec,
                                            .self = member_endpoint(words[1]),
                                            .slots = parse_number(words[2]),
+                                           .started = session->now,
                                            .ramp_from = parse_ms(words[3]),
                                            .ramp_until = parse_ms(words[4]),
                                            .seed = 1};
@@ -570,6 +571,13 @@
     else if (!strcmp(words[0], "agent-without-table")) {
         do_agent(session, words, false);
     }
+    else if (!strcmp(words[0], "cold-rate")) {
+        session->service.cold_per_1000_s = parse_number(words[1]);
+        set_table(session);
+    }
+    else if (!strcmp(words[0], "cold")) {
+        RpAgent_SetHostColdUntil(session->agent, parse_ms(words[1]));
+    }
     else if (!strcmp(words[0], "at")) {
         session->now = parse_number(words[1]) * RP_US_PER_MS;
     }
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -37,6 +37,22 @@
          "line 6: expected [group] or key = value\n"
          "line 7: unknown group [shop]\n"
          "line 9: group must have the form [name]\n"},
+        {LENS "[cold-start]\nseconds = 2.5\nflows-per-second = 0.125\n", ""},
+        {LENS "[cold-start]\nseconds = 86401\nflows-per-second = -1\n",
+         "line 5: seconds must be a number from 0 to 86400 with at most three "
+         "digits after the point\n"
+         "line 6: flows-per-second must be a number from 0 to 10000 with at "
+         "most three digits after the point\n"},
+        {LENS "[cold-start]\nseconds = 2.\nflows-per-second = 1.0005\n",
+         "line 5: seconds must be a number from 0 to 86400 with at most three "
+         "digits after the point\n"
+         "line 6: flows-per-second must be a number from 0 to 10000 with at "
+         "most three digits after the point\n"},
+        {LENS "[cold-start]\nflows-per-second = .5\nseconds = soon\n",
+         "line 6: seconds must be a number from 0 to 86400 with at most three "
+         "digits after the point\n"
+         "line 5: flows-per-second must be a number from 0 to 10000 with at "
+         "most three digits after the point\n"},
         {"name = early\n" LENS, "line 1: key before the first group\n"},
     };
 
@@ -56,6 +72,25 @@
     }
 }
 
+static void
+test_cold_start_of_documents(void **state)
+{
+    struct rp_document document;
+
+    (void)state;
+    assert_int_equal(RpDocument_Parse(RpStr_FromC(LENS), &document, NULL),
+                     RP_OK);
+    assert_int_equal(document.warmup_ms, 0);
+    assert_int_equal(document.cold_per_1000_s, 0);
+    assert_int_equal(
+        RpDocument_Parse(RpStr_FromC(LENS "[cold-start]\nseconds = 2.5\n"
+                                          "flows-per-second = 0.125\n"),
+                         &document, NULL),
+        RP_OK);
+    assert_int_equal(document.warmup_ms, 2500);
+    assert_int_equal(document.cold_per_1000_s, 125);
+}
+
 /* A change, and the reply that it must get. */
 struct change_case {
     uint8_t id;
@@ -409,6 +444,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_documents),
+        cmocka_unit_test(test_cold_start_of_documents),
         cmocka_unit_test(test_catalog_changes),
         cmocka_unit_test(test_restore_after_each_change),
         cmocka_unit_test(test_registry_unheard),
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -96,6 +96,51 @@
     }
 }
 
+#define COLD(values)                                                          \
+    "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"lens\"" values    \
+    "}]}"
+
+/* The limits of cold hosts. Values that cannot be used are left out and
+ * counted; they do not make the edition invalid. */
+static void
+test_limits_of_cold_hosts(void **state)
+{
+    static const struct {
+        const char *body;
+        uint32_t warmup_ms;
+        uint32_t per_1000_s;
+        uint32_t ignored;
+    } cases[] = {
+        {COLD(""), 0, 0, 0},
+        {COLD(",\"warmup-s\":2.0,\"cold-per-s\":0.0"), 2000, 0, 0},
+        {COLD(",\"warmup-s\":2,\"cold-per-s\":20"), 2000, 20000, 0},
+        {COLD(",\"warmup-s\":0.25,\"cold-per-s\":0.5"), 250, 500, 0},
+        {COLD(",\"cold-per-s\":2.3"), 0, 2300, 0},
+        {COLD(",\"cold-per-s\":33.3339"), 0, 33333, 0},
+        {COLD(",\"cold-per-s\":1e-9"), 0, 1, 0},
+        {COLD(",\"cold-per-s\":-0.0"), 0, 0, 0},
+        {COLD(",\"cold-per-s\":1e300"), 0, 10000000, 0},
+        {COLD(",\"warmup-s\":9223372036854775807"), 86400000, 0, 0},
+        {COLD(",\"warmup-s\":null,\"cold-per-s\":null"), 0, 0, 0},
+        {COLD(",\"warmup-s\":-2.0,\"cold-per-s\":-1"), 0, 0, 2},
+        {COLD(",\"warmup-s\":\"2.0\",\"cold-per-s\":20"), 0, 20000, 1},
+        {COLD(",\"warmup-s\":2,\"cold-per-s\":[20]"), 2000, 0, 1},
+        {COLD(",\"warmup-s\":true,\"cold-per-s\":{}"), 0, 0, 2},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct rp_edition edition;
+        assert_int_equal(decode(cases[i].body, &edition, NULL), RP_OK);
+        const struct rp_edition_service *service = &g_array_index(
+            edition.services, struct rp_edition_service, 0);
+        assert_int_equal(service->warmup_ms, cases[i].warmup_ms);
+        assert_int_equal(service->cold_per_1000_s, cases[i].per_1000_s);
+        assert_int_equal(edition.ignored_values, cases[i].ignored);
+        RpEdition_Clear(&edition);
+    }
+}
+
 /* A body that is truncated at any length must be refused. */
 static void
 test_truncated_bodies(void **state)
@@ -188,6 +233,100 @@
     RpCatalog_Free(catalog);
 }
 
+static const struct rp_catalog_entry *
+find_entry(const struct rp_catalog *catalog, const char *text)
+{
+    struct rp_name name;
+
+    RpName_Set(&name, RpStr_FromC(text));
+    return RpCatalog_Find(catalog, &name);
+}
+
+/* A change of only the limits of cold hosts changes the service, so that its
+ * nodes are told, and is part of a snapshot. The catalogue keeps the limits of
+ * a service that is only a former target. */
+static void
+test_changed_limits_of_cold_hosts(void **state)
+{
+    static const char *const bodies[] = {
+        "{\"version\":1,\"routes\":[" ROUTE(
+            "10.1.0.1", "443", "9",
+            "lens") "],\"services\":[{\"name\":\"lens\"}]}",
+        "{\"version\":2,\"routes\":[" ROUTE(
+            "10.1.0.1", "443", "9",
+            "lens") "],\"services\":[{\"name\":\"lens\",\"cold-per-s\":20}]}",
+        "{\"version\":3,\"routes\":[" ROUTE(
+            "10.1.0.1", "443", "9",
+            "lens") "],\"services\":[{\"name\":\"lens\",\"cold-per-s\":20,"
+                    "\"warmup-s\":1.5}]}",
+        "{\"version\":4,\"routes\":[" ROUTE(
+            "10.1.0.1", "443", "9",
+            "shelf") "],\"services\":[{\"name\":\"shelf\"}]}"};
+    static const uint32_t rates[] = {0, 20000, 20000, 20000};
+    static const uint32_t warmups[] = {0, 0, 1500, 1500};
+    struct rp_catalog *catalog = RpCatalog_Create();
+    struct rp_catalog *copy = RpCatalog_Create();
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        apply_and_check(catalog, bodies[i], RP_OK, false, i + 1);
+        const struct rp_catalog_entry *entry = find_entry(catalog, "lens");
+        assert_int_equal(entry->document.cold_per_1000_s, rates[i]);
+        assert_int_equal(entry->document.warmup_ms, warmups[i]);
+        assert_int_equal(entry->revision, MIN(i + 1, 3));
+        GString *bytes = RpCatalog_Snapshot(catalog);
+        assert_int_equal(
+            RpCatalog_Restore(
+                copy, (struct rp_str){.data = bytes->str, .len = bytes->len}),
+            RP_OK);
+        entry = find_entry(copy, "lens");
+        assert_int_equal(entry->document.cold_per_1000_s, rates[i]);
+        assert_int_equal(entry->document.warmup_ms, warmups[i]);
+        g_string_free(bytes, TRUE);
+    }
+    RpCatalog_Free(catalog);
+    RpCatalog_Free(copy);
+}
+
+/* Returns `schema` without its last fields, as an earlier release has it. */
+static struct rp_schema
+without_last(const struct rp_schema *schema, size_t fields)
+{
+    struct rp_schema earlier = *schema;
+
+    earlier.count -= fields;
+    earlier.required = MIN(earlier.required, earlier.count);
+    return earlier;
+}
+
+/* An earlier release's service without limits of cold hosts can be read, and
+ * an earlier release reads one with them. */
+static void
+test_services_of_earlier_releases(void **state)
+{
+    const struct rp_schema earlier = without_last(&rp_edition_service_schema,
+                                                  2);
+    struct rp_edition_service service = {
+        .flows_per_upstream = 12, .warmup_ms = 2000, .cold_per_1000_s = 500};
+
+    (void)state;
+    RpName_Set(&service.name, RpStr_FromC("lens"));
+    for (int i = 0; i < 2; i++) {
+        const struct rp_schema *from = i ? &rp_edition_service_schema
+                                         : &earlier;
+        const struct rp_schema *to = i ? &earlier : &rp_edition_service_schema;
+        struct rp_edition_service read = {0};
+        GString *bytes = RpSchema_Encode(from, &service);
+        assert_true(RpSchema_Decode(
+            to, (struct rp_str){.data = bytes->str, .len = bytes->len},
+            &read));
+        assert_int_equal(read.flows_per_upstream, 12);
+        assert_int_equal(read.warmup_ms, 0);
+        assert_int_equal(read.cold_per_1000_s, 0);
+        g_string_free(bytes, TRUE);
+    }
+}
+
 /* A snapshot holds the edition, its content and the ids of its services. */
 static void
 test_snapshot_round_trip(void **state)
@@ -337,12 +476,33 @@
      * virtual address. */
     assert_int_equal(RpTable_CountServices(sent[2].table), 2);
 
+    /* A change of only a limit reaches the nodes of the service. */
+    apply_and_check(
+        catalog,
+        "{\"version\":10,\"routes\":[" ROUTE(
+            "10.1.0.1", "443", "1500",
+            "lens") "," SPLIT("10.1.0.2", "80", "90",
+                              "10") "],\"services\":[{\"name\":\"lens\","
+                                    "\"max-conns\":2000},{\"name\":\"shelf\","
+                                    "\"max-conns\":10,\"cold-per-s\":0.5,"
+                                    "\"warmup-s\":2.0}]}",
+        RP_OK, false, 10);
+    RpDistribution_MarkEditionChanged(distribution, 2 * later);
+    RpDistribution_Flush(distribution, 5 * later / 2);
+    assert_int_equal(sent[1].services, 1);
+    struct rp_name shelf;
+    RpName_Set(&shelf, RpStr_FromC("shelf"));
+    const struct rp_service *service = RpTable_FindByName(sent[2].table,
+                                                          &shelf);
+    assert_int_equal(service->cold_per_1000_s, 500);
+    assert_int_equal(service->warmup_ms, 2000);
+
     apply_and_check(catalog,
                     "{\"version\":13,\"routes\":[" ROUTE(
                         "10.1.0.2", "80", "9",
                         "new") "],\"services\":[{\"name\":\"new\"}]}",
                     RP_OK, false, 13);
-    RpDistribution_MarkEditionChanged(distribution, 2 * later);
+    RpDistribution_MarkEditionChanged(distribution, 5 * later / 2);
     RpDistribution_Flush(distribution, 3 * later);
     assert_int_equal(sent[1].vips, 1);
     assert_int_equal(sent[1].removed_vips, 1);
@@ -562,8 +722,11 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_decode_and_check),
+        cmocka_unit_test(test_limits_of_cold_hosts),
         cmocka_unit_test(test_truncated_bodies),
         cmocka_unit_test(test_versions),
+        cmocka_unit_test(test_changed_limits_of_cold_hosts),
+        cmocka_unit_test(test_services_of_earlier_releases),
         cmocka_unit_test(test_snapshot_round_trip),
         cmocka_unit_test(test_document_conflicts),
         cmocka_unit_test(test_distribution),
