--- a/tests/standins/host.c
+++ b/tests/standins/host.c
@@ -2,6 +2,7 @@
  * accepts the callers' TCP connections in the lwIP stack, and relays each one
  * to a real server on this machine. */
 #include <glib.h>
+#include <stdio.h>
 
 #include "link.h"
 #include "splice.h"
@@ -44,6 +45,9 @@
 {
     (void)arg;
     (void)err;
+    printf("event=accepted at_us=%" G_GINT64_FORMAT "\n",
+           g_get_real_time());
+    fflush(stdout);
     splice_start(pcb, standin_connect(settings.server));
     return ERR_OK;
 }
