--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -74,6 +74,8 @@
       "requests that the host ended with a reset instead of an answer")       \
     X(REQUEST_ABANDONED, "request_abandoned",                                 \
       "requests that callers gave up after the target latency, unanswered")   \
+    X(PASS_COLD, "pass_cold",                                                 \
+      "new flows passed on: host is cold and at its limit")                   \
     X(RETRY_HOST_REFUSED, "retry_host_refused",                               \
       "new flows retried elsewhere: host refused")                            \
     X(RETRY_HOST_SILENT, "retry_host_silent",                                 \
@@ -84,6 +86,10 @@
       "new flows refused: all candidates are overloaded")                     \
     X(REFUSED_ALL, "refused_all",                                             \
       "new flows refused: no candidate could take them")                      \
+    X(REFUSED_COLD, "refused_cold",                                           \
+      "new flows refused: the last candidate is cold and at its limit")     \
+    X(DROP_COLD, "drop_cold",                                                 \
+      "dropped: SYN of a known flow, host is cold and at its limit")          \
     X(SYN_TRIMMED, "syn_payload_trimmed", "SYNs whose payload was removed")   \
     X(SYN_LATE_ANSWER, "syn_late_answer",                                     \
       "host answers to a SYN that was already retried")                       \
