Balancer: packets leave over a thin link at its rate, in order of urgency

Cause: a balancer on a thin machine hands its kernel a caller's whole window at once. The link's own queue holds about 50 ms; what comes on top is lost there without an error, and its caller waits 200 ms and more for the copy. Short requests wait behind the bulk, and are lost with it.

Ruled out: a smaller socket buffer (the loss is behind the kernel's queue).

Change: with the new setting link-mbps the balancer counts what it hands to the link, keeps the link's queue at 30 ms at most, and lets packets wait: openings, acknowledgements and resets first, then short requests, then bulk (by learned sizes of requests), by priority of the address, flows in turn. Copies of what still waits, what is too old, and what a caller sent before its reset are dropped, each with a counter. Without a rate nothing changes. A route type "upload" is read as such.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -52,6 +52,16 @@
       "dropped: no table or members before the deadline")                     \
     X(DROP_WAITING_FULL, "drop_waiting_full",                                 \
       "dropped: too many newer packets wait for a table")                     \
+    X(EGRESS_WAITED, "egress_waited",                                         \
+      "packets that waited for room on the outgoing link")                    \
+    X(DROP_EGRESS_COPY, "drop_egress_copy",                                   \
+      "dropped: an earlier copy of the packet still waits for the link")      \
+    X(DROP_EGRESS_LATE, "drop_egress_late",                                   \
+      "dropped: waited for the link for longer than it is of use")            \
+    X(DROP_EGRESS_RESET, "drop_egress_reset",                                 \
+      "dropped: its caller reset the flow while it waited for the link")      \
+    X(DROP_EGRESS_FULL, "drop_egress_full",                                   \
+      "dropped: too much waits for the outgoing link")                        \
     X(HINT_STORED, "hint_stored", "hints about owners of flows stored")       \
     X(HINT_FOLLOWED, "hint_followed",                                         \
       "packets sent to the owner that a hint names")                          \
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -98,7 +98,8 @@
     RP_REQUEST_UNKNOWN,
     RP_REQUEST_IDEMPOTENT,
     RP_REQUEST_NON_IDEMPOTENT,
-    RP_REQUEST_DOWNLOAD
+    RP_REQUEST_DOWNLOAD,
+    RP_REQUEST_UPLOAD
 };
 
 /* A service behind a virtual address. */
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -1,8 +1,10 @@
 /* The balancer role: receives packets from the fabric, looks up the agent of
  * each in the table and forwards the packet to it. */
+#include "balancer_egress.h"
 #include "rp_balancer.h"
 #include "rp_clock.h"
 #include "rp_daemon.h"
+#include "rp_link.h"
 #include "rp_platform.h"
 #include "rp_timer.h"
 #include "rp_udp.h"
@@ -25,6 +27,7 @@
     GString *packets;
     struct rp_endpoint fabric_ready; /* port 0: no readiness endpoint */
     struct rp_endpoint hint_listen;  /* port 0: takes no hints */
+    double link_mbps; /* of the outgoing link; 0: unknown, NAN: invalid */
 };
 
 struct balancer {
@@ -32,6 +35,7 @@
     struct rp_daemon daemon;
     struct rp_udp *udp;
     struct rp_udp *hint_side; /* from agents; NULL: takes no hints */
+    struct rp_balancer_egress *egress;
     struct rp_owner_hints *hints;
     struct rp_uplink *uplink;
     const struct rp_codec *codec;
@@ -81,6 +85,14 @@
      .help = "receive hints of agents about the owners of flows on this "
              "address; later packets go straight to the owner",
      .optional = true},
+    {.flag = "link-mbps",
+     .kind = RP_SETTING_DECIMAL,
+     .offset = offsetof(struct balancer_settings, link_mbps),
+     .value = "RATE",
+     .help = "rate of this machine's outgoing link in Mbit/s: packets leave "
+             "at this rate, in order of their urgency",
+     .max = RP_LINK_MAX_MBPS,
+     .optional = true},
     RP_PACKETS_SETTING(balancer_settings, packets),
     RP_CONTROL_PORT_SETTING(balancer_settings, control_port),
 };
@@ -232,14 +244,8 @@
     route.chain.visited = 1;
     size_t header_len = RpGeneve_Write(header, ops->protocol, &route.tag,
                                        &route.chain);
-    if (waited) {
-        RpUdp_SendCopy(balancer->udp, route.chain.hop[0], header, header_len,
-                       packet->data, packet->len);
-    }
-    else {
-        RpUdp_Send(balancer->udp, route.chain.hop[0], header, header_len,
-                   packet->data, packet->len);
-    }
+    RpBalancerEgress_Send(balancer->egress, table, packet, route.chain.hop[0],
+                          header, header_len, !waited);
     return true;
 }
 
@@ -344,6 +350,7 @@
                            RpTable_Revision(table),
                            RpTable_CountServices(table),
                            RpUplink_IsConnected(balancer->uplink));
+    RpBalancerEgress_WriteGauges(balancer->egress, out);
 }
 
 /* Returns whether the fabric may send packets here: not before control has
@@ -367,6 +374,7 @@
 
     RpDaemon_SetPorts(&updated.controls, updated.control_port);
     RpUplink_SetControls(balancer->uplink, &updated.controls);
+    RpBalancerEgress_SetRate(balancer->egress, updated.link_mbps);
     RpDaemon_DescribeSettings(&balancer->daemon, &updated.controls, "");
 }
 
@@ -481,9 +489,12 @@
                             &balancer)) {
         return RP_EXIT_FAILED;
     }
+    balancer.egress = RpBalancerEgress_Create(daemon, balancer.udp);
+    RpBalancerEgress_SetRate(balancer.egress, balancer.settings.link_mbps);
     exit_code = RpDaemon_Run(daemon);
     RpUdp_ReceivePending(balancer.udp);
     RpPlatform_Close(balancer.platform);
+    RpBalancerEgress_Free(balancer.egress);
     RpUdp_Close(balancer.udp);
     RpUdp_Close(balancer.hint_side);
     RpUplink_Free(balancer.uplink);
--- a/programs/shared/rp_settings.c
+++ b/programs/shared/rp_settings.c
@@ -2,6 +2,7 @@
 #include "rp_settings.h"
 
 #include <argtable2.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -121,6 +122,19 @@
     return *on || !value[0] || !strcmp(value, "0") || !strcmp(value, "false");
 }
 
+/* Returns the number, or NAN if it is invalid or out of the bounds. */
+static double
+parse_decimal(const struct rp_setting *setting, const char *value)
+{
+    char *end;
+    double number = g_ascii_strtod(value, &end);
+
+    return end != value && *end == '\0' && number > setting->min &&
+                   number <= setting->max
+               ? number
+               : NAN;
+}
+
 static enum rp_code
 parse_value(const struct rp_setting *setting, const char *place,
             const char *value, void *member, struct rp_error *error)
@@ -164,6 +178,9 @@
         return RpError_Add(error, RP_ERR_SETTING, place,
                            "\"%s\" is not a number from %u to %u", value,
                            setting->min, setting->max);
+    case RP_SETTING_DECIMAL:
+        *(double *)member = parse_decimal(setting, value);
+        return RP_OK;
     case RP_SETTING_LEVEL:
         if (RpLog_ParseLevel(text, member)) {
             return RP_OK;
--- a/programs/shared/rp_settings.h
+++ b/programs/shared/rp_settings.h
@@ -33,6 +33,9 @@
     RP_SETTING_ENDPOINT,  /* struct rp_endpoint */
     RP_SETTING_ENDPOINTS, /* struct rp_endpoints */
     RP_SETTING_UINT,      /* uint32_t, from `min` to `max` */
+    RP_SETTING_DECIMAL,   /* double, above `min` and up to `max`. NAN if it is
+                           * given but invalid: for settings that a program
+                           * can do without, and reports. */
     RP_SETTING_LEVEL,     /* enum rp_log_level */
     RP_SETTING_SWITCH     /* bool; the flag takes no value */
 };
