Balancer: a new flow that its link cannot carry in time is refused

Cause: with packets in order, a thin link that is asked for more than its rate still makes every large request late; callers then repeat what waits.

Ruled out: refusing by the link's load alone (callers refused three times are lost), kinds of requests by name.

Change: at the first copy of a SYN the balancer adds what waits, what flows taken before will still send (sizes learned by address) and what this one will send, at the rate that short requests leave. Short requests, and formats that do not number the copies of a SYN, are never refused.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -52,6 +52,8 @@
       "dropped: no table or members before the deadline")                     \
     X(DROP_WAITING_FULL, "drop_waiting_full",                                 \
       "dropped: too many newer packets wait for a table")                     \
+    X(RESET_LINK_FULL, "reset_link_full",                                     \
+      "new flows reset by a balancer: no room on its link in time")           \
     X(EGRESS_WAITED, "egress_waited",                                         \
       "packets that waited for room on the outgoing link")                    \
     X(DROP_EGRESS_COPY, "drop_egress_copy",                                   \
--- a/lib/flow/rp_link_flows.c
+++ b/lib/flow/rp_link_flows.c
@@ -2,6 +2,7 @@
 #include "rp_link_flows.h"
 
 #include <glib.h>
+#include <stdbool.h>
 
 /* What is known of the requests to an address. */
 struct address {
@@ -197,14 +198,6 @@
                         : RP_EGRESS_SHORT;
 }
 
-bool
-RpLinkFlows_Has(struct rp_link_flows *flows, int64_t now,
-                const struct rp_packet *packet)
-{
-    end_idle_flows(flows, now);
-    return g_hash_table_lookup(flows->flows, &packet->key) != NULL;
-}
-
 uint64_t
 RpLinkFlows_MeanSize(const struct rp_link_flows *flows,
                      struct rp_endpoint address)
--- a/lib/flow/rp_link_flows.h
+++ b/lib/flow/rp_link_flows.h
@@ -9,7 +9,6 @@
 #ifndef RP_LINK_FLOWS_H
 #define RP_LINK_FLOWS_H
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,10 +41,6 @@
                                        const struct rp_packet *packet,
                                        uint32_t priority, size_t bytes);
 
-/* Returns whether the flow of a packet is counted at present. */
-bool RpLinkFlows_Has(struct rp_link_flows *flows, int64_t now,
-                     const struct rp_packet *packet);
-
 /* Returns the mean size of the requests to an address; 0 if none is known. */
 uint64_t RpLinkFlows_MeanSize(const struct rp_link_flows *flows,
                               struct rp_endpoint address);
--- a/lib/wire/rp_codec.h
+++ b/lib/wire/rp_codec.h
@@ -22,6 +22,8 @@
      * Geneve. If not, they are sent bare, and packets for a caller go to the
      * address of the caller. */
     bool encapsulated;
+    /* Whether a SYN says how often it was sent before. */
+    bool numbers_copies;
     /* Parses a packet; `packet` borrows `data`. If the packet is invalid,
      * returns false and sets `*reason` to the drop counter. */
     bool (*parse)(const uint8_t *data, size_t len, struct rp_packet *packet,
--- a/programs/daemon/balancer_egress.c
+++ b/programs/daemon/balancer_egress.c
@@ -5,6 +5,7 @@
 
 #include "rp_clock.h"
 #include "rp_egress.h"
+#include "rp_link_admission.h"
 #include "rp_link_flows.h"
 #include "rp_timer.h"
 
@@ -17,6 +18,7 @@
     struct rp_link link;
     struct rp_egress *queue;
     struct rp_link_flows *flows;
+    struct rp_link_admission *admission;
     struct rp_timer *timer; /* fires when the link has room */
     int64_t next_summary;
     uint64_t summarised; /* RP_COUNT_EGRESS_WAITED at the last summary */
@@ -88,6 +90,8 @@
     egress->udp = udp;
     egress->queue = RpEgress_Create(&egress->link, &daemon->counters);
     egress->flows = RpLinkFlows_Create();
+    egress->admission = RpLinkAdmission_Create(&egress->link, egress->queue,
+                                               egress->flows);
     egress->timer = RpTimer_Create(refill_link, egress);
     return egress;
 }
@@ -98,6 +102,7 @@
     if (egress) {
         send_waiting(egress, RpEgress_TakeAny);
         RpTimer_Free(egress->timer);
+        RpLinkAdmission_Free(egress->admission);
         RpLinkFlows_Free(egress->flows);
         RpEgress_Free(egress->queue);
         g_free(egress);
@@ -122,6 +127,16 @@
     }
 }
 
+bool
+RpBalancerEgress_Takes(struct rp_balancer_egress *egress,
+                       const struct rp_table *table,
+                       const struct rp_packet *packet)
+{
+    return RpLinkAdmission_Takes(
+        egress->admission, RpClock_Now(), packet,
+        RpTable_FindVip(table, RpFlowKey_Destination(packet->key)));
+}
+
 void
 RpBalancerEgress_Send(struct rp_balancer_egress *egress,
                       const struct rp_table *table,
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -106,11 +106,15 @@
         --data "$RUN/control-$1" --admin "127.0.0.1:$(admin_port "$1")"
 }
 
+# start_balancer INDEX [FLAGS...]
 start_balancer() {
-    start "balancer-$1" "$BIN/programs/radishportd" balancer \
-        --name "balancer-$1" --listen "127.0.0.1:$(balancer_port "$1")" \
-        --hint-listen "127.0.0.1:$(hint_port "$1")" \
-        --admin "127.0.0.1:$(admin_port $((100 + $1)))"
+    local index=$1
+    shift
+    start "balancer-$index" "$BIN/programs/radishportd" balancer \
+        --name "balancer-$index" \
+        --listen "127.0.0.1:$(balancer_port "$index")" \
+        --hint-listen "127.0.0.1:$(hint_port "$index")" \
+        --admin "127.0.0.1:$(admin_port $((100 + index)))" "$@"
 }
 
 # start_host SERVICE ADDRESS INDEX: starts a server and the stand-in host that
--- a/tests/unit/test_link_flows.c
+++ b/tests/unit/test_link_flows.c
@@ -48,7 +48,6 @@
 {
     struct rp_link_flows *flows = RpLinkFlows_Create();
     struct rp_flow_key other = flow;
-    struct test_packet test;
 
     (void)state;
     other.src_port++;
@@ -66,11 +65,10 @@
         assert_int_equal(RpLinkFlows_Outstanding(flows, MS, 2),
                          9 * SEGMENT + 100);
     }
-    make_test_packet(&test, other, RP_TCP_SYN, 1, 0, 0);
-    assert_true(RpLinkFlows_Has(flows, MS, &test.packet));
     /* It sends nothing more. */
     int64_t idle = MS + RP_LINK_FLOW_IDLE_US;
-    assert_false(RpLinkFlows_Has(flows, idle, &test.packet));
+    assert_int_equal(RpLinkFlows_Outstanding(flows, idle - 1, 2),
+                     9 * SEGMENT + 100);
     assert_int_equal(RpLinkFlows_Outstanding(flows, idle, 2), 0);
     RpLinkFlows_Free(flows);
 }
--- a/tests/unit/test_shared.c
+++ b/tests/unit/test_shared.c
@@ -2,6 +2,7 @@
  * HTTP requests are bounded, and the log tells why a connection ended. Uses
  * loopback. */
 #include <gio/gio.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,7 @@
 #include "rp_conn.h"
 #include "rp_http.h"
 #include "rp_process.h"
+#include "rp_settings.h"
 #include "rp_udp.h"
 
 #define LOOPBACK 0x7f000001u
@@ -469,6 +471,46 @@
     g_string_free(out, TRUE);
 }
 
+static const struct {
+    const char *value; /* NULL: the flag is not given */
+    double expected;
+} decimals[] = {
+    {NULL, 0},        {"2.2", 2.2},      {"100", 100},    {"1e3", 1000},
+    {"0.001", 0.001}, {"0", NAN},        {"-3", NAN},     {" ", NAN},
+    {"fast", NAN},    {"2.2 Mbit", NAN}, {"2,2", NAN},    {"nan", NAN},
+    {"inf", NAN},     {"1e300", NAN},    {"1000.1", NAN},
+};
+
+/* An optional decimal that is missing stays 0; an invalid one is NAN, and the
+ * program starts without it. */
+static void
+test_decimal_settings(void **state)
+{
+    static const struct rp_setting settings[] = {{.flag = "rate",
+                                                  .kind = RP_SETTING_DECIMAL,
+                                                  .value = "RATE",
+                                                  .help = "a rate",
+                                                  .max = 1000,
+                                                  .optional = true}};
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(decimals); i++) {
+        char *argv[] = {"test", "--rate", (char *)decimals[i].value, NULL};
+        double rate = 0;
+        struct rp_error error;
+        RpError_Init(&error);
+        print_message("%s\n", decimals[i].value ? decimals[i].value : "none");
+        assert_int_equal(RpSettings_Read(settings, 1, "test", "",
+                                         decimals[i].value ? 3 : 1, argv,
+                                         &rate, &error),
+                         RP_SETTINGS_READY);
+        assert_true(isnan(decimals[i].expected)
+                        ? isnan(rate)
+                        : fabs(rate - decimals[i].expected) < 1e-9);
+        RpError_Clear(&error);
+    }
+}
+
 int
 main(void)
 {
@@ -479,6 +521,7 @@
         cmocka_unit_test(test_failed_attempts_are_bounded),
         cmocka_unit_test(test_process_gauges),
         cmocka_unit_test(test_loop_is_watched),
+        cmocka_unit_test(test_decimal_settings),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
