--- a/tests/measure/run.sh
+++ b/tests/measure/run.sh
@@ -5,5 +5,6 @@
 cd "$(dirname "$0")/../.."
 BUILD=${BUILD:-build}
 "$BUILD/tests/measure-cost"
+"$BUILD/tests/measure-egress"
 BUILD=$BUILD bash tests/measure/processes.sh
 "$BUILD/tests/measure-placement" "${SEEDS:-20}"
