--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -57,6 +57,8 @@
       "packets sent to the owner that a hint names")                          \
     X(RESET_NO_MEMBER, "reset_no_member",                                     \
       "new flows reset by a balancer: no upstream is ready")                  \
+    X(REFUSED_EVACUATED, "refused_evacuated",                                 \
+      "new flows refused by a balancer: all ready upstreams are evacuated")   \
     /* New flows at an agent. */                                              \
     X(FLOW_ADMITTED, "flow_admitted", "new flows admitted")                   \
     X(FLOW_ADMITTED_LAST, "flow_admitted_last",                               \
@@ -66,6 +68,10 @@
       "new flows sent back to the least busy candidate")                      \
     X(PASS_DRAINING, "pass_draining",                                         \
       "new flows passed on: upstream is draining or stopped")                 \
+    X(PASS_EVACUATED, "pass_evacuated",                                       \
+      "new flows passed on: the agent's data centre is evacuated")            \
+    X(HOP_EVACUATED, "hop_evacuated",                                         \
+      "candidates of new flows left out: data centre is evacuated")           \
     X(PASS_FLOW_LIMIT, "pass_flow_limit",                                     \
       "new flows passed on: flow limit reached")                              \
     X(PASS_UNHEALTHY, "pass_unhealthy",                                       \
@@ -197,6 +203,15 @@
       "operator's requests refused: not connected to any replica")            \
     X(CHANGE_TIMEOUT, "change_timeout",                                       \
       "changes with unknown outcome: not committed in time")                  \
+    X(ZONE_EVACUATED, "zone_evacuated", "data centres evacuated")             \
+    X(ZONE_RESTORED, "zone_restored",                                         \
+      "evacuations of data centres ended")                                    \
+    X(ZONE_UNCHANGED, "zone_unchanged",                                       \
+      "orders for data centres that were in that state already")              \
+    X(ZONE_UNKNOWN, "zone_unknown",                                           \
+      "orders refused: no such data centre")                                  \
+    X(ZONE_BAD_ORDER, "zone_bad_order",                                       \
+      "orders for data centres refused: bad name, or a body")                 \
     X(ANNOUNCE_ACCEPTED, "announce_accepted", "announcements accepted")       \
     X(ANNOUNCE_STALE, "announce_stale",                                       \
       "announcements ignored: stale or refused")                              \
--- a/lib/control/rp_catalog.c
+++ b/lib/control/rp_catalog.c
@@ -49,6 +49,7 @@
     catalog->answers = g_hash_table_new(hash_change_id, equal_change_ids);
     catalog->quarantine = g_array_new(FALSE, TRUE,
                                       sizeof(struct rp_quarantined_address));
+    catalog->zones = g_array_new(FALSE, TRUE, sizeof(struct rp_catalog_zone));
     catalog->former = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                             g_free, RpCatalog_FreeFormerList);
     g_queue_init(&catalog->answer_order);
@@ -62,6 +63,7 @@
     g_hash_table_remove_all(catalog->answers);
     g_queue_clear_full(&catalog->answer_order, g_free);
     g_array_set_size(catalog->quarantine, 0);
+    g_array_set_size(catalog->zones, 0);
     g_hash_table_remove_all(catalog->former);
     RpEdition_Clear(&catalog->edition);
     if (catalog->edition_bytes) {
@@ -90,6 +92,7 @@
     g_hash_table_destroy(catalog->answers);
     g_hash_table_destroy(catalog->former);
     g_array_free(catalog->quarantine, TRUE);
+    g_array_free(catalog->zones, TRUE);
     g_free(catalog);
 }
 
@@ -378,6 +381,20 @@
     return RP_OK;
 }
 
+/* Applies a change of a data centre. The answer has the catalogue's revision
+ * also if nothing changes: the order is in force from there on. */
+static enum rp_code
+apply_zone_change(struct rp_catalog *catalog,
+                  const struct rp_msg_change *change,
+                  struct rp_catalog_answer *answer, bool *unchanged,
+                  struct rp_error *error)
+{
+    RP_RETURN_IF_ERROR(
+        RpCatalog_ChangeZone(catalog, change, unchanged, error));
+    answer->revision = catalog->revision;
+    return RP_OK;
+}
+
 /* Applies a change unless its id has been answered before. Stores the answer
  * also if the change is refused. */
 static enum rp_code
@@ -391,12 +408,17 @@
     if (!RpSchema_Decode(&rp_msg_change_schema, body, &change)) {
         return RP_ERR_FORMAT;
     }
+    bool is_zone = change.kind == RP_CHANGE_EVACUATE ||
+                   change.kind == RP_CHANGE_RESTORE;
+    bool unchanged = false;
     bool answered = RpCatalog_FindReply(catalog, change.id, reply);
     if (!answered) {
         enum rp_code code;
         RpError_Init(&error);
         memcpy(answer.id, change.id, RP_CHANGE_ID_SIZE);
-        code = change.kind == RP_CHANGE_APPLY
+        code = is_zone ? apply_zone_change(catalog, &change, &answer,
+                                           &unchanged, &error)
+               : change.kind == RP_CHANGE_APPLY
                    ? apply_document(catalog, &change, &answer, &error)
                    : apply_delete(catalog, &change, &answer, &error);
         answer.code = (uint8_t)code;
@@ -407,6 +429,10 @@
         }
         RpError_Clear(&error);
     }
+    if (reply && is_zone && RpName_IsLabel(RpName_View(&change.zone))) {
+        reply->zone = change.zone;
+        reply->unchanged = unchanged;
+    }
     RpSchema_Clear(&rp_msg_change_schema, &change);
     return RP_OK;
 }
--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -23,6 +23,10 @@
  * - An address that a service no longer uses stays quarantined: other services
  *   cannot use it until a release command confirms that the connected nodes
  *   run the revision in which it was given up, or a later one.
+ * - The operator evacuates data centres and restores them; the order of the
+ *   log decides. The catalogue keeps which are evacuated, and also the names of
+ *   restored ones while there is room, so that an order that was accepted stays
+ *   one for a known data centre.
  */
 #ifndef RP_CATALOG_H
 #define RP_CATALOG_H
@@ -35,6 +39,7 @@
 
 #define RP_CATALOG_MAX_ANSWERS 65536 /* change ids */
 #define RP_CATALOG_MAX_FORMER 3      /* former targets of one address */
+#define RP_CATALOG_MAX_ZONES 64      /* data centres, evacuated or restored */
 
 /* A service in the catalogue. */
 struct rp_catalog_entry {
@@ -62,6 +67,13 @@
     struct rp_name service; /* its last user, which may take it back */
 };
 
+/* A data centre that the operator has evacuated. */
+struct rp_catalog_zone {
+    struct rp_name name;
+    uint8_t evacuated; /* 1: its upstreams get no new flows; 0: restored */
+    uint64_t revision; /* of its last change */
+};
+
 struct rp_catalog;
 
 /* Creates an empty catalogue; free it with RpCatalog_Free. */
@@ -74,7 +86,7 @@
 
 /* These functions encode commands for RpCatalog_Apply. The caller frees the
  * result. Init sets the flow hash key once; Change applies or deletes a
- * document; Release ends the quarantine of addresses up to `revision`;
+ * document, or evacuates or restores a data centre; Release ends the quarantine of addresses up to `revision`;
  * Edition installs an edition; ExpireFormer forgets the former targets that
  * were recorded up to `revision`. */
 GString *RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE]);
@@ -139,6 +151,20 @@
  * there is none. */
 uint64_t RpCatalog_FormerRevision(const struct rp_catalog *catalog);
 
+/* Lists the data centres that the catalogue knows, ordered by name, as an
+ * array of struct rp_catalog_zone. The catalogue owns it. */
+const GArray *RpCatalog_Zones(const struct rp_catalog *catalog);
+
+/* Returns the data centre with this name, or NULL if it was never
+ * evacuated. The catalogue owns it. */
+const struct rp_catalog_zone *
+RpCatalog_FindZone(const struct rp_catalog *catalog,
+                   const struct rp_name *name);
+
+/* Lists the evacuated data centres as struct rp_msg_zone, ordered by name. The
+ * caller frees the array. */
+GArray *RpCatalog_ListEvacuated(const struct rp_catalog *catalog);
+
 /* Returns the highest revision at which a quarantined address was given up,
  * or 0 if no address is quarantined. */
 uint64_t RpCatalog_QuarantineRevision(const struct rp_catalog *catalog);
--- a/lib/control/rp_catalog_internal.h
+++ b/lib/control/rp_catalog_internal.h
@@ -26,6 +26,7 @@
     /* Earlier targets of the edition's virtual addresses: address key ->
      * GArray of struct rp_former_target, the latest last. */
     GHashTable *former;
+    GArray *zones; /* of struct rp_catalog_zone, ordered by name */
     struct rp_edition edition; /* version 0: no edition yet */
     GString *edition_bytes;    /* `edition`, encoded; NULL: none yet */
 };
@@ -66,6 +67,14 @@
  * the services that are unused then. */
 void RpCatalog_ExpireFormer(struct rp_catalog *catalog, uint64_t revision);
 
+/* rp_catalog_zones.c: applies the evacuation or the restoration of a data
+ * centre, at the next revision. Sets `*unchanged` if it was in that state
+ * before. Returns RP_ERR_DOCUMENT or RP_ERR_LIMIT, and adds a finding, if it
+ * is refused. */
+enum rp_code RpCatalog_ChangeZone(struct rp_catalog *catalog,
+                                  const struct rp_msg_change *change,
+                                  bool *unchanged, struct rp_error *error);
+
 /* Stores an answer, and drops the oldest ones above
  * RP_CATALOG_MAX_ANSWERS. */
 void RpCatalog_StoreAnswer(struct rp_catalog *catalog,
--- a/lib/control/rp_catalog_snapshot.c
+++ b/lib/control/rp_catalog_snapshot.c
@@ -39,6 +39,7 @@
     GArray *plain;      /* of struct stored_edition_service */
     GString *edition;   /* encoded; empty: no edition yet */
     GArray *former;     /* of struct stored_former, by address */
+    GArray *zones;      /* of struct rp_catalog_zone, by name */
 };
 
 static const struct rp_field answer_fields[] = {
@@ -91,6 +92,14 @@
 static const struct rp_schema former_schema = RP_SCHEMA(stored_former,
                                                         former_fields);
 
+static const struct rp_field stored_zone_fields[] = {
+    RP_FIELD(RP_FIELD_NAME, rp_catalog_zone, name),
+    RP_FIELD(RP_FIELD_UINT, rp_catalog_zone, evacuated),
+    RP_FIELD(RP_FIELD_UINT, rp_catalog_zone, revision),
+};
+static const struct rp_schema stored_zone_schema = RP_SCHEMA(
+    rp_catalog_zone, stored_zone_fields);
+
 static const struct rp_field stored_catalog_fields[] = {
     RP_FIELD(RP_FIELD_UINT, stored_catalog, revision),
     RP_FIELD(RP_FIELD_UINT, stored_catalog, next_id),
@@ -102,12 +111,14 @@
     RP_FIELD_LIST_OF(stored_catalog, plain, &edition_service_schema),
     RP_FIELD(RP_FIELD_TEXT, stored_catalog, edition),
     RP_FIELD_LIST_OF(stored_catalog, former, &former_schema),
+    RP_FIELD_LIST_OF(stored_catalog, zones, &stored_zone_schema),
 };
-/* Snapshots of versions without former targets end before the last field. */
+/* Snapshots of versions without former targets end before the last two fields,
+ * those of versions without evacuations before the last one. */
 static const struct rp_schema stored_catalog_schema = {
     .fields = stored_catalog_fields,
     .count = G_N_ELEMENTS(stored_catalog_fields),
-    .required = G_N_ELEMENTS(stored_catalog_fields) - 1,
+    .required = G_N_ELEMENTS(stored_catalog_fields) - 2,
     .size = sizeof(struct stored_catalog)};
 
 /* Appends services with a document to `rows`, and services of the edition to
@@ -185,7 +196,8 @@
         .quarantine = RpSchema_NewList(&quarantine_schema),
         .plain = RpSchema_NewList(&edition_service_schema),
         .edition = g_string_new(NULL),
-        .former = RpSchema_NewList(&former_schema)};
+        .former = RpSchema_NewList(&former_schema),
+        .zones = RpSchema_NewList(&stored_zone_schema)};
 
     memcpy(stored.hash_key, catalog->hash_key, RP_HASH_KEY_SIZE);
     store_entries(catalog, stored.entries, stored.plain);
@@ -199,6 +211,8 @@
     }
     g_array_append_vals(stored.quarantine, catalog->quarantine->data,
                         catalog->quarantine->len);
+    g_array_append_vals(stored.zones, catalog->zones->data,
+                        catalog->zones->len);
     GString *out = RpSchema_Encode(&stored_catalog_schema, &stored);
     RpSchema_Clear(&stored_catalog_schema, &stored);
     return out;
@@ -305,6 +319,10 @@
     }
     g_array_append_vals(catalog->quarantine, stored.quarantine->data,
                         stored.quarantine->len);
+    if (stored.zones) {
+        g_array_append_vals(catalog->zones, stored.zones->data,
+                            stored.zones->len);
+    }
     RpSchema_Clear(&stored_catalog_schema, &stored);
     return code;
 }
--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -145,6 +145,7 @@
     msg->table.cut_off = !distribution->fresh;
     msg->table.vips = RpSchema_NewList(&rp_msg_vip_schema);
     msg->table.removed_vips = RpSchema_NewList(&rp_msg_removed_vip_schema);
+    msg->table.evacuated = RpCatalog_ListEvacuated(distribution->catalog);
 }
 
 static void
@@ -385,6 +386,13 @@
     schedule_flush(distribution, now);
 }
 
+void
+RpDistribution_MarkZonesChanged(struct rp_distribution *distribution,
+                                int64_t now)
+{
+    schedule_flush(distribution, now);
+}
+
 void
 RpDistribution_MarkAllChanged(struct rp_distribution *distribution,
                               int64_t now)
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -78,6 +78,11 @@
 void RpDistribution_MarkEditionChanged(struct rp_distribution *distribution,
                                        int64_t now);
 
+/* Schedules an update for every node because the evacuated data centres have
+ * changed, and with them the revision. */
+void RpDistribution_MarkZonesChanged(struct rp_distribution *distribution,
+                                     int64_t now);
+
 /* Schedules full tables for all nodes, for example after a snapshot was
  * restored. */
 void RpDistribution_MarkAllChanged(struct rp_distribution *distribution,
--- a/lib/control/rp_status.c
+++ b/lib/control/rp_status.c
@@ -129,4 +129,5 @@
     msg->status.services = list_services(catalog, registry, filter);
     msg->status.nodes = RpDistribution_ListNodes(distribution, now);
     msg->status.upstreams = list_upstreams(registry, filter);
+    msg->status.evacuated = RpCatalog_ListEvacuated(catalog);
 }
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -464,6 +464,33 @@
     }
 }
 
+/* Whether every candidate that is left in the chain is in an evacuated data
+ * centre. */
+static bool
+has_no_candidate_left(const struct rp_agent *agent,
+                      const struct rp_chain *chain)
+{
+    for (uint8_t i = chain->visited; i < chain->count; i++) {
+        if (!RpAgent_IsEvacuatedHop(agent, chain->hop[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns the chain's lowest utilisation, unless the candidate that it is of
+ * has been evacuated since. */
+static uint8_t
+get_lowest_utilisation(const struct rp_agent *agent,
+                       const struct rp_chain *chain)
+{
+    bool is_usable = chain->lowest_utilisation != RP_CHAIN_NO_UTILISATION &&
+                     chain->best < chain->count &&
+                     !RpAgent_IsEvacuatedHop(agent, chain->hop[chain->best]);
+
+    return is_usable ? chain->lowest_utilisation : RP_CHAIN_NO_UTILISATION;
+}
+
 void
 RpAgent_FillLoad(const struct rp_agent *agent, int64_t now,
                  struct rp_endpoint address, const struct rp_chain *chain,
@@ -479,8 +506,8 @@
         .flows = own.flows,
         .flow_limit = agent->service->flows_per_upstream,
         .position = chain->visited ? chain->visited - 1u : 0,
-        .lowest_utilisation = chain->lowest_utilisation,
-        .last = chain->visited >= chain->count,
+        .lowest_utilisation = get_lowest_utilisation(agent, chain),
+        .last = has_no_candidate_left(agent, chain),
         .service_time_us = (uint32_t)MIN(agent->service_time.mean_us,
                                          UINT32_MAX)};
     if (vip) {
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -87,6 +87,7 @@
      * about which it is queried; 0 means RP_HOST_ANSWER_TIMEOUT_US. */
     int64_t host_answer_timeout;
     struct rp_endpoint self; /* this agent's address in chains */
+    struct rp_name zone;     /* its data centre; empty: not known */
     int64_t started;         /* when the agent started */
     uint32_t slots;          /* requests the host serves at once */
     int64_t ramp_until;      /* end of the host's cold start */
--- a/lib/flow/rp_agent_chain.c
+++ b/lib/flow/rp_agent_chain.c
@@ -1,16 +1,33 @@
 /* The choice of the agent to which a packet is forwarded. */
 #include "rp_agent_internal.h"
 
-/* Advances to the next candidate in the chain that is not this agent. */
+bool
+RpAgent_IsEvacuatedHop(const struct rp_agent *agent,
+                       struct rp_endpoint endpoint)
+{
+    if (RpTable_Evacuated(agent->table)->len == 0) {
+        return false;
+    }
+    const struct rp_member *member = RpService_FindMember(agent->service,
+                                                          endpoint);
+    return member && member->evacuated;
+}
+
+/* Advances to the next candidate in the chain that is not this agent and, for
+ * a new flow, not in an evacuated data centre. */
 static bool
 next_in_chain(const struct rp_agent *agent, struct rp_chain *chain,
-              struct rp_endpoint *next)
+              bool is_new_flow, struct rp_endpoint *next)
 {
     while (chain->visited < chain->count) {
         *next = chain->hop[chain->visited++];
-        if (!RpEndpoint_Equal(*next, agent->config.self)) {
+        if (RpEndpoint_Equal(*next, agent->config.self)) {
+            continue;
+        }
+        if (!is_new_flow || !RpAgent_IsEvacuatedHop(agent, *next)) {
             return true;
         }
+        RpCounters_Add(agent->counters, RP_COUNT_HOP_EVACUATED);
     }
     return false;
 }
@@ -50,7 +67,7 @@
                 struct rp_flow_key caller, bool is_new_flow,
                 struct rp_endpoint *next)
 {
-    if (next_in_chain(agent, chain, next)) {
+    if (next_in_chain(agent, chain, is_new_flow, next)) {
         return true;
     }
     if (is_new_flow) {
@@ -69,14 +86,10 @@
 static bool
 accepts_new_flows(const struct rp_agent *agent, struct rp_endpoint endpoint)
 {
-    const struct rp_service *service = agent->service;
+    const struct rp_member *member = RpService_FindMember(agent->service,
+                                                          endpoint);
 
-    for (size_t i = 0; i < service->count; i++) {
-        if (RpEndpoint_Equal(service->members[i].agent, endpoint)) {
-            return service->members[i].state != RP_UPSTREAM_LOST;
-        }
-    }
-    return false;
+    return member && member->state != RP_UPSTREAM_LOST && !member->evacuated;
 }
 
 bool
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -189,6 +189,11 @@
                      struct rp_flow_key caller, bool is_new_flow,
                      struct rp_endpoint *next);
 
+/* Returns whether the table lists this agent in an evacuated data centre. It
+ * gets no new flows then. */
+bool RpAgent_IsEvacuatedHop(const struct rp_agent *agent,
+                            struct rp_endpoint endpoint);
+
 /* As RpAgent_NextHop, but chooses `preferred` if it has not had the packet
  * yet and may take it. */
 bool RpAgent_PreferredNextHop(const struct rp_agent *agent,
@@ -206,7 +211,8 @@
                              const struct rp_chain *chain,
                              struct rp_actions *actions);
 
-/* Sends the host a new SYN of a flow whose earlier SYN it has not answered. */
+/* Sends the host a new SYN of a flow whose earlier SYN it has not answered, or
+ * forwards it if the data centre is evacuated. */
 void RpAgent_RestartFlow(struct rp_agent *agent, int64_t now,
                          struct rp_flow *flow, const struct rp_packet *packet,
                          const struct rp_chain *chain,
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -77,6 +77,10 @@
         *reason = RP_COUNT_PASS_DRAINING;
         return RP_DECISION_PASS_ON;
     }
+    if (RpTable_IsEvacuated(agent->table, &agent->config.zone)) {
+        *reason = RP_COUNT_PASS_EVACUATED;
+        return RP_DECISION_PASS_ON;
+    }
     if (agent->host_state == RP_HOST_UNKNOWN) {
         *reason = RP_COUNT_PASS_HOST_UNKNOWN;
         return RP_DECISION_PASS_ON;
@@ -140,7 +144,7 @@
 
     RpAgent_FillLoad(agent, now, address, chain, &load);
     uint8_t utilisation = RpLoad_Utilisation(&load);
-    if (chain->visited > 0 && utilisation < chain->lowest_utilisation) {
+    if (chain->visited > 0 && utilisation < load.lowest_utilisation) {
         chain->lowest_utilisation = utilisation;
         chain->best = chain->visited - 1;
     }
@@ -273,6 +277,12 @@
                     const struct rp_packet *packet,
                     const struct rp_chain *chain, struct rp_actions *actions)
 {
+    if (RpTable_IsEvacuated(agent->table, &agent->config.zone)) {
+        RpHold_Drop(agent->hold, flow->caller);
+        forward_syn(agent, now, flow, packet, chain, RP_COUNT_PASS_EVACUATED,
+                    actions);
+        return;
+    }
     send_syn_to_host(agent, now, flow, packet, chain, RP_COUNT_FLOW_ADMITTED,
                      actions);
 }
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -128,6 +128,12 @@
         route->kind = RP_ROUTE_WAIT;
         route->reason = RP_COUNT_DROP_NO_MEMBER;
     }
+    else if (opens && RpService_IsEvacuated(service)) {
+        /* An earlier copy may have opened the flow before the evacuation. */
+        route->kind = packet->syn_retransmits > 0 ? RP_ROUTE_DROP
+                                                  : RP_ROUTE_RESET;
+        route->reason = RP_COUNT_REFUSED_EVACUATED;
+    }
     else if (opens) {
         route->kind = RP_ROUTE_RESET;
         route->reason = RP_COUNT_RESET_NO_MEMBER;
@@ -142,13 +148,10 @@
 static bool
 is_serving(const struct rp_service *service, struct rp_endpoint agent)
 {
-    for (size_t i = 0; service && i < service->count; i++) {
-        const struct rp_member *member = &service->members[i];
-        if (RpEndpoint_Equal(member->agent, agent)) {
-            return (1u << member->state) & RP_MEMBERS_SERVING;
-        }
-    }
-    return false;
+    const struct rp_member *member =
+        service ? RpService_FindMember(service, agent) : NULL;
+
+    return member && (1u << member->state) & RP_MEMBERS_SERVING;
 }
 
 /* Moves the owner to the front of the chain, and adds it if the chain lacks
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -28,6 +28,9 @@
     /* Names of members that were dropped at the end of `may_lack_members`. */
     GHashTable *unaccounted;
     uint64_t additions; /* members that updates have added */
+    GArray *zones;      /* of struct rp_name: of all members so far */
+    GArray *evacuated;  /* of struct rp_msg_zone */
+    uint64_t evacuation_changes; /* updates that changed `evacuated` */
 };
 
 /* Entry i is log2(1 + i / LOG_TABLE_SIZE) in fixed point. */
@@ -75,6 +78,8 @@
                                         free_vip);
     table->unaccounted = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
                                                g_free, NULL);
+    table->zones = g_array_new(FALSE, TRUE, sizeof(struct rp_name));
+    table->evacuated = RpSchema_NewList(&rp_msg_zone_schema);
     table->zone_weight = 1;
     return table;
 }
@@ -95,12 +100,45 @@
         g_hash_table_destroy(table->by_id);
         g_hash_table_destroy(table->vips);
         g_hash_table_destroy(table->unaccounted);
+        g_array_free(table->zones, TRUE);
+        g_array_free(table->evacuated, TRUE);
         g_free(table);
     }
 }
 
+bool
+RpTable_IsEvacuated(const struct rp_table *table, const struct rp_name *zone)
+{
+    for (guint i = 0; i < table->evacuated->len; i++) {
+        if (RpName_Equal(
+                &g_array_index(table->evacuated, struct rp_msg_zone, i).name,
+                zone)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the index of a data centre in `zones`, and adds it if it is
+ * missing. */
+static uint32_t
+intern_zone(struct rp_table *table, const struct rp_name *zone)
+{
+    guint i = 0;
+
+    while (i < table->zones->len &&
+           !RpName_Equal(&g_array_index(table->zones, struct rp_name, i),
+                         zone)) {
+        i++;
+    }
+    if (i == table->zones->len) {
+        g_array_append_vals(table->zones, zone, 1);
+    }
+    return i;
+}
+
 static void
-init_member(const struct rp_table *table, struct rp_member *member,
+init_member(struct rp_table *table, struct rp_member *member,
             const struct rp_msg_member *from)
 {
     /* A constant key: all instances must rank members alike. */
@@ -119,6 +157,8 @@
     }
     member->inverse_weight = (uint32_t)MIN(INVERSE_SCALE / weight, UINT32_MAX);
     member->state = (enum rp_upstream_state)from->state;
+    member->zone = intern_zone(table, &from->zone);
+    member->evacuated = RpTable_IsEvacuated(table, &from->zone);
     crypto_shorthash(digest, (const uint8_t *)from->upstream.data,
                      from->upstream.len, name_hash_key);
     member->name_hash = RpBytes_Get64(digest);
@@ -149,7 +189,7 @@
 }
 
 static struct rp_service *
-create_service(const struct rp_table *table, const struct rp_msg_service *from)
+create_service(struct rp_table *table, const struct rp_msg_service *from)
 {
     struct rp_service *service = g_new0(struct rp_service, 1);
 
@@ -305,6 +345,55 @@
     g_hash_table_destroy(listed);
 }
 
+static bool
+has_same_zones(const GArray *a, const GArray *b)
+{
+    for (guint i = 0; a->len == b->len && i < a->len; i++) {
+        if (!RpName_Equal(&g_array_index(a, struct rp_msg_zone, i).name,
+                          &g_array_index(b, struct rp_msg_zone, i).name)) {
+            return false;
+        }
+    }
+    return a->len == b->len;
+}
+
+/* Replaces the evacuated data centres and marks the members in them. */
+static void
+apply_evacuated(struct rp_table *table, const GArray *evacuated)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (!evacuated || has_same_zones(table->evacuated, evacuated)) {
+        return;
+    }
+    table->evacuation_changes++;
+    g_array_set_size(table->evacuated, 0);
+    g_array_append_vals(table->evacuated, evacuated->data, evacuated->len);
+    g_hash_table_iter_init(&iter, table->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rp_service *service = value;
+        for (size_t i = 0; i < service->count; i++) {
+            struct rp_member *member = &service->members[i];
+            member->evacuated = RpTable_IsEvacuated(
+                table,
+                &g_array_index(table->zones, struct rp_name, member->zone));
+        }
+    }
+}
+
+const GArray *
+RpTable_Evacuated(const struct rp_table *table)
+{
+    return table->evacuated;
+}
+
+uint64_t
+RpTable_CountEvacuationChanges(const struct rp_table *table)
+{
+    return table->evacuation_changes;
+}
+
 bool
 RpTable_MayLackMembers(const struct rp_table *table)
 {
@@ -341,6 +430,7 @@
     table->may_lack_members = update->gathering;
     table->was_complete |= !update->gathering;
     table->cut_off = update->cut_off;
+    apply_evacuated(table, update->evacuated);
     if (update->complete) {
         remove_unlisted(table, update);
     }
@@ -483,6 +573,36 @@
                                GUINT_TO_POINTER(vip->targets[i].service_id));
 }
 
+const struct rp_member *
+RpService_FindMember(const struct rp_service *service,
+                     struct rp_endpoint agent)
+{
+    for (size_t i = 0; i < service->count; i++) {
+        if (RpEndpoint_Equal(service->members[i].agent, agent)) {
+            return &service->members[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+RpService_IsEvacuated(const struct rp_service *service)
+{
+    bool has_ready = false;
+
+    for (size_t i = 0; i < service->count; i++) {
+        const struct rp_member *member = &service->members[i];
+        if (member->state != RP_UPSTREAM_READY) {
+            continue;
+        }
+        if (!member->evacuated) {
+            return false;
+        }
+        has_ready = true;
+    }
+    return has_ready;
+}
+
 size_t
 RpService_RankMembers(const struct rp_service *service, uint64_t flow_hash,
                       unsigned states, const struct rp_member **out,
@@ -494,7 +614,8 @@
     assert(max <= RP_MAX_CHAIN);
     for (size_t i = 0; i < service->count; i++) {
         const struct rp_member *member = &service->members[i];
-        if (!(states >> member->state & 1)) {
+        if (!(states >> member->state & 1) ||
+            (member->evacuated && !(states & RP_MEMBERS_EVACUATED))) {
             continue;
         }
         uint64_t score = compute_score(member, flow_hash);
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -26,11 +26,15 @@
 /* Most candidates that a balancer lists for a flow. */
 #define RP_ROUTE_MAX_CANDIDATES 3
 
-/* Bit sets of member states, for RpService_RankMembers. */
+/* Bit sets of member states, for RpService_RankMembers. Members in evacuated
+ * data centres are ranked only with RP_MEMBERS_EVACUATED: they get no new
+ * flows, and serve their open ones. */
+#define RP_MEMBERS_EVACUATED (1u << 8)
 #define RP_MEMBERS_READY (1u << RP_UPSTREAM_READY)
 #define RP_MEMBERS_SERVING                                                    \
-    (1u << RP_UPSTREAM_READY | 1u << RP_UPSTREAM_DRAINING)
-#define RP_MEMBERS_LOST (1u << RP_UPSTREAM_LOST)
+    (1u << RP_UPSTREAM_READY | 1u << RP_UPSTREAM_DRAINING |                   \
+     RP_MEMBERS_EVACUATED)
+#define RP_MEMBERS_LOST (1u << RP_UPSTREAM_LOST | RP_MEMBERS_EVACUATED)
 
 /* One upstream of a service and the agent in front of it. */
 struct rp_member {
@@ -41,6 +45,8 @@
     uint64_t name_hash;
     enum rp_upstream_state state;
     bool in_preferred_zone;
+    bool evacuated; /* its data centre is */
+    uint32_t zone;  /* index in the table's list of data centres */
 };
 
 /* A virtual address of the configuration in force. Flows to it are
@@ -91,7 +97,8 @@
  *
  * A service in the update replaces the service with the same id. If the
  * update is marked `gathering`, members that only the old service has are
- * kept. */
+ * kept. The evacuated data centres are replaced by those of the update, and
+ * kept if it comes from a replica that does not know them. */
 enum rp_code RpTable_Apply(struct rp_table *table,
                            const struct rp_msg_table *update);
 
@@ -112,6 +119,17 @@
 /* Returns how many members updates have added in all. */
 uint64_t RpTable_CountAdditions(const struct rp_table *table);
 
+/* Returns whether the operator has evacuated this data centre. */
+bool RpTable_IsEvacuated(const struct rp_table *table,
+                         const struct rp_name *zone);
+
+/* Lists the evacuated data centres as struct rp_msg_zone; the table owns the
+ * list. */
+const GArray *RpTable_Evacuated(const struct rp_table *table);
+
+/* Returns how many updates have changed the evacuated data centres. */
+uint64_t RpTable_CountEvacuationChanges(const struct rp_table *table);
+
 /* Returns the configuration revision in force; 0 before the first table. */
 uint64_t RpTable_Revision(const struct rp_table *table);
 
@@ -144,6 +162,14 @@
 const struct rp_service *RpTable_FindByName(const struct rp_table *table,
                                             const struct rp_name *name);
 
+/* Returns the member with this agent, or NULL. */
+const struct rp_member *RpService_FindMember(const struct rp_service *service,
+                                             struct rp_endpoint agent);
+
+/* Returns whether members of the service are ready, but all of these in
+ * evacuated data centres. */
+bool RpService_IsEvacuated(const struct rp_service *service);
+
 /* Returns the flow's keyed hash (SipHash-2-4). All instances with the same
  * hash key compute the same value. The source of `key` is the caller. */
 uint64_t RpTable_HashFlow(const struct rp_table *table,
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -158,6 +158,12 @@
     .required = 1,
     .size = sizeof(struct rp_msg_controls)};
 
+static const struct rp_field zone_fields[] = {
+    NAME(rp_msg_zone, name),
+};
+const struct rp_schema rp_msg_zone_schema = RP_SCHEMA(rp_msg_zone,
+                                                      zone_fields);
+
 static const struct rp_field table_fields[] = {
     UINT(rp_msg_table, revision),
     UINT(rp_msg_table, complete),
@@ -168,12 +174,13 @@
     LIST(rp_msg_table, removed_vips, rp_msg_removed_vip_schema),
     UINT(rp_msg_table, gathering),
     UINT(rp_msg_table, cut_off),
+    LIST(rp_msg_table, evacuated, rp_msg_zone_schema),
 };
-/* Replicas of earlier versions do not send the last field. */
+/* Replicas of earlier versions do not send the last two fields. */
 static const struct rp_schema rp_msg_table_schema = {
     .fields = table_fields,
     .count = G_N_ELEMENTS(table_fields),
-    .required = G_N_ELEMENTS(table_fields) - 1,
+    .required = G_N_ELEMENTS(table_fields) - 2,
     .size = sizeof(struct rp_msg_table)};
 
 static const struct rp_field confirm_fields[] = {
@@ -186,9 +193,14 @@
     BLOB(rp_msg_change, id),       UINT(rp_msg_change, kind),
     UINT(rp_msg_change, has_base), UINT(rp_msg_change, base),
     NAME(rp_msg_change, service),  TEXT(rp_msg_change, document),
+    NAME(rp_msg_change, zone),
 };
-const struct rp_schema rp_msg_change_schema = RP_SCHEMA(rp_msg_change,
-                                                        change_fields);
+/* Earlier releases do not send the last field. */
+const struct rp_schema rp_msg_change_schema = {
+    .fields = change_fields,
+    .count = G_N_ELEMENTS(change_fields),
+    .required = G_N_ELEMENTS(change_fields) - 1,
+    .size = sizeof(struct rp_msg_change)};
 
 static const struct rp_field finding_fields[] = {
     UINT(rp_msg_finding, code),
@@ -208,9 +220,15 @@
     UINT(rp_msg_change_reply, service_id),
     UINT(rp_msg_change_reply, is_change),
     UINT(rp_msg_change_reply, is_edition),
+    NAME(rp_msg_change_reply, zone),
+    UINT(rp_msg_change_reply, unchanged),
 };
-const struct rp_schema rp_msg_change_reply_schema = RP_SCHEMA(
-    rp_msg_change_reply, change_reply_fields);
+/* Replicas of earlier releases do not send the last two fields. */
+const struct rp_schema rp_msg_change_reply_schema = {
+    .fields = change_reply_fields,
+    .count = G_N_ELEMENTS(change_reply_fields),
+    .required = G_N_ELEMENTS(change_reply_fields) - 2,
+    .size = sizeof(struct rp_msg_change_reply)};
 
 static const struct rp_field query_fields[] = {
     UINT(rp_msg_query, kind),
@@ -283,9 +301,14 @@
     LIST(rp_msg_status, services, rp_msg_service_info_schema),
     LIST(rp_msg_status, nodes, rp_msg_node_info_schema),
     LIST(rp_msg_status, upstreams, rp_msg_upstream_info_schema),
-};
-static const struct rp_schema rp_msg_status_schema = RP_SCHEMA(rp_msg_status,
-                                                               status_fields);
+    LIST(rp_msg_status, evacuated, rp_msg_zone_schema),
+};
+/* Replicas of earlier releases do not send the last field. */
+static const struct rp_schema rp_msg_status_schema = {
+    .fields = status_fields,
+    .count = G_N_ELEMENTS(status_fields),
+    .required = G_N_ELEMENTS(status_fields) - 1,
+    .size = sizeof(struct rp_msg_status)};
 
 static const struct rp_field log_entry_fields[] = {
     UINT(rp_log_entry, index),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -144,6 +144,11 @@
     uint32_t id;
 };
 
+/* A data centre. */
+struct rp_msg_zone {
+    struct rp_name name;
+};
+
 /* Control to node: the whole table, or the changes since the last one. */
 struct rp_msg_table {
     uint64_t revision; /* configuration revision of this table */
@@ -160,6 +165,10 @@
     /* 1: this replica is cut off from the majority, so there may be upstreams
      * that it does not know. */
     uint8_t cut_off;
+    /* Of struct rp_msg_zone: all evacuated data centres, whose upstreams get
+     * no new flows. NULL: from a replica of an earlier release, which does not
+     * know them. */
+    GArray *evacuated;
 };
 
 /* A service in an edition. */
@@ -223,10 +232,15 @@
     uint64_t revision;
 };
 
-/* Whether a change creates or replaces a service, or deletes it. */
-enum rp_change_kind { RP_CHANGE_APPLY = 1, RP_CHANGE_DELETE };
+/* What a change does. */
+enum rp_change_kind {
+    RP_CHANGE_APPLY = 1, /* creates or replaces a service */
+    RP_CHANGE_DELETE,    /* deletes a service */
+    RP_CHANGE_EVACUATE,  /* evacuates a data centre */
+    RP_CHANGE_RESTORE    /* ends the evacuation of a data centre */
+};
 
-/* Operator to control: one change of one service. */
+/* Operator to control: one change of one service or data centre. */
 struct rp_msg_change {
     uint8_t id[RP_CHANGE_ID_SIZE]; /* the same when a change is sent again */
     uint8_t kind;                  /* enum rp_change_kind */
@@ -234,6 +248,7 @@
     uint64_t base;    /* the service revision that the change is based on */
     struct rp_name service;
     GString *document;
+    struct rp_name zone; /* the data centre; not sent by earlier releases */
 };
 
 /* One error with its place (struct rp_finding in rp_error.h). */
@@ -252,8 +267,11 @@
     struct rp_name service;
     GArray *findings; /* of struct rp_msg_finding */
     uint32_t service_id;
-    uint8_t is_change;  /* 1: the log entry was a change of one service */
-    uint8_t is_edition; /* 1: the log entry was an edition */
+    uint8_t is_change;   /* 1: the log entry was a change */
+    uint8_t is_edition;  /* 1: the log entry was an edition */
+    struct rp_name zone; /* the data centre of the change; empty: it was the
+                          * change of a service */
+    uint8_t unchanged;   /* 1: the data centre was in that state before */
 };
 
 enum rp_query_kind {
@@ -335,6 +353,7 @@
     GArray *services;  /* of struct rp_msg_service_info */
     GArray *nodes;     /* of struct rp_msg_node_info */
     GArray *upstreams; /* of struct rp_msg_upstream_info */
+    GArray *evacuated; /* of struct rp_msg_zone: evacuated data centres */
 };
 
 /* Keepalive, sent in either direction after some time without messages. */
@@ -528,6 +547,7 @@
 /* Schemas that are used outside rp_msg.c, to create lists and to encode
  * stored data. */
 extern const struct rp_schema rp_msg_member_schema;
+extern const struct rp_schema rp_msg_zone_schema;
 extern const struct rp_schema rp_msg_target_schema;
 extern const struct rp_schema rp_msg_vip_schema;
 extern const struct rp_schema rp_msg_removed_vip_schema;
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -563,10 +563,11 @@
     g_string_append_printf(
         out,
         "revision %" G_GUINT64_FORMAT "\nflows %u\nbusy %u\nslots %u\n"
-        "flow_table_bytes %zu\ncontrol_connected %d\n",
+        "flow_table_bytes %zu\ncontrol_connected %d\nzones_evacuated %u\n",
         RpTable_Revision(RpUplink_Table(agent->uplink)), load.flows, load.busy,
         load.slots, RpAgent_TableBytes(agent->flows),
-        RpUplink_IsConnected(agent->uplink));
+        RpUplink_IsConnected(agent->uplink),
+        RpTable_Evacuated(RpUplink_Table(agent->uplink))->len);
 }
 
 static const struct rp_admin_ops admin_ops = {.healthy = is_healthy,
@@ -602,6 +603,7 @@
         .codec = agent->codec,
         .host_answer_timeout = agent->settings.host_timeout_ms * RP_US_PER_MS,
         .self = agent->settings.listen,
+        .zone = agent->settings.common.zone,
         .started = now,
         .slots = agent->settings.slots,
         .ramp_from = now,
--- a/programs/daemon/agent_log.c
+++ b/programs/daemon/agent_log.c
@@ -14,6 +14,7 @@
     case RP_COUNT_PASS_BUSY:
     case RP_COUNT_PASS_BACK:
     case RP_COUNT_PASS_DRAINING:
+    case RP_COUNT_PASS_EVACUATED:
     case RP_COUNT_PASS_FLOW_LIMIT:
     case RP_COUNT_PASS_UNHEALTHY:
     case RP_COUNT_PASS_HOST_UNKNOWN:
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -340,10 +340,12 @@
 
     g_string_append_printf(out,
                            "revision %" G_GUINT64_FORMAT "\n"
-                           "services %zu\ncontrol_connected %d\n",
+                           "services %zu\ncontrol_connected %d\n"
+                           "zones_evacuated %u\n",
                            RpTable_Revision(table),
                            RpTable_CountServices(table),
-                           RpUplink_IsConnected(balancer->uplink));
+                           RpUplink_IsConnected(balancer->uplink),
+                           RpTable_Evacuated(table)->len);
 }
 
 /* Returns whether the fabric may send packets here: not before control has
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -85,6 +85,12 @@
              "has",
      .fallback = "0",
      .max = 1u << 20},
+    {.flag = "zones",
+     .kind = RP_SETTING_TEXT,
+     .offset = offsetof(struct control_settings, zones),
+     .value = "NAME,…",
+     .help = "the data centres that can be evacuated; without it, any",
+     .optional = true},
     {.flag = "operator-http",
      .kind = RP_SETTING_ENDPOINT,
      .offset = offsetof(struct control_settings, operator_http),
@@ -399,6 +405,16 @@
     return true;
 }
 
+static guint
+count_evacuated(const struct control *control)
+{
+    GArray *list = RpCatalog_ListEvacuated(get_catalog(control));
+    guint count = list->len;
+
+    g_array_free(list, TRUE);
+    return count;
+}
+
 static void
 write_gauges(void *user, GString *out)
 {
@@ -410,14 +426,14 @@
         "revision %" G_GUINT64_FORMAT "\nlowest_confirmed %" G_GUINT64_FORMAT
         "\nconnections %u\nterm %" G_GUINT64_FORMAT
         "\ncommitted %" G_GUINT64_FORMAT
-        "\nleads %d\nfresh %d\nreplica_links %u\n",
+        "\nleads %d\nfresh %d\nreplica_links %u\nzones_evacuated %u\n",
         RpCatalog_Revision(get_catalog(control)),
         RpDistribution_LowestConfirmed(control->distribution),
         g_hash_table_size(control->clients), RpReplica_Term(replica),
         RpReplica_CommitIndex(replica),
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
         control->disconnect_policy.fresh,
-        RpControlLinks_Count(control->links));
+        RpControlLinks_Count(control->links), count_evacuated(control));
     RpControl_WriteMemberGauges(control, out);
     RpControl_WriteMemoryGauges(control, out);
 }
@@ -557,6 +573,7 @@
 
     RpDaemon_SetPorts(&updated.peers, updated.control_port);
     control->settings.peers = updated.peers;
+    control->settings.zones = updated.zones;
     RpControl_DescribeSettings(&control->daemon, &updated);
     RpControlReplica_SetMinVoters(control->replica, min_voters(&updated));
 }
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -27,6 +27,7 @@
     uint32_t control_port;
     uint32_t flow_lifetime_seconds;   /* 0: no limit */
     uint32_t memory_mb;               /* 0: as much as the machine has */
+    GString *zones; /* names, separated by commas; NULL: any */
     struct rp_endpoint operator_http; /* port 0: no HTTP endpoint for the
                                        * operator */
 };
@@ -34,12 +35,15 @@
 struct control_links;
 struct control_editions;
 
-/* A read or a write of the operator, for the line that tells its answer. */
+/* A read, a write or an order of the operator, for the line that tells its
+ * answer. */
 struct control_call {
     uint64_t number; /* from 1, in the order in which calls arrived */
     bool is_write;
     struct rp_endpoint caller;
-    uint64_t version; /* of the edition that it brought; 0: a read */
+    uint64_t version;    /* of the edition that it brought; 0: a read */
+    struct rp_name zone; /* of an order for a data centre; empty: none */
+    bool evacuate;       /* of an order: evacuate, not restore */
     int64_t received_at;
 };
 
@@ -186,8 +190,11 @@
 /* Returns a call that has just arrived from `caller`. */
 struct control_call RpControlCall_Begin(bool is_write, uint64_t version,
                                         struct rp_endpoint caller);
+struct control_call RpControlCall_BeginOrder(const struct rp_name *zone,
+                                             bool evacuate,
+                                             struct rp_endpoint caller);
 
-/* Logs event=edition_answered. `version` is that of the edition in force here,
+/* Logs event=edition_answered, or event=zone_answered for an order. `version` is that of the edition in force here,
  * or that was written; 0: none. `pairs` are key=value pairs that say what
  * decided the answer. */
 void RpControlCall_LogAnswer(const struct rp_daemon *daemon,
@@ -213,11 +220,27 @@
 void RpControlEditions_AnswerPending(struct control_editions *editions,
                                      int64_t now);
 
-/* Handles an applied edition: answers the request that proposed it. */
+/* Handles an applied edition or change of a data centre: answers the request
+ * that proposed it. */
 void RpControlEditions_OnApplied(struct control_editions *editions,
                                  const struct rp_log_entry *entry,
                                  const struct rp_msg_change_reply *reply);
 
+/* control_zones.c: orders for data centres. */
+
+/* Returns whether an order for this data centre is to be proposed: RP_OK, or
+ * RP_ERR_NOT_FOUND with a finding if there is no such data centre. A replica
+ * that may not know the newest state returns RP_ERR_NO_LEADER instead of the
+ * latter. */
+enum rp_code RpControlZones_Check(const struct control *control,
+                                  const struct rp_name *zone,
+                                  struct rp_error *error);
+
+/* Logs an applied change of a data centre, and sends the nodes what it
+ * changed. */
+void RpControlZones_Publish(struct control *control,
+                            const struct rp_msg_change_reply *reply);
+
 /* control_links.c: connections to the other replicas. */
 struct control_links *RpControlLinks_Create(struct control *control);
 
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -1,11 +1,15 @@
-/* Serves the operator's configurations over HTTP. An edition is one version of
- * the whole configuration.
+/* Serves the operator's configurations and orders over HTTP. An edition is one
+ * version of the whole configuration; an order evacuates or restores a data
+ * centre.
  *
- * The leader answers; every other replica redirects to the leader. A write is
+ * The leader answers; every other replica redirects to the leader. A write or
+ * an order is
  * acknowledged once its log entry is committed, a read once a majority has
  * confirmed that this replica still leads. Each request is answered before its
  * deadline.
  */
+#include <sodium.h>
+
 #include "control.h"
 #include "rp_clock.h"
 #include "rp_referral.h"
@@ -138,6 +142,27 @@
     return waiting;
 }
 
+/* Proposes a command and frees it; the request is answered once it is
+ * applied. */
+static void
+propose(struct control_editions *editions, struct rp_platform_request *request,
+        const struct control_call *call, GString *command)
+{
+    struct rp_control_replica *replica = editions->control->replica;
+    uint64_t index;
+    uint64_t term;
+
+    if (RpControlReplica_Propose(replica, RpClock_Now(), command, &index,
+                                 &term) == RP_OK) {
+        add_pending(editions, request, call)->index = index;
+        RpControlReplica_RunActions(replica);
+    }
+    else {
+        redirect_to_leader(editions, request, call);
+    }
+    g_string_free(command, TRUE);
+}
+
 static void
 on_edition_submitted(void *user, const struct rp_edition *edition,
                      struct rp_platform_request *request)
@@ -148,8 +173,6 @@
         get_catalog(editions));
     const struct control_call call = RpControlCall_Begin(
         true, edition->version, RpPlatform_Sender(request));
-    uint64_t index;
-    uint64_t term;
 
     RpLog_Event(control->daemon.log, RP_LOG_INFO, "edition_received",
                 "version=%" G_GUINT64_FORMAT " have=%" G_GUINT64_FORMAT
@@ -166,17 +189,55 @@
         RpPlatform_Answer(request, RP_OK, NULL);
         return;
     }
-    GString *command = RpCatalog_EncodeEdition(edition);
-    enum rp_code code = RpControlReplica_Propose(
-        control->replica, RpClock_Now(), command, &index, &term);
+    propose(editions, request, &call, RpCatalog_EncodeEdition(edition));
+}
+
+/* Refuses an order with the findings of `error`, or asks for another try. */
+static void
+refuse_order(struct control_editions *editions,
+             struct rp_platform_request *request,
+             const struct control_call *call, enum rp_code code,
+             const struct rp_error *error)
+{
+    RpCounters_Add(&editions->control->daemon.counters,
+                   code == RP_ERR_NOT_FOUND ? RP_COUNT_ZONE_UNKNOWN
+                                            : RP_COUNT_CHANGE_NO_LEADER);
+    log_answer(editions, call, RpCode_Name(code), "");
+    RpPlatform_Answer(request, code, error);
+}
+
+/* An order always goes through the log, also if it seems to change nothing: a
+ * replica that does not lead any more does not know the newest state. */
+static void
+on_zone_ordered(void *user, const struct rp_name *zone, bool evacuate,
+                struct rp_platform_request *request)
+{
+    struct control_editions *editions = user;
+    const struct control_call call = RpControlCall_BeginOrder(
+        zone, evacuate, RpPlatform_Sender(request));
+    struct rp_msg_change change = {
+        .kind = evacuate ? RP_CHANGE_EVACUATE : RP_CHANGE_RESTORE,
+        .zone = *zone};
+    struct rp_error error;
+
+    RpLog_Event(editions->control->daemon.log, RP_LOG_INFO,
+                evacuate ? "evacuation_requested" : "restoration_requested",
+                "zone=%s role=%s", zone->data,
+                RpReplica_RoleName(get_replica(editions)));
+    if (RpReplica_Role(get_replica(editions)) != RP_REPLICA_LEADER) {
+        redirect_to_leader(editions, request, &call);
+        return;
+    }
+    RpError_Init(&error);
+    enum rp_code code = RpControlZones_Check(editions->control, zone, &error);
     if (code == RP_OK) {
-        add_pending(editions, request, &call)->index = index;
-        RpControlReplica_RunActions(control->replica);
+        randombytes_buf(change.id, sizeof change.id);
+        propose(editions, request, &call, RpCatalog_EncodeChange(&change));
     }
     else {
-        redirect_to_leader(editions, request, &call);
+        refuse_order(editions, request, &call, code, &error);
     }
-    g_string_free(command, TRUE);
+    RpError_Clear(&error);
 }
 
 static void
@@ -329,7 +390,9 @@
         }
         log_answer(editions, &waiting->call,
                    is_own ? RpCode_Name(code) : "lead_lost",
-                   reply->repeated ? " repeated=1" : "");
+                   reply->repeated    ? " repeated=1"
+                   : reply->unchanged ? " unchanged=1"
+                                      : "");
         RpPlatform_Answer(waiting->request, code, NULL);
         g_queue_delete_link(&editions->pending, link);
         g_free(waiting);
@@ -343,6 +406,7 @@
     static const struct rp_platform_ops ops = {
         .edition_submitted = on_edition_submitted,
         .edition_requested = on_edition_requested,
+        .zone_ordered = on_zone_ordered,
         .unreadable = on_unreadable};
     struct control_editions *editions = g_new0(struct control_editions, 1);
 
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -150,9 +150,15 @@
         RpDistribution_MarkEditionChanged(control->distribution,
                                           RpClock_Now());
     }
-    if (reply->is_change) {
+    if (reply->zone.len > 0) {
+        RpControlZones_Publish(control, reply);
+    }
+    else if (reply->is_change) {
         publish_change(control, reply);
     }
+    if (reply->is_change && control->editions) {
+        RpControlEditions_OnApplied(control->editions, entry, reply);
+    }
     if (reply->is_edition) {
         publish_edition(control, entry, reply);
     }
@@ -187,10 +193,43 @@
     RpConn_Send(client->conn, &msg);
 }
 
+/* Refuses a change of a data centre that does not exist. Returns whether it
+ * did. */
+static bool
+refuse_unknown_zone(struct control *control, const struct client *client,
+                    const struct rp_msg_change *change)
+{
+    struct rp_msg msg = {.type = RP_MSG_CHANGE_REPLY};
+    struct rp_error error;
+
+    if ((change->kind != RP_CHANGE_EVACUATE &&
+         change->kind != RP_CHANGE_RESTORE) ||
+        RpReplica_Role(get_replica(control)) != RP_REPLICA_LEADER) {
+        return false;
+    }
+    RpError_Init(&error);
+    enum rp_code code = RpControlZones_Check(control, &change->zone, &error);
+    if (code == RP_ERR_NO_LEADER) {
+        refuse_change(control, client, code);
+    }
+    else if (code != RP_OK) {
+        RpCounters_Add(&control->daemon.counters, RP_COUNT_ZONE_UNKNOWN);
+        msg.change_reply.code = (uint8_t)code;
+        RpCatalog_AppendFindings(&msg.change_reply, &error);
+        RpConn_Send(client->conn, &msg);
+        RpMsg_Clear(&msg);
+    }
+    RpError_Clear(&error);
+    return code != RP_OK;
+}
+
 static void
 on_change(struct control *control, struct client *client,
           const struct rp_msg_change *change)
 {
+    if (refuse_unknown_zone(control, client, change)) {
+        return;
+    }
     struct pending_change *pending = g_new0(struct pending_change, 1);
     GString *command = RpCatalog_EncodeChange(change);
     guint64 index;
--- a/programs/daemon/control_relay.c
+++ b/programs/daemon/control_relay.c
@@ -76,6 +76,16 @@
     redirect(user, request, &call);
 }
 
+static void
+on_zone_ordered(void *user, const struct rp_name *zone, bool evacuate,
+                struct rp_platform_request *request)
+{
+    const struct control_call call = RpControlCall_BeginOrder(
+        zone, evacuate, RpPlatform_Sender(request));
+
+    redirect(user, request, &call);
+}
+
 static void
 on_unreadable(void *user, const char *message, struct rp_endpoint sender,
               const struct rp_error *error)
@@ -138,6 +148,7 @@
     static const struct rp_platform_ops ops = {
         .edition_submitted = on_edition_submitted,
         .edition_requested = on_edition_requested,
+        .zone_ordered = on_zone_ordered,
         .unreadable = on_unreadable};
     struct rp_error error;
 
--- a/programs/daemon/rp_uplink.c
+++ b/programs/daemon/rp_uplink.c
@@ -81,10 +81,31 @@
     uplink->ops->connected(uplink->user);
 }
 
+/* Logs the evacuated data centres of the table that is in force now. */
+static void
+log_evacuated(const struct rp_uplink *uplink)
+{
+    const GArray *evacuated = RpTable_Evacuated(uplink->table);
+    GString *names = g_string_new(NULL);
+
+    for (guint i = 0; i < evacuated->len; i++) {
+        g_string_append_printf(
+            names, "%s%s", i ? "," : "",
+            g_array_index(evacuated, struct rp_msg_zone, i).name.data);
+    }
+    RpLog_Event(uplink->daemon->log, RP_LOG_INFO, "zones_evacuated",
+                "revision=%" G_GUINT64_FORMAT " zones=%s",
+                RpTable_Revision(uplink->table),
+                names->len ? names->str : "none");
+    g_string_free(names, TRUE);
+}
+
 static void
 apply_table(struct rp_uplink *uplink, const struct rp_msg_table *table)
 {
     struct rp_counters *counters = &uplink->daemon->counters;
+    uint64_t evacuation_changes = RpTable_CountEvacuationChanges(
+        uplink->table);
 
     stop_table_timeout(uplink);
     if (RpTable_Apply(uplink->table, table) != RP_OK) {
@@ -99,6 +120,9 @@
     /* The pauses are reset only now: without a replica that can serve, each
      * instance accepts the connection and then closes it. */
     RpReconnect_Reset(&uplink->reconnect);
+    if (RpTable_CountEvacuationChanges(uplink->table) != evacuation_changes) {
+        log_evacuated(uplink);
+    }
     uplink->ops->table_changed(uplink->user);
     const struct rp_msg confirm = {
         .type = RP_MSG_CONFIRM,
