--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -78,6 +78,46 @@
 size_t RpCli_CountNodes(const struct rp_msg_status *status, uint64_t revision,
                         size_t *behind);
 
+/* Settings of a command that sends a change. */
+struct rp_cli_change {
+    struct rp_cli_settings cli;
+    GString *argument; /* what the change is about, for messages */
+    GString *id;       /* of an earlier attempt; NULL: a new change */
+    uint32_t wait_seconds;
+};
+
+/* Settings table entries for a struct that begins with a struct
+ * rp_cli_change. */
+#define RP_CLI_CHANGE_SETTINGS(argument_value, argument_help)                 \
+    RP_CLI_SETTINGS(rp_cli_change, cli),                                      \
+        {.kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct rp_cli_change, argument),                    \
+         .value = argument_value,                                             \
+         .help = argument_help},                                              \
+        {.flag = "id",                                                        \
+         .kind = RP_SETTING_TEXT,                                             \
+         .offset = offsetof(struct rp_cli_change, id),                          \
+         .value = "HEX",                                                      \
+         .help = "change id of an earlier attempt (32 hex digits)",           \
+         .optional = true},                                                   \
+    {                                                                         \
+        .flag = "wait-seconds", .kind = RP_SETTING_UINT,                      \
+        .offset = offsetof(struct rp_cli_change, wait_seconds), .value = "N",   \
+        .help = "wait up to N seconds for all nodes to run the change",       \
+        .fallback = "7", .max = RP_CLI_MAX_WAIT_SECONDS                       \
+    }
+#define RP_CLI_MAX_WAIT_SECONDS 3600
+
+/* Sets the id of a change: a new one, or that of --id. Returns false after
+ * printing the error. */
+bool RpCli_FillChangeId(const struct rp_cli_change *settings,
+                        struct rp_msg_change *change);
+
+/* Sends a change, prints the answer, and waits until the change is in force
+ * everywhere. Returns the exit code. */
+int RpCli_SendChange(const struct rp_cli_change *settings,
+                     const struct rp_msg *request);
+
 /* Prints the JSON tree of `builder` to stdout and frees the builder. */
 void RpCli_PrintJson(JsonBuilder *builder);
 
@@ -98,6 +138,8 @@
 int RpCli_ServiceStatus(int argc, char **argv);
 int RpCli_UpstreamDrain(int argc, char **argv);
 int RpCli_UpstreamResume(int argc, char **argv);
+int RpCli_ZoneEvacuate(int argc, char **argv);
+int RpCli_ZoneRestore(int argc, char **argv);
 int RpCli_Status(int argc, char **argv);
 int RpCli_Explain(int argc, char **argv);
 
--- a/programs/cli/service_change.c
+++ b/programs/cli/service_change.c
@@ -1,5 +1,6 @@
-/* radishport service apply and service delete: send a change, and repeat it
- * under the same id until a control instance answers. */
+/* radishport service apply and service delete, and what all commands that send
+ * a change have in common: a change is repeated under the same id until a
+ * control instance answers. */
 #include <sodium.h>
 #include <string.h>
 
@@ -7,41 +8,22 @@
 
 #define ID_TEXT_LEN (2 * RP_CHANGE_ID_SIZE)
 #define POLL_US 100000
-#define MAX_WAIT_SECONDS 3600
 
 struct change_settings {
-    struct rp_cli_settings cli;
-    GString *argument; /* path of the document, or the service to delete */
-    GString *id;
+    struct rp_cli_change change; /* the argument is the path of the document,
+                                  * or the service to delete */
     GString *base;
-    uint32_t wait_seconds;
 };
 
 #define CHANGE_SETTINGS(argument_value, argument_help)                        \
-    RP_CLI_SETTINGS(change_settings, cli),                                    \
-        {.kind = RP_SETTING_TEXT,                                             \
-         .offset = offsetof(struct change_settings, argument),                \
-         .value = argument_value,                                             \
-         .help = argument_help},                                              \
-        {.flag = "id",                                                        \
-         .kind = RP_SETTING_TEXT,                                             \
-         .offset = offsetof(struct change_settings, id),                      \
-         .value = "HEX",                                                      \
-         .help = "change id of an earlier attempt (32 hex digits)",           \
-         .optional = true},                                                   \
-        {.flag = "base",                                                      \
-         .kind = RP_SETTING_TEXT,                                             \
-         .offset = offsetof(struct change_settings, base),                    \
-         .value = "REVISION",                                                 \
-         .help = "refuse the change unless this revision is current (0: a "   \
-                 "new service; default: the current one at the start)",       \
-         .optional = true},                                                   \
+    RP_CLI_CHANGE_SETTINGS(argument_value, argument_help),                    \
     {                                                                         \
-        .flag = "wait-seconds", .kind = RP_SETTING_UINT,                      \
-        .offset = offsetof(struct change_settings, wait_seconds),             \
-        .value = "N",                                                         \
-        .help = "wait up to N seconds for all nodes to run the change",       \
-        .fallback = "7", .max = MAX_WAIT_SECONDS                              \
+        .flag = "base", .kind = RP_SETTING_TEXT,                              \
+        .offset = offsetof(struct change_settings, base),                     \
+        .value = "REVISION",                                                  \
+        .help = "refuse the change unless this revision is current (0: a "    \
+                "new service; default: the current one at the start)",        \
+        .optional = true                                                      \
     }
 
 static const struct rp_setting apply_table[] = {
@@ -52,8 +34,9 @@
     CHANGE_SETTINGS("NAME", "the service"),
 };
 
-static bool
-fill_id(const struct change_settings *settings, struct rp_msg_change *change)
+bool
+RpCli_FillChangeId(const struct rp_cli_change *settings,
+                   struct rp_msg_change *change)
 {
     size_t len;
 
@@ -108,13 +91,13 @@
         }
         return true;
     }
-    if (settings->id) {
+    if (settings->change.id) {
         /* Control recognises a repeated change by its id and answers as
          * before; the base does not matter. */
         change->has_base = 0;
         return true;
     }
-    return fetch_revision(&settings->cli, &change->service, &change->base,
+    return fetch_revision(&settings->change.cli, &change->service, &change->base,
                           exit_code);
 }
 
@@ -126,6 +109,7 @@
     json_builder_begin_object(builder);
     RpCli_AddText(builder, "result", RpCode_Name((enum rp_code)reply->code));
     RpCli_AddText(builder, "service", reply->service.data);
+    RpCli_AddText(builder, "zone", reply->zone.data);
     RpCli_AddNumber(builder, "revision", reply->revision);
     RpCli_AddNumber(builder, "repeated", reply->repeated);
     RpCli_AddText(builder, "id", id);
@@ -155,8 +139,11 @@
     }
     if (reply->code == RP_OK) {
         printf("%s: applied at revision %" G_GUINT64_FORMAT "%s\n",
-               reply->service.data, reply->revision,
-               reply->repeated ? " (by an earlier attempt)" : "");
+               reply->service.len ? reply->service.data : argument,
+               reply->revision,
+               reply->repeated    ? " (by an earlier attempt)"
+               : reply->unchanged ? " (nothing changed)"
+                                  : "");
     }
     else if (reply->code == RP_ERR_CONFLICT) {
         printf("%s: refused: the current revision is %" G_GUINT64_FORMAT "\n",
@@ -171,7 +158,7 @@
 /* Waits until all connected nodes run the revision or --wait-seconds have
  * passed, and prints how many nodes run it. */
 static void
-wait_until_in_force(const struct change_settings *settings, uint64_t revision)
+wait_until_in_force(const struct rp_cli_change *settings, uint64_t revision)
 {
     int64_t deadline = g_get_monotonic_time() +
                        settings->wait_seconds * RP_US_PER_SECOND;
@@ -194,8 +181,9 @@
             nodes);
 }
 
-static int
-send_change(const struct change_settings *settings, struct rp_msg *request)
+int
+RpCli_SendChange(const struct rp_cli_change *settings,
+                 const struct rp_msg *request)
 {
     char id[ID_TEXT_LEN + 1];
     struct rp_msg answer;
@@ -261,7 +249,7 @@
                             &settings, &exit_code)) {
         return exit_code;
     }
-    if (!g_file_get_contents(settings.argument->str, &content, &len,
+    if (!g_file_get_contents(settings.change.argument->str, &content, &len,
                              &failure)) {
         fprintf(stderr, "%s\n", failure->message);
         g_error_free(failure);
@@ -271,9 +259,9 @@
     g_free(content);
     find_service_name(request.change.document, &request.change.service);
     exit_code = RP_CLI_USAGE;
-    if (fill_id(&settings, &request.change) &&
+    if (RpCli_FillChangeId(&settings.change, &request.change) &&
         fill_base(&settings, &request.change, &exit_code)) {
-        exit_code = send_change(&settings, &request);
+        exit_code = RpCli_SendChange(&settings.change, &request);
     }
     RpMsg_Clear(&request);
     return exit_code;
@@ -293,15 +281,15 @@
         return exit_code;
     }
     if (!RpName_Set(&request.change.service,
-                    RpStr_FromC(settings.argument->str))) {
+                    RpStr_FromC(settings.change.argument->str))) {
         fprintf(stderr, "NAME: longer than %d bytes\n", RP_NAME_MAX);
         return RP_CLI_USAGE;
     }
     request.change.document = g_string_new(NULL);
     exit_code = RP_CLI_USAGE;
-    if (fill_id(&settings, &request.change) &&
+    if (RpCli_FillChangeId(&settings.change, &request.change) &&
         fill_base(&settings, &request.change, &exit_code)) {
-        exit_code = send_change(&settings, &request);
+        exit_code = RpCli_SendChange(&settings.change, &request);
     }
     RpMsg_Clear(&request);
     return exit_code;
--- a/programs/cli/show.c
+++ b/programs/cli/show.c
@@ -235,6 +235,18 @@
     json_builder_end_array(builder);
 }
 
+static void
+add_evacuated_json(JsonBuilder *builder, const GArray *rows)
+{
+    json_builder_set_member_name(builder, "evacuated_zones");
+    json_builder_begin_array(builder);
+    for (guint i = 0; rows && i < rows->len; i++) {
+        json_builder_add_string_value(
+            builder, g_array_index(rows, struct rp_msg_zone, i).name.data);
+    }
+    json_builder_end_array(builder);
+}
+
 /* Returns the oldest revision that a connected node runs. */
 static uint64_t
 lowest_confirmed(const struct rp_msg_status *status)
@@ -263,6 +275,7 @@
     add_services_json(builder, status->services);
     add_nodes_json(builder, status->nodes);
     add_upstreams_json(builder, status->upstreams);
+    add_evacuated_json(builder, status->evacuated);
     json_builder_end_object(builder);
     RpCli_PrintJson(builder);
 }
@@ -326,11 +339,21 @@
     }
 }
 
+static void
+print_evacuated(const GArray *rows)
+{
+    for (guint i = 0; rows && i < rows->len; i++) {
+        printf("evacuated: %s\n",
+               g_array_index(rows, struct rp_msg_zone, i).name.data);
+    }
+}
+
 static void
 print_status(const struct rp_msg_status *status)
 {
     print_replicas(status->replicas);
     print_nodes_behind(status);
+    print_evacuated(status->evacuated);
     printf("\n");
     print_services(status->services);
     printf("\n");
--- a/programs/cli/status_merge.c
+++ b/programs/cli/status_merge.c
@@ -45,8 +45,8 @@
     *b = kept;
 }
 
-/* Merges the answer `from` into `into`. Services and upstreams come from the
- * answer with the highest revision. */
+/* Merges the answer `from` into `into`. Services, upstreams and evacuated data
+ * centres come from the answer with the highest revision. */
 static void
 merge_status(struct rp_msg_status *into, struct rp_msg_status *from)
 {
@@ -57,6 +57,7 @@
         into->revision = from->revision;
         swap_lists(&into->services, &from->services);
         swap_lists(&into->upstreams, &from->upstreams);
+        swap_lists(&into->evacuated, &from->evacuated);
     }
 }
 
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -5,11 +5,12 @@
  *
  *   service ID INCARNATION ADDR:PORT FLOW-LIMIT RETRIES-PERCENT
  *           [LONG-SLOTS-PERCENT]     sets the service
- *   member NAME SLOTS STATE          adds or changes a member; NAME is one
+ *   member NAME SLOTS STATE [ZONE]   adds or changes a member; NAME is one
  *                                    letter
- *   agent NAME SLOTS [FROM UNTIL]    starts the agent of that member; its host
- *                                    is in its cold start from FROM to UNTIL
- *                                    (milliseconds)
+ *   evacuated [ZONE...]              sets the evacuated data centres
+ *   agent NAME SLOTS [FROM UNTIL]    starts the agent of that member, in its
+ *                                    data centre; its host is in its cold
+ *                                    start from FROM to UNTIL (milliseconds)
  *   agent-without-table NAME SLOTS   the same, but the agent gets no table
  *   sibling ID ADDR:PORT NAME        adds a second service, with member NAME,
  *                                    and a virtual address for both
@@ -63,6 +64,7 @@
     struct rp_msg_vip vip;
     struct rp_table *routes;
     bool gathering;
+    GArray *evacuated; /* of struct rp_msg_zone */
     struct rp_chart chart;
     struct rp_counters counters;
     struct rp_agent *agent;
@@ -209,6 +211,7 @@
         .revision = ++session->revision,
         .complete = 1,
         .gathering = session->gathering,
+        .evacuated = session->evacuated,
         .services = RpSchema_NewList(&rp_msg_service_schema)};
 
     g_array_append_val(table.services, session->service);
@@ -257,6 +260,7 @@
                                    .state = RP_UPSTREAM_READY};
 
     RpName_Set(&member.upstream, RpStr_FromC(words[1]));
+    RpName_Set(&member.zone, RpStr_FromC(words[4]));
     if (!strcmp(words[3], "draining")) {
         member.state = RP_UPSTREAM_DRAINING;
     }
@@ -276,6 +280,18 @@
     set_table(session);
 }
 
+static void
+do_evacuated(struct session *session, const char **words)
+{
+    g_array_set_size(session->evacuated, 0);
+    for (size_t i = 1; words[i][0]; i++) {
+        struct rp_msg_zone zone = {0};
+        RpName_Set(&zone.name, RpStr_FromC(words[i]));
+        g_array_append_val(session->evacuated, zone);
+    }
+    set_table(session);
+}
+
 static void
 do_sibling(struct session *session, const char **words)
 {
@@ -307,13 +323,21 @@
 static void
 do_agent(struct session *session, const char **words, bool with_table)
 {
-    const struct rp_agent_config config = {.codec = session->codec,
-                                           .self = member_endpoint(words[1]),
-                                           .slots = parse_number(words[2]),
-                                           .ramp_from = parse_ms(words[3]),
-                                           .ramp_until = parse_ms(words[4]),
-                                           .seed = 1};
+    struct rp_agent_config config = {.codec = session->codec,
+                                     .self = member_endpoint(words[1]),
+                                     .slots = parse_number(words[2]),
+                                     .ramp_from = parse_ms(words[3]),
+                                     .ramp_until = parse_ms(words[4]),
+                                     .seed = 1};
+    const GArray *members = session->service.members;
 
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_msg_member *member = &g_array_index(
+            members, struct rp_msg_member, i);
+        if (!strcmp(member->upstream.data, words[1])) {
+            config.zone = member->zone;
+        }
+    }
     RpAgent_Free(session->agent);
     session->agent = RpAgent_Create(&config, &session->chart,
                                     RpAdmission_CreateLeastBusy(),
@@ -564,6 +588,9 @@
     else if (!strcmp(words[0], "member")) {
         do_member(session, words);
     }
+    else if (!strcmp(words[0], "evacuated")) {
+        do_evacuated(session, words);
+    }
     else if (!strcmp(words[0], "agent")) {
         do_agent(session, words, true);
     }
@@ -646,6 +673,7 @@
         return 2;
     }
     session.service.members = RpSchema_NewList(&rp_msg_member_schema);
+    session.evacuated = RpSchema_NewList(&rp_msg_zone_schema);
     while (fgets(line, sizeof line, in)) {
         fputs(line, stdout);
         do_line(&session, line);
@@ -654,5 +682,6 @@
     RpAgent_Free(session.agent);
     RpTable_Free(session.routes);
     g_array_free(session.service.members, TRUE);
+    g_array_free(session.evacuated, TRUE);
     return 0;
 }
--- a/tests/unit/test_control_calls.c
+++ b/tests/unit/test_control_calls.c
@@ -80,7 +80,7 @@
 {
     struct world *self = user;
 
-    if (reply->is_edition) {
+    if (reply->is_edition || reply->is_change) {
         RpControlEditions_OnApplied(self->control.editions, entry, reply);
     }
 }
@@ -253,7 +253,8 @@
 /* Sends the operator's request, runs the replica until it is answered, and
  * checks the status. */
 static void
-call(const char *method, const char *body, const char *status)
+call_path(const char *method, const char *path, const char *body,
+          const char *status)
 {
     char answer[4096] = {0};
     char address[RP_ENDPOINT_TEXT_MAX];
@@ -265,8 +266,8 @@
     assert_non_null(connection);
     GSocket *socket = g_socket_connection_get_socket(connection);
     gchar *request = g_strdup_printf(
-        "%s /-/config HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s",
-        method, strlen(body), body);
+        "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s", method,
+        path, strlen(body), body);
 
     assert_true(g_output_stream_write_all(
         g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
@@ -286,6 +287,119 @@
     g_object_unref(client);
 }
 
+static void
+call(const char *method, const char *body, const char *status)
+{
+    call_path(method, "/-/config", body, status);
+}
+
+static void
+assert_evacuated(guint count)
+{
+    GArray *list = RpCatalog_ListEvacuated(
+        RpControlReplica_Catalog(world->control.replica));
+
+    assert_int_equal(list->len, count);
+    g_array_free(list, TRUE);
+}
+
+/* Orders for data centres from another writer: each is refused with a clear
+ * status and changes nothing, or acknowledged, also when it is sent again. */
+static void
+test_orders_for_data_centres(void **state)
+{
+    static const struct {
+        const char *method;
+        const char *name;
+        const char *body;
+        const char *status;
+        guint evacuated; /* afterwards */
+    } cases[] = {
+        {"POST", "east", "", " 200 ", 1},
+        {"POST", "east", "", " 200 ", 1},
+        {"POST", "west", "", " 200 ", 2},
+        {"POST", "", "", " 400 ", 2},
+        {"POST", "north", "", " 400 ", 2},
+        {"POST", "eas", "", " 400 ", 2},
+        {"POST", "East", "", " 400 ", 2},
+        {"POST", "east/", "", " 400 ", 2},
+        {"POST", "east/west", "", " 400 ", 2},
+        {"POST", "east,west", "", " 400 ", 2},
+        {"POST", "ea%20st", "", " 400 ", 2},
+        {"POST", "ea%00st", "", " 400 ", 2},
+        {"POST", "%ff%fe", "", " 400 ", 2},
+        {"POST",
+         "a234567890123456789012345678901234567890123456789012345678901234",
+         "", " 400 ", 2},
+        {"DELETE", "east", "{}", " 400 ", 2},
+        {"DELETE", "east", " ", " 400 ", 2},
+        {"PUT", "east", "", " 404 ", 2},
+        {"GET", "east", "", " 404 ", 2},
+        {"DELETE", "north", "", " 400 ", 2},
+        {"DELETE", "east", "", " 200 ", 1},
+        {"DELETE", "east", "", " 200 ", 1},
+    };
+    struct world self = {0};
+    struct rp_counters *counters = &self.control.daemon.counters;
+
+    (void)state;
+    open_world(&self);
+    self.control.settings.zones = g_string_new("east, west");
+    call_path("POST", "/-/evacuation/east", "", " 503 ");
+    create_group(0);
+    run_until_leader();
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        gchar *path = g_strconcat("/-/evacuation/", cases[i].name, NULL);
+        call_path(cases[i].method, path, cases[i].body, cases[i].status);
+        assert_evacuated(cases[i].evacuated);
+        g_free(path);
+    }
+    check_line("event=evacuation_requested", "zone=east role=");
+    check_line("event=zone_answered what=evacuate zone=east ",
+               "result=ok ms=");
+    check_line("event=zone_answered what=restore zone=east ", "unchanged=1\n");
+    check_line("event=zone_answered what=evacuate zone=north ",
+               "result=not_found ms=");
+    check_line("event=zone_order_refused", "what=zone_order findings=");
+    assert_int_equal(counters->value[RP_COUNT_ZONE_UNKNOWN], 3);
+    /* All that are malformed but the one with a NUL, which is no URI. */
+    assert_int_equal(counters->value[RP_COUNT_ZONE_BAD_ORDER], 10);
+    /* The settings change: what was accepted is acknowledged again, and what is
+     * evacuated can be restored. */
+    g_string_assign(self.control.settings.zones, "north");
+    call_path("POST", "/-/evacuation/west", "", " 200 ");
+    call_path("DELETE", "/-/evacuation/west", "", " 200 ");
+    call_path("DELETE", "/-/evacuation/west", "", " 200 ");
+    call_path("POST", "/-/evacuation/north", "", " 200 ");
+    assert_evacuated(1);
+    g_string_free(self.control.settings.zones, TRUE);
+    /* Without the setting any valid name will do. */
+    self.control.settings.zones = NULL;
+    call_path("POST", "/-/evacuation/south-9", "", " 200 ");
+    assert_evacuated(2);
+    close_world(&self);
+}
+
+/* The pattern of an order that reaches a leader which has just been cut off: it
+ * is not acknowledged, though it is the state already. */
+static void
+test_order_without_a_majority(void **state)
+{
+    struct world self = {.other_answers = true};
+
+    (void)state;
+    open_world(&self);
+    create_group(1);
+    run_until_leader();
+    call_path("POST", "/-/evacuation/east", "", " 200 ");
+    self.other_answers = false;
+    call_path("POST", "/-/evacuation/east", "", " 503 ");
+    check_line("what=evacuate zone=east ", "result=ok ms=");
+    check_line("result=ok ms=", "result=lead_lost ms=");
+    check_line("result=lead_lost ms=", "confirmed=1 quorum=2 voters=2\n");
+    close_world(&self);
+}
+
 /* Each call gets one line with its number, its answer and what decided it. */
 static void
 test_calls_are_logged(void **state)
@@ -385,6 +499,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_calls_are_logged),
         cmocka_unit_test(test_unconfirmed_read),
+        cmocka_unit_test(test_orders_for_data_centres),
+        cmocka_unit_test(test_order_without_a_majority),
         cmocka_unit_test(test_missing_voters_are_named),
     };
 
