--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -1,3 +1,4 @@
+/* clang-format off */
 /* Runs a scripted session against one agent and prints the actions that the
  * agent returns.
  *
@@ -5,11 +6,15 @@
  *
  *   service ID INCARNATION ADDR:PORT FLOW-LIMIT RETRIES-PERCENT
  *           [LONG-SLOTS-PERCENT]     sets the service
- *   cold-rate PER-1000-S             sets how many new flows its cold hosts
- * get in 1,000 s; sends a table cold MS                          the host is
- * cold until then member NAME SLOTS STATE          adds or changes a member;
- * NAME is one letter agent NAME SLOTS [FROM UNTIL]    starts the agent of that
- * member; its host is in its cold start from FROM to UNTIL (milliseconds)
+ *   cold-rate PER-1000-S             sets how many new flows its cold hosts get
+ *                                    in 1,000 s; sends a table
+ *   cold MS                          the host is cold until then
+ *   member NAME SLOTS STATE [ZONE]   adds or changes a member; NAME is one
+ *                                    letter
+ *   evacuated [ZONE...]              sets the evacuated data centres
+ *   agent NAME SLOTS [FROM UNTIL]    starts the agent of that member, in its
+ *                                    data centre; its host is in its cold
+ *                                    start from FROM to UNTIL (milliseconds)
  *   agent-without-table NAME SLOTS   the same, but the agent gets no table
  *   sibling ID ADDR:PORT NAME [TARGET-MS]
  *                                    adds a second service, with member NAME,
@@ -44,6 +49,7 @@
  * FLAGS are letters of S, A, F, R and P. PORT is the caller's port, at
  * 10.9.0.1. CHAIN lists member names; a '|' follows the visited ones, and
  * those of the sibling service follow a '/'. */
+/* clang-format on */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -66,6 +72,7 @@
     struct rp_msg_vip vip;
     struct rp_table *routes;
     bool gathering;
+    GArray *evacuated; /* of struct rp_msg_zone */
     struct rp_chart chart;
     struct rp_counters counters;
     struct rp_agent *agent;
@@ -212,6 +219,7 @@
         .revision = ++session->revision,
         .complete = 1,
         .gathering = session->gathering,
+        .evacuated = session->evacuated,
         .services = RpSchema_NewList(&rp_msg_service_schema)};
 
     g_array_append_val(table.services, session->service);
@@ -260,6 +268,7 @@
                                    .state = RP_UPSTREAM_READY};
 
     RpName_Set(&member.upstream, RpStr_FromC(words[1]));
+    RpName_Set(&member.zone, RpStr_FromC(words[4]));
     if (!strcmp(words[3], "draining")) {
         member.state = RP_UPSTREAM_DRAINING;
     }
@@ -279,6 +288,18 @@
     set_table(session);
 }
 
+static void
+do_evacuated(struct session *session, const char **words)
+{
+    g_array_set_size(session->evacuated, 0);
+    for (size_t i = 1; words[i][0]; i++) {
+        struct rp_msg_zone zone = {0};
+        RpName_Set(&zone.name, RpStr_FromC(words[i]));
+        g_array_append_val(session->evacuated, zone);
+    }
+    set_table(session);
+}
+
 static void
 do_sibling(struct session *session, const char **words)
 {
@@ -311,14 +332,22 @@
 static void
 do_agent(struct session *session, const char **words, bool with_table)
 {
-    const struct rp_agent_config config = {.codec = session->codec,
-                                           .self = member_endpoint(words[1]),
-                                           .slots = parse_number(words[2]),
-                                           .started = session->now,
-                                           .ramp_from = parse_ms(words[3]),
-                                           .ramp_until = parse_ms(words[4]),
-                                           .seed = 1};
+    struct rp_agent_config config = {.codec = session->codec,
+                                     .self = member_endpoint(words[1]),
+                                     .slots = parse_number(words[2]),
+                                     .started = session->now,
+                                     .ramp_from = parse_ms(words[3]),
+                                     .ramp_until = parse_ms(words[4]),
+                                     .seed = 1};
+    const GArray *members = session->service.members;
 
+    for (guint i = 0; i < members->len; i++) {
+        const struct rp_msg_member *member = &g_array_index(
+            members, struct rp_msg_member, i);
+        if (!strcmp(member->upstream.data, words[1])) {
+            config.zone = member->zone;
+        }
+    }
     RpAgent_Free(session->agent);
     session->agent = RpAgent_Create(&config, &session->chart,
                                     RpAdmission_CreateLeastBusy(),
@@ -569,6 +598,9 @@
     else if (!strcmp(words[0], "member")) {
         do_member(session, words);
     }
+    else if (!strcmp(words[0], "evacuated")) {
+        do_evacuated(session, words);
+    }
     else if (!strcmp(words[0], "agent")) {
         do_agent(session, words, true);
     }
@@ -658,6 +690,7 @@
         return 2;
     }
     session.service.members = RpSchema_NewList(&rp_msg_member_schema);
+    session.evacuated = RpSchema_NewList(&rp_msg_zone_schema);
     while (fgets(line, sizeof line, in)) {
         fputs(line, stdout);
         do_line(&session, line);
@@ -666,5 +699,6 @@
     RpAgent_Free(session.agent);
     RpTable_Free(session.routes);
     g_array_free(session.service.members, TRUE);
+    g_array_free(session.evacuated, TRUE);
     return 0;
 }
