Link of a balancer: repeated SYNs are taken by rule; bytes by purpose are counted

The rule that only a first copy of a SYN is refused moves to lib/, with a test. link_bytes_packets and link_bytes_headers tell how much of the link is the system's own.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -56,6 +56,10 @@
       "new flows reset by a balancer: no room on its link in time")           \
     X(EGRESS_WAITED, "egress_waited",                                         \
       "packets that waited for room on the outgoing link")                    \
+    X(LINK_BYTES_PACKETS, "link_bytes_packets",                               \
+      "bytes of callers' packets given to a link of known rate")        \
+    X(LINK_BYTES_HEADERS, "link_bytes_headers",                               \
+      "bytes of Geneve and frame headers around these packets")               \
     X(DROP_EGRESS_COPY, "drop_egress_copy",                                   \
       "dropped: an earlier copy of the packet still waits for the link")      \
     X(DROP_EGRESS_LATE, "drop_egress_late",                                   \
--- a/lib/flow/rp_link_admission.c
+++ b/lib/flow/rp_link_admission.c
@@ -66,7 +66,8 @@
     uint32_t ip = packet->key.src_ip;
     struct refusal *place = find_place(admission, ip);
 
-    if (!RpLink_IsLimited(admission->link) || !vip || vip->target_ms == 0 ||
+    if (!RpLink_IsLimited(admission->link) || packet->syn_retransmits > 0 ||
+        !vip || vip->target_ms == 0 ||
         RpLinkFlows_MeanSize(admission->flows, vip->address) <=
             RP_LINK_SHORT_BYTES) {
         return true;
--- a/lib/flow/rp_link_admission.h
+++ b/lib/flow/rp_link_admission.h
@@ -45,8 +45,9 @@
 /* NULL does nothing. */
 void RpLinkAdmission_Free(struct rp_link_admission *admission);
 
-/* Returns whether the flow that `packet` opens is taken. `packet` is the first
- * copy of its SYN; `vip` is the entry of its address, or NULL. */
+/* Returns whether the flow that `packet` opens is taken. `vip` is the entry of
+ * its address, or NULL. A repeated SYN is always taken: an earlier copy may
+ * have opened the flow, and a refusal would not be true. */
 bool RpLinkAdmission_Takes(struct rp_link_admission *admission, int64_t now,
                            const struct rp_packet *packet,
                            const struct rp_vip *vip);
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -227,10 +227,9 @@
             route.chain.origin = balancer->settings.hint_listen;
         }
     }
-    /* The first copy of a SYN has surely opened nothing, so a refusal is
-     * true. */
+    /* A SYN that waited for a table may have been repeated elsewhere. */
     if (RpPacket_Opens(packet) && ops->numbers_copies && !waited &&
-        packet->syn_retransmits == 0 && route.kind == RP_ROUTE_SEND &&
+        route.kind == RP_ROUTE_SEND &&
         !RpBalancerEgress_Takes(balancer->egress, table, packet)) {
         route.kind = RP_ROUTE_RESET;
         route.reason = RP_COUNT_RESET_LINK_FULL;
--- a/programs/daemon/balancer_egress.c
+++ b/programs/daemon/balancer_egress.c
@@ -57,15 +57,17 @@
     if (now < egress->next_summary || waited == egress->summarised) {
         return;
     }
-    RpLog_Event(egress->daemon->log, RP_LOG_INFO, "egress_waited",
-                "packets=%" G_GUINT64_FORMAT " waiting=%zu link_percent=%u "
-                "urgent_percent=%u copies=%" G_GUINT64_FORMAT
-                " late=%" G_GUINT64_FORMAT " full=%" G_GUINT64_FORMAT,
-                waited - egress->summarised, RpEgress_Count(egress->queue),
-                egress->link.percent, egress->link.urgent_percent,
-                count[RP_COUNT_DROP_EGRESS_COPY],
-                count[RP_COUNT_DROP_EGRESS_LATE],
-                count[RP_COUNT_DROP_EGRESS_FULL]);
+    RpLog_Event(
+        egress->daemon->log, RP_LOG_INFO, "egress_waited",
+        "packets=%" G_GUINT64_FORMAT " waiting=%zu link_percent=%u "
+        "urgent_percent=%u copies=%" G_GUINT64_FORMAT
+        " late=%" G_GUINT64_FORMAT " full=%" G_GUINT64_FORMAT
+        " packet_bytes=%" G_GUINT64_FORMAT " header_bytes=%" G_GUINT64_FORMAT,
+        waited - egress->summarised, RpEgress_Count(egress->queue),
+        egress->link.percent, egress->link.urgent_percent,
+        count[RP_COUNT_DROP_EGRESS_COPY], count[RP_COUNT_DROP_EGRESS_LATE],
+        count[RP_COUNT_DROP_EGRESS_FULL], count[RP_COUNT_LINK_BYTES_PACKETS],
+        count[RP_COUNT_LINK_BYTES_HEADERS]);
     egress->summarised = waited;
     egress->next_summary = now + SUMMARY_INTERVAL_US;
 }
@@ -158,7 +160,15 @@
         offer.rank = RpLinkFlows_Count(
             egress->flows, now, packet, offer.priority,
             header_len + packet->len + RP_LINK_OVERHEAD);
-        if (RpEgress_Offer(egress->queue, now, &offer) != RP_EGRESS_SEND) {
+        enum rp_egress_verdict verdict = RpEgress_Offer(egress->queue, now,
+                                                        &offer);
+        if (verdict != RP_EGRESS_DROPPED) {
+            uint64_t *count = egress->daemon->counters.value;
+            count[RP_COUNT_LINK_BYTES_PACKETS] += packet->len;
+            count[RP_COUNT_LINK_BYTES_HEADERS] += header_len +
+                                                  RP_LINK_OVERHEAD;
+        }
+        if (verdict != RP_EGRESS_SEND) {
             RpTimer_RunBy(egress->timer, RpEgress_NextRefill(egress->queue));
             return;
         }
--- a/programs/daemon/balancer_egress.h
+++ b/programs/daemon/balancer_egress.h
@@ -22,8 +22,8 @@
  * logged and counts as none. */
 void RpBalancerEgress_SetRate(struct rp_balancer_egress *egress, double mbps);
 
-/* Returns whether the link has room for the flow that `packet`, the first copy
- * of its SYN, opens. If not, the caller may be refused: nothing was sent. */
+/* Returns whether the link has room for the flow that `packet` opens. If not,
+ * the caller may be refused: nothing was sent. */
 bool RpBalancerEgress_Takes(struct rp_balancer_egress *egress,
                             const struct rp_table *table,
                             const struct rp_packet *packet);
--- a/tests/unit/test_link_admission.c
+++ b/tests/unit/test_link_admission.c
@@ -198,6 +198,27 @@
     end(&scene);
 }
 
+/* A refusal is true: what may have opened a flow before, a repeated SYN, is
+ * taken, however full the link is. */
+static void
+test_repeated_syn(void **state)
+{
+    struct scene scene;
+    struct test_packet test;
+
+    (void)state;
+    begin(&scene, THIN_MBPS);
+    learn(&scene, &upload, FILE_SEGMENTS);
+    crest(&scene, MS, &upload, 40);
+    make_test_packet(&test, make_key(&upload, CALLER, 1), RP_TCP_SYN, 1, 0, 0);
+    assert_false(
+        RpLinkAdmission_Takes(scene.admission, MS, &test.packet, &upload));
+    test.packet.syn_retransmits = 1;
+    assert_true(
+        RpLinkAdmission_Takes(scene.admission, MS, &test.packet, &upload));
+    end(&scene);
+}
+
 /* Short requests that leave first make the link narrower for bulk. */
 static void
 test_urgent_share(void **state)
@@ -243,6 +264,7 @@
         cmocka_unit_test(test_crest),
         cmocka_unit_test(test_unknown),
         cmocka_unit_test(test_refused_caller),
+        cmocka_unit_test(test_repeated_syn),
         cmocka_unit_test(test_urgent_share),
         cmocka_unit_test(test_priorities),
     };
