Health of a host is also judged by its answers to requests

Only SYNs were judged.

Ruled out: the balancers' links (the requests had reached their hosts).

Change: a second judgement of the same kind. A reset of a flow whose request has not been answered is a failure, a first byte of an answer a success. A flow that the host has closed, or that was answered, does not count.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -32,7 +32,8 @@
     agent->search_targets = g_array_new(FALSE, FALSE,
                                         sizeof(struct rp_endpoint));
     RpAgent_CreateRequestQueue(agent);
-    if (RpHealth_Init(&agent->health, NULL) != RP_OK) {
+    if (RpHealth_Init(&agent->health, NULL) != RP_OK ||
+        RpHealth_Init(&agent->answers, NULL) != RP_OK) {
         RpAgent_Free(agent);
         return NULL;
     }
@@ -100,6 +101,7 @@
     g_array_set_size(agent->lost_flows, 0);
     RpFlowTable_CollectFlagged(agent->flows, RP_FLOW_OWNED, agent->lost_flows);
     RpHealth_RecordSuccess(&agent->health, now);
+    RpHealth_RecordSuccess(&agent->answers, now);
 }
 
 void
@@ -347,6 +349,25 @@
                           RP_COUNT_PACKETS_OUT, packet->data, packet->len);
 }
 
+/* Judges the host by what it sends on a flow with an outstanding request: a
+ * host that accepts flows and resets them instead of answering gets trials
+ * only. A reset of a flow that the host has closed before says nothing. */
+static void
+judge_answer(struct rp_agent *agent, int64_t now, const struct rp_flow *flow,
+             const struct rp_packet *packet)
+{
+    if (!(flow->flags & RP_FLOW_AWAITS_ANSWER) ||
+        flow->state == RP_FLOW_HOST_CLOSED || flow->state == RP_FLOW_CLOSED) {
+        return;
+    }
+    if (packet->flags & RP_TCP_RST) {
+        RpHealth_RecordFailure(&agent->answers, now);
+    }
+    else if (packet->payload_len > 0) {
+        RpHealth_RecordSuccess(&agent->answers, now);
+    }
+}
+
 /* Looks up a host's packet in the flow chart and performs the action. */
 static void
 handle_host_packet(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
@@ -382,6 +403,7 @@
             RpCounters_AddDuration(agent->counters, RP_HISTOGRAM_SYN_ANSWER,
                                    now - flow->host_seen);
         }
+        judge_answer(agent, now, flow, packet);
         change_state(agent, flow, step.next, now);
         forward_to_caller(agent, now, flow, packet, actions);
         break;
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -86,7 +86,8 @@
     load.waited_us = packet->waited_us;
     /* The last candidate takes the flow even if its host is unhealthy, as no
      * other is left. */
-    if (!load.last && !RpHealth_AllowsNewFlow(&agent->health, now)) {
+    if (!load.last && (!RpHealth_AllowsNewFlow(&agent->health, now) ||
+                       !RpHealth_AllowsNewFlow(&agent->answers, now))) {
         *reason = RP_COUNT_PASS_UNHEALTHY;
         return RP_DECISION_PASS_ON;
     }
--- a/lib/flow/rp_health.h
+++ b/lib/flow/rp_health.h
@@ -1,5 +1,6 @@
-/* Health of a host, judged by how it answers the SYNs of new flows and not by
- * its own reports. The state chart is charts/upstream.chart. */
+/* Health of a host, judged by how it answers the SYNs of new flows, or the
+ * requests on flows, and not by its own reports. The state chart is
+ * charts/upstream.chart. */
 #ifndef RP_HEALTH_H
 #define RP_HEALTH_H
 
@@ -32,8 +33,8 @@
  * true once in RP_HEALTH_TRIAL_INTERVAL_US: that flow is the trial. */
 bool RpHealth_AllowsNewFlow(struct rp_health *health, int64_t now);
 
-/* Record the result of a new flow: the host answered its SYN, or refused or
- * did not answer it. */
+/* Record the result of a new flow or of a request: the host answered it, or
+ * refused, reset or did not answer it. */
 void RpHealth_RecordSuccess(struct rp_health *health, int64_t now);
 void RpHealth_RecordFailure(struct rp_health *health, int64_t now);
 
