--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -60,7 +60,7 @@
     bool draining;
     bool knows_all_flows; /* `flows` has every flow of the host */
     enum rp_host_state host_state;
-    GArray *lost_flows; /* of struct rp_flow_key: lost by the host */
+    GArray *lost_flows;       /* of struct rp_flow_key: lost by the host */
     struct rp_health health;  /* by answers to SYNs */
     struct rp_health answers; /* by answers to requests */
     struct rp_flow_table *flows;
--- a/lib/flow/rp_egress.c
+++ b/lib/flow/rp_egress.c
@@ -85,10 +85,13 @@
 }
 
 static void
-drop_flow(struct rp_egress *egress, struct flow_queue *flow,
+drop_flow(struct rp_egress *egress, const struct rp_flow_key *key,
           enum rp_counter reason)
 {
-    for (guint left = flow->packets.length; left > 0; left--) {
+    struct flow_queue *flow;
+
+    /* The last packet takes the flow along. */
+    while ((flow = g_hash_table_lookup(egress->flows, key))) {
         drop_packet(egress, flow, flow->packets.head, reason);
     }
 }
@@ -212,7 +215,7 @@
     struct flow_queue *flow = g_hash_table_lookup(egress->flows, &packet->key);
 
     if (flow && packet->flags & RP_TCP_RST) {
-        drop_flow(egress, flow, RP_COUNT_DROP_EGRESS_RESET);
+        drop_flow(egress, &packet->key, RP_COUNT_DROP_EGRESS_RESET);
         flow = NULL;
     }
     if (flow && is_copy(flow, packet)) {
--- a/tests/unit/test_platform_packet.c
+++ b/tests/unit/test_platform_packet.c
@@ -118,6 +118,8 @@
     enum rp_counter reason;
 
     (void)state;
+    assert_true(ops()->numbers_copies);
+    assert_false(rp_codec_ipv4.ops->numbers_copies);
     memcpy(bytes, syn, HEADER_SIZE);
     bytes[23] = 2;
     assert_true(ops()->parse(bytes, HEADER_SIZE, &packet, &reason));
