--- a/lib/flow/rp_link_flows.c
+++ b/lib/flow/rp_link_flows.c
@@ -17,7 +17,7 @@
     uint32_t priority;
     uint32_t next_seq; /* after the furthest segment */
     bool has_data;
-    bool opened; /* its SYN came here: its size is a sample */
+    bool opened; /* its SYN came here and no reset: its size is a sample */
     uint64_t expected;
     uint64_t sent;
     int64_t deadline;
@@ -191,6 +191,7 @@
                                         RpFlowKey_Destination(packet->key)) >
                        RP_LINK_SHORT_BYTES;
     if (packet->flags & (RP_TCP_RST | RP_TCP_FIN)) {
+        flow->opened = flow->opened && !(packet->flags & RP_TCP_RST);
         end_flow(flows, flow);
     }
     else {
--- a/tests/unit/test_link_flows.c
+++ b/tests/unit/test_link_flows.c
@@ -145,7 +145,7 @@
 }
 
 /* The mean follows a change of the requests within some 100 of them; a single
- * large one hardly moves it. A flow that never got to send teaches nothing. */
+ * large one hardly moves it. A flow that is reset teaches nothing. */
 static void
 test_mean_follows(void **state)
 {
@@ -158,6 +158,9 @@
         play_request(flows, 0, key, 1);
         count(flows, 0, key, RP_TCP_SYN, 1, 0);
         count(flows, 0, key, RP_TCP_RST, 2, 0);
+        count(flows, 0, key, RP_TCP_SYN, 1, 0);
+        count(flows, 0, key, RP_TCP_ACK, 20002, 1000);
+        count(flows, 0, key, RP_TCP_RST, 21002, 0);
     }
     assert_in_range(mean_size(flows, key), SEGMENT, SEGMENT + 200);
     play_request(flows, 0, key, 50);
