--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -24,9 +24,9 @@
  *   cannot use it until a release command confirms that the connected nodes
  *   run the revision in which it was given up, or a later one.
  * - The operator evacuates data centres and restores them; the order of the
- *   log decides. The catalogue keeps which are evacuated, and also the names of
- *   restored ones while there is room, so that an order that was accepted stays
- *   one for a known data centre.
+ *   log decides. The catalogue keeps which are evacuated, and also the names
+ * of restored ones while there is room, so that an order that was accepted
+ * stays one for a known data centre.
  */
 #ifndef RP_CATALOG_H
 #define RP_CATALOG_H
@@ -86,9 +86,10 @@
 
 /* These functions encode commands for RpCatalog_Apply. The caller frees the
  * result. Init sets the flow hash key once; Change applies or deletes a
- * document, or evacuates or restores a data centre; Release ends the quarantine of addresses up to `revision`;
- * Edition installs an edition; ExpireFormer forgets the former targets that
- * were recorded up to `revision`. */
+ * document, or evacuates or restores a data centre; Release ends the
+ * quarantine of addresses up to `revision`; Edition installs an edition;
+ * ExpireFormer forgets the former targets that were recorded up to `revision`.
+ */
 GString *RpCatalog_EncodeInit(const uint8_t hash_key[RP_HASH_KEY_SIZE]);
 GString *RpCatalog_EncodeChange(const struct rp_msg_change *change);
 GString *RpCatalog_EncodeRelease(uint64_t revision);
--- a/lib/control/rp_catalog_internal.h
+++ b/lib/control/rp_catalog_internal.h
@@ -26,7 +26,7 @@
     /* Earlier targets of the edition's virtual addresses: address key ->
      * GArray of struct rp_former_target, the latest last. */
     GHashTable *former;
-    GArray *zones; /* of struct rp_catalog_zone, ordered by name */
+    GArray *zones;             /* of struct rp_catalog_zone, ordered by name */
     struct rp_edition edition; /* version 0: no edition yet */
     GString *edition_bytes;    /* `edition`, encoded; NULL: none yet */
 };
--- a/lib/control/rp_catalog_zones.c
+++ b/lib/control/rp_catalog_zones.c
@@ -9,24 +9,34 @@
     return catalog->zones;
 }
 
-static struct rp_catalog_zone *
+/* Returns the index of a data centre, or their number if it is not known. */
+static guint
 find_zone(const struct rp_catalog *catalog, const struct rp_name *name)
 {
-    for (guint i = 0; i < catalog->zones->len; i++) {
-        struct rp_catalog_zone *zone = &g_array_index(
-            catalog->zones, struct rp_catalog_zone, i);
-        if (RpName_Equal(&zone->name, name)) {
-            return zone;
-        }
+    guint i = 0;
+
+    while (i < catalog->zones->len &&
+           !RpName_Equal(
+               &g_array_index(catalog->zones, struct rp_catalog_zone, i).name,
+               name)) {
+        i++;
     }
-    return NULL;
+    return i;
+}
+
+static struct rp_catalog_zone *
+get_zone(const struct rp_catalog *catalog, guint index)
+{
+    return &g_array_index(catalog->zones, struct rp_catalog_zone, index);
 }
 
 const struct rp_catalog_zone *
 RpCatalog_FindZone(const struct rp_catalog *catalog,
                    const struct rp_name *name)
 {
-    return find_zone(catalog, name);
+    guint index = find_zone(catalog, name);
+
+    return index < catalog->zones->len ? get_zone(catalog, index) : NULL;
 }
 
 GArray *
@@ -35,8 +45,7 @@
     GArray *list = RpSchema_NewList(&rp_msg_zone_schema);
 
     for (guint i = 0; i < catalog->zones->len; i++) {
-        const struct rp_catalog_zone *zone = &g_array_index(
-            catalog->zones, struct rp_catalog_zone, i);
+        const struct rp_catalog_zone *zone = get_zone(catalog, i);
         const struct rp_msg_zone row = {.name = zone->name};
         if (zone->evacuated) {
             g_array_append_val(list, row);
@@ -50,20 +59,18 @@
 static bool
 forget_restored_zone(struct rp_catalog *catalog)
 {
-    guint oldest = catalog->zones->len;
+    guint count = catalog->zones->len;
+    guint oldest = count;
 
-    for (guint i = 0; i < catalog->zones->len; i++) {
-        const struct rp_catalog_zone *zone = &g_array_index(
-            catalog->zones, struct rp_catalog_zone, i);
+    for (guint i = 0; i < count; i++) {
+        const struct rp_catalog_zone *zone = get_zone(catalog, i);
         if (!zone->evacuated &&
-            (oldest == catalog->zones->len ||
-             zone->revision < g_array_index(catalog->zones,
-                                            struct rp_catalog_zone, oldest)
-                                  .revision)) {
+            (oldest == count ||
+             zone->revision < get_zone(catalog, oldest)->revision)) {
             oldest = i;
         }
     }
-    if (oldest == catalog->zones->len) {
+    if (oldest == count) {
         return false;
     }
     g_array_remove_index(catalog->zones, oldest);
@@ -102,14 +109,15 @@
 {
     const struct rp_name *name = &change->zone;
     bool evacuate = change->kind == RP_CHANGE_EVACUATE;
-    const struct rp_catalog_zone *known = find_zone(catalog, name);
+    guint index = find_zone(catalog, name);
+    bool known = index < catalog->zones->len;
 
     *unchanged = false;
     if (!RpName_IsLabel(RpName_View(name))) {
         return RpError_Add(error, RP_ERR_DOCUMENT, "zone",
                            "is not a valid name");
     }
-    if ((known && known->evacuated) == evacuate) {
+    if ((known && get_zone(catalog, index)->evacuated) == evacuate) {
         *unchanged = true;
         return RP_OK;
     }
@@ -117,7 +125,7 @@
         RP_RETURN_IF_ERROR(add_zone(catalog, name, error));
     }
     catalog->revision++;
-    struct rp_catalog_zone *zone = find_zone(catalog, name);
+    struct rp_catalog_zone *zone = get_zone(catalog, find_zone(catalog, name));
     zone->evacuated = evacuate;
     zone->revision = catalog->revision;
     return RP_OK;
--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -148,8 +148,9 @@
 static bool
 is_serving(const struct rp_service *service, struct rp_endpoint agent)
 {
-    const struct rp_member *member =
-        service ? RpService_FindMember(service, agent) : NULL;
+    const struct rp_member *member = service
+                                         ? RpService_FindMember(service, agent)
+                                         : NULL;
 
     return member && (1u << member->state) & RP_MEMBERS_SERVING;
 }
--- a/lib/flow/rp_balancer.h
+++ b/lib/flow/rp_balancer.h
@@ -27,15 +27,16 @@
 /* Decides where a caller's packet goes and fills `*route`.
  *
  * A packet that opens a flow gets only ready members as candidates, and none
- * in an evacuated data centre. Any other packet may belong to a flow on a ready or a draining member; members
- * whose lease has expired follow these as candidates if the chain has room.
- * If the address has former targets, its flows may have been opened with
- * these: their best members follow, and the chain names the services.
+ * in an evacuated data centre. Any other packet may belong to a flow on a
+ * ready or a draining member; members whose lease has expired follow these as
+ * candidates if the chain has room. If the address has former targets, its
+ * flows may have been opened with these: their best members follow, and the
+ * chain names the services.
  *
  * Without a table, or without candidates in a table that may still lack
  * members, the packet waits. Else, without candidates, a packet that opens a
- * flow is answered with a reset, and any other is dropped; so is a repeated SYN
- * if all ready members are evacuated. */
+ * flow is answered with a reset, and any other is dropped; so is a repeated
+ * SYN if all ready members are evacuated. */
 void RpBalancer_Route(const struct rp_table *table,
                       const struct rp_packet *packet, struct rp_route *route);
 
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "rp_bytes.h"
+#include "rp_zones.h"
 
 #define LOG_TABLE_BITS 8
 #define LOG_TABLE_SIZE (1u << LOG_TABLE_BITS)
@@ -27,10 +28,8 @@
     bool cut_off;          /* the sender may be stale */
     /* Names of members that were dropped at the end of `may_lack_members`. */
     GHashTable *unaccounted;
-    uint64_t additions; /* members that updates have added */
-    GArray *zones;      /* of struct rp_name: of all members so far */
-    GArray *evacuated;  /* of struct rp_msg_zone */
-    uint64_t evacuation_changes; /* updates that changed `evacuated` */
+    uint64_t additions;    /* members that updates have added */
+    struct rp_zones zones; /* of the members, and the evacuated ones */
 };
 
 /* Entry i is log2(1 + i / LOG_TABLE_SIZE) in fixed point. */
@@ -78,8 +77,7 @@
                                         free_vip);
     table->unaccounted = g_hash_table_new_full(RpName_Hash, RpName_EqualKeys,
                                                g_free, NULL);
-    table->zones = g_array_new(FALSE, TRUE, sizeof(struct rp_name));
-    table->evacuated = RpSchema_NewList(&rp_msg_zone_schema);
+    RpZones_Init(&table->zones);
     table->zone_weight = 1;
     return table;
 }
@@ -100,8 +98,7 @@
         g_hash_table_destroy(table->by_id);
         g_hash_table_destroy(table->vips);
         g_hash_table_destroy(table->unaccounted);
-        g_array_free(table->zones, TRUE);
-        g_array_free(table->evacuated, TRUE);
+        RpZones_Clear(&table->zones);
         g_free(table);
     }
 }
@@ -109,32 +106,7 @@
 bool
 RpTable_IsEvacuated(const struct rp_table *table, const struct rp_name *zone)
 {
-    for (guint i = 0; i < table->evacuated->len; i++) {
-        if (RpName_Equal(
-                &g_array_index(table->evacuated, struct rp_msg_zone, i).name,
-                zone)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Returns the index of a data centre in `zones`, and adds it if it is
- * missing. */
-static uint32_t
-intern_zone(struct rp_table *table, const struct rp_name *zone)
-{
-    guint i = 0;
-
-    while (i < table->zones->len &&
-           !RpName_Equal(&g_array_index(table->zones, struct rp_name, i),
-                         zone)) {
-        i++;
-    }
-    if (i == table->zones->len) {
-        g_array_append_vals(table->zones, zone, 1);
-    }
-    return i;
+    return RpZones_IsEvacuated(&table->zones, zone);
 }
 
 static void
@@ -157,7 +129,7 @@
     }
     member->inverse_weight = (uint32_t)MIN(INVERSE_SCALE / weight, UINT32_MAX);
     member->state = (enum rp_upstream_state)from->state;
-    member->zone = intern_zone(table, &from->zone);
+    member->zone = RpZones_Index(&table->zones, &from->zone);
     member->evacuated = RpTable_IsEvacuated(table, &from->zone);
     crypto_shorthash(digest, (const uint8_t *)from->upstream.data,
                      from->upstream.len, name_hash_key);
@@ -345,39 +317,24 @@
     g_hash_table_destroy(listed);
 }
 
-static bool
-has_same_zones(const GArray *a, const GArray *b)
-{
-    for (guint i = 0; a->len == b->len && i < a->len; i++) {
-        if (!RpName_Equal(&g_array_index(a, struct rp_msg_zone, i).name,
-                          &g_array_index(b, struct rp_msg_zone, i).name)) {
-            return false;
-        }
-    }
-    return a->len == b->len;
-}
-
 /* Replaces the evacuated data centres and marks the members in them. */
 static void
 apply_evacuated(struct rp_table *table, const GArray *evacuated)
 {
+    const GArray *names = table->zones.names;
     GHashTableIter iter;
     gpointer value;
 
-    if (!evacuated || has_same_zones(table->evacuated, evacuated)) {
+    if (!evacuated || !RpZones_Replace(&table->zones, evacuated)) {
         return;
     }
-    table->evacuation_changes++;
-    g_array_set_size(table->evacuated, 0);
-    g_array_append_vals(table->evacuated, evacuated->data, evacuated->len);
     g_hash_table_iter_init(&iter, table->by_id);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rp_service *service = value;
         for (size_t i = 0; i < service->count; i++) {
             struct rp_member *member = &service->members[i];
             member->evacuated = RpTable_IsEvacuated(
-                table,
-                &g_array_index(table->zones, struct rp_name, member->zone));
+                table, &g_array_index(names, struct rp_name, member->zone));
         }
     }
 }
@@ -385,13 +342,13 @@
 const GArray *
 RpTable_Evacuated(const struct rp_table *table)
 {
-    return table->evacuated;
+    return table->zones.evacuated;
 }
 
 uint64_t
 RpTable_CountEvacuationChanges(const struct rp_table *table)
 {
-    return table->evacuation_changes;
+    return table->zones.changes;
 }
 
 bool
--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -91,18 +91,18 @@
 #define RP_CLI_CHANGE_SETTINGS(argument_value, argument_help)                 \
     RP_CLI_SETTINGS(rp_cli_change, cli),                                      \
         {.kind = RP_SETTING_TEXT,                                             \
-         .offset = offsetof(struct rp_cli_change, argument),                    \
+         .offset = offsetof(struct rp_cli_change, argument),                  \
          .value = argument_value,                                             \
          .help = argument_help},                                              \
         {.flag = "id",                                                        \
          .kind = RP_SETTING_TEXT,                                             \
-         .offset = offsetof(struct rp_cli_change, id),                          \
+         .offset = offsetof(struct rp_cli_change, id),                        \
          .value = "HEX",                                                      \
          .help = "change id of an earlier attempt (32 hex digits)",           \
          .optional = true},                                                   \
     {                                                                         \
         .flag = "wait-seconds", .kind = RP_SETTING_UINT,                      \
-        .offset = offsetof(struct rp_cli_change, wait_seconds), .value = "N",   \
+        .offset = offsetof(struct rp_cli_change, wait_seconds), .value = "N", \
         .help = "wait up to N seconds for all nodes to run the change",       \
         .fallback = "7", .max = RP_CLI_MAX_WAIT_SECONDS                       \
     }
--- a/programs/cli/service_change.c
+++ b/programs/cli/service_change.c
@@ -97,8 +97,8 @@
         change->has_base = 0;
         return true;
     }
-    return fetch_revision(&settings->change.cli, &change->service, &change->base,
-                          exit_code);
+    return fetch_revision(&settings->change.cli, &change->service,
+                          &change->base, exit_code);
 }
 
 static void
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -338,14 +338,13 @@
     const struct balancer *balancer = user;
     const struct rp_table *table = RpUplink_Table(balancer->uplink);
 
-    g_string_append_printf(out,
-                           "revision %" G_GUINT64_FORMAT "\n"
-                           "services %zu\ncontrol_connected %d\n"
-                           "zones_evacuated %u\n",
-                           RpTable_Revision(table),
-                           RpTable_CountServices(table),
-                           RpUplink_IsConnected(balancer->uplink),
-                           RpTable_Evacuated(table)->len);
+    g_string_append_printf(
+        out,
+        "revision %" G_GUINT64_FORMAT "\n"
+        "services %zu\ncontrol_connected %d\n"
+        "zones_evacuated %u\n",
+        RpTable_Revision(table), RpTable_CountServices(table),
+        RpUplink_IsConnected(balancer->uplink), RpTable_Evacuated(table)->len);
 }
 
 /* Returns whether the fabric may send packets here: not before control has
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -432,8 +432,8 @@
         g_hash_table_size(control->clients), RpReplica_Term(replica),
         RpReplica_CommitIndex(replica),
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
-        control->disconnect_policy.fresh,
-        RpControlLinks_Count(control->links), count_evacuated(control));
+        control->disconnect_policy.fresh, RpControlLinks_Count(control->links),
+        count_evacuated(control));
     RpControl_WriteMemberGauges(control, out);
     RpControl_WriteMemoryGauges(control, out);
 }
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -25,9 +25,9 @@
     uint32_t tolerate_zones;
     uint32_t tolerate_regions;
     uint32_t control_port;
-    uint32_t flow_lifetime_seconds;   /* 0: no limit */
-    uint32_t memory_mb;               /* 0: as much as the machine has */
-    GString *zones; /* names, separated by commas; NULL: any */
+    uint32_t flow_lifetime_seconds; /* 0: no limit */
+    uint32_t memory_mb;             /* 0: as much as the machine has */
+    GString *zones;                 /* names, separated by commas; NULL: any */
     struct rp_endpoint operator_http; /* port 0: no HTTP endpoint for the
                                        * operator */
 };
@@ -194,9 +194,9 @@
                                              bool evacuate,
                                              struct rp_endpoint caller);
 
-/* Logs event=edition_answered, or event=zone_answered for an order. `version` is that of the edition in force here,
- * or that was written; 0: none. `pairs` are key=value pairs that say what
- * decided the answer. */
+/* Logs event=edition_answered, or event=zone_answered for an order. `version`
+ * is that of the edition in force here, or that was written; 0: none. `pairs`
+ * are key=value pairs that say what decided the answer. */
 void RpControlCall_LogAnswer(const struct rp_daemon *daemon,
                              const struct control_call *call, uint64_t version,
                              const char *result, const char *pairs);
--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -215,9 +215,9 @@
     struct control_editions *editions = user;
     const struct control_call call = RpControlCall_BeginOrder(
         zone, evacuate, RpPlatform_Sender(request));
-    struct rp_msg_change change = {
-        .kind = evacuate ? RP_CHANGE_EVACUATE : RP_CHANGE_RESTORE,
-        .zone = *zone};
+    struct rp_msg_change change = {.kind = evacuate ? RP_CHANGE_EVACUATE
+                                                    : RP_CHANGE_RESTORE,
+                                   .zone = *zone};
     struct rp_error error;
 
     RpLog_Event(editions->control->daemon.log, RP_LOG_INFO,
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -9,8 +9,8 @@
 # checks, as callers, hosts and the operator see it, that no request breaks or
 # is answered by another service, that no non-idempotent request (a POST with
 # an X-Reading header) is handled twice, by one host or by two, and that no
-# acknowledged change is lost or replaced by an older one. For the POSTs it
-# looks for repeated reading= lines in the logs of all servers; it sends no
+# acknowledged change or evacuation is lost or replaced by an older one. For the
+# POSTs it looks for repeated reading= lines in the logs of all servers; it sends no
 # other kind of request. STEPS sets the number of faults per seed.
 #
 # tests/soak/failed lists seeds that failed once, each with its cause.
@@ -36,7 +36,9 @@
 # number, because a subshell would draw the same numbers again.
 roll() { ROLL=$((RANDOM % $1)); }
 
-agent() { start_agent lens-desk "$1" --drain-seconds 20; }
+agent() {
+    start_agent lens-desk "$1" --zone "z$(($1 % 2))" --drain-seconds 20
+}
 
 # change: applies one change and keeps the number of the last acknowledged
 # one.
@@ -51,6 +53,32 @@
     fi
 }
 
+# draws_order STEP: whether an order goes with this step's fault. It takes no
+# number of RANDOM, so that the faults of a seed stay what they were.
+draws_order() { [ $(((SEED * 31 + $1 * 17) % 4)) = 0 ]; }
+
+# order_zone VERB: evacuates or restores z1, the data centre of upstreams 1 and
+# 3, and keeps the order if it is acknowledged; "unknown" if it may be in force.
+order_zone() {
+    echo "orders" >> "$RUN/orders"
+    cli zone "$1" z1 --wait-seconds 0 --timeout-seconds 8 \
+        > "$RUN/zone.txt" 2>&1
+    case $? in
+    0) echo "$1" ;;
+    *) echo unknown ;;
+    esac > "$RUN/zone"
+}
+# next_order: prints the order that changes what was acknowledged last.
+next_order() {
+    [ "$(cat "$RUN/zone")" = restore ] && echo evacuate || echo restore
+}
+# zone_is VERB: whether control shows the state that this order leads to.
+zone_is() {
+    local want=restore
+    cli status 2> /dev/null | grep -q '^evacuated: z1$' && want=evacuate
+    [ "$want" = "$1" ]
+}
+
 # freeze NAME SECONDS: suspends one process while the others go on.
 freeze() {
     kill -STOP "${PIDS[$1]}"
@@ -134,8 +162,16 @@
         --targets "127.0.0.1:$(service_port 0)" --services lens-desk \
         --connections 60 --per-connection 1000000 --pause-ms 250
     local step
+    echo restore > "$RUN/zone"
+    local orderer=""
     for ((step = 1; step <= STEPS; step++)); do
+        if draws_order "$step"; then
+            order_zone "$(next_order)" &
+            orderer=$!
+        fi
         fault "$step"
+        [ -z "$orderer" ] || wait "$orderer"
+        orderer=""
         roll 2
         [ "$ROLL" = 0 ] && change
         [ $((RANDOM % 3)) = 0 ] || sleep 0.6
@@ -146,7 +182,12 @@
     unset "PIDS[client]"
     wait_until 15 all_fresh || failures="$failures not-fresh"
     change
-    local shown
+    local ordered shown
+    ordered=$(cat "$RUN/zone")
+    [ "$ordered" = unknown ] || wait_until 3 zone_is "$ordered" ||
+        failures="$failures lost-order:$ordered"
+    order_zone restore
+    zone_is restore || failures="$failures not-restored"
     shown=$(in_force)
     [ -n "$shown" ] && [ "$shown" -ge "$acknowledged" ] ||
         failures="$failures lost-change:${shown:-none}<$acknowledged"
@@ -159,7 +200,8 @@
     [ "$doubled" = 0 ] || failures="$failures doubled=$doubled"
     stop_system
     say "seed $SEED: $result doubled=$doubled changes=$changes" \
-        "acknowledged=$acknowledged${failures:+ FAILED:$failures}"
+        "acknowledged=$acknowledged orders=$(wc -l < "$RUN/orders")" \
+        "${failures:+FAILED:$failures}"
     [ -z "$failures" ]
 }
 
--- a/tests/unit/test_control_calls.c
+++ b/tests/unit/test_control_calls.c
@@ -364,8 +364,8 @@
     assert_int_equal(counters->value[RP_COUNT_ZONE_UNKNOWN], 3);
     /* All that are malformed but the one with a NUL, which is no URI. */
     assert_int_equal(counters->value[RP_COUNT_ZONE_BAD_ORDER], 10);
-    /* The settings change: what was accepted is acknowledged again, and what is
-     * evacuated can be restored. */
+    /* The settings change: what was accepted is acknowledged again, and what
+     * is evacuated can be restored. */
     g_string_assign(self.control.settings.zones, "north");
     call_path("POST", "/-/evacuation/west", "", " 200 ");
     call_path("DELETE", "/-/evacuation/west", "", " 200 ");
@@ -380,8 +380,8 @@
     close_world(&self);
 }
 
-/* The pattern of an order that reaches a leader which has just been cut off: it
- * is not acknowledged, though it is the state already. */
+/* The pattern of an order that reaches a leader which has just been cut off:
+ * it is not acknowledged, though it is the state already. */
 static void
 test_order_without_a_majority(void **state)
 {
--- a/tests/unit/test_evacuation.c
+++ b/tests/unit/test_evacuation.c
@@ -346,8 +346,8 @@
 }
 
 /* New flows go to no evacuated data centre, open ones to all. Without a member
- * for a new flow it is refused at once, but for a repeated SYN, an earlier copy
- * of which may have opened it; while members may be missing, it waits. */
+ * for a new flow it is refused at once, but for a repeated SYN, an earlier
+ * copy of which may have opened it; while members may be missing, it waits. */
 static void
 test_routes(void **state)
 {
