radishport route explain: where a flow would go now, and why

Cause: that a flow goes, or does not go, to an upstream could be told only afterwards, from logs.

Change: a query for the whole table of a balancer; the command builds it and plays a packet through RpBalancer_Route and the admission policy, with the load that control knows and its age (new last fields of the status). Nothing is sent to balancers, agents or hosts. Instances of earlier releases answer the query as one for the status; the command says so and ends with 4.

Ruled out: asking a balancer, which keeps nothing that control does not have and would have to answer beside its traffic; a copy of the ranking in the command.

Tests: golden route-explain, runs/cold-host.sh.

--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -164,14 +164,30 @@
     g_ptr_array_unref(entries);
 }
 
+static void
+fill_full_table(struct rp_distribution *distribution, const struct node *node,
+                struct rp_msg *msg)
+{
+    init_table_message(distribution, msg, true);
+    append_visible_services(distribution, node, msg->table.services);
+    RpDistribution_AppendVisibleVips(distribution, node, msg->table.vips);
+}
+
+void
+RpDistribution_FillTable(struct rp_distribution *distribution,
+                         struct rp_msg *msg)
+{
+    const struct node balancer = {.role = RP_ROLE_BALANCER};
+
+    fill_full_table(distribution, &balancer, msg);
+}
+
 static void
 send_full_table(struct rp_distribution *distribution, struct node *node)
 {
     struct rp_msg msg;
 
-    init_table_message(distribution, &msg, true);
-    append_visible_services(distribution, node, msg.table.services);
-    RpDistribution_AppendVisibleVips(distribution, node, msg.table.vips);
+    fill_full_table(distribution, node, &msg);
     node->has_full_table = true;
     distribution->send(distribution->user, node->connection, &msg);
     RpMsg_Clear(&msg);
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -57,6 +57,11 @@
 bool RpDistribution_Confirm(struct rp_distribution *distribution, int64_t now,
                             uint64_t connection, uint64_t revision);
 
+/* Fills in a TABLE message with the whole table that a balancer gets. The
+ * caller clears it with RpMsg_Clear. */
+void RpDistribution_FillTable(struct rp_distribution *distribution,
+                              struct rp_msg *msg);
+
 /* Marks the node on `connection` as disconnected. */
 void RpDistribution_Disconnect(struct rp_distribution *distribution,
                                int64_t now, uint64_t connection);
--- a/lib/control/rp_status.c
+++ b/lib/control/rp_status.c
@@ -91,7 +91,7 @@
 
 static GArray *
 list_upstreams(const struct rp_registry *registry,
-               const struct rp_name *filter)
+               const struct rp_name *filter, int64_t now)
 {
     GArray *rows = RpSchema_NewList(&rp_msg_upstream_info_schema);
     GPtrArray *list = RpRegistry_List(registry, filter);
@@ -99,6 +99,8 @@
     for (guint i = 0; i < list->len; i++) {
         const struct rp_upstream *upstream = g_ptr_array_index(list, i);
         const struct rp_msg_announce *last = &upstream->last_announce;
+        int64_t heard_at = upstream->lease_deadline -
+                           last->lease_ms * RP_US_PER_MS;
         const struct rp_msg_upstream_info row = {
             .upstream = last->upstream,
             .service = last->service,
@@ -108,7 +110,10 @@
             .state = (uint8_t)upstream->state,
             .slots = last->slots,
             .flows = last->flows,
-            .busy = last->busy};
+            .busy = last->busy,
+            .heard_here = upstream->source_replica.len == 0,
+            .age_ms = (uint32_t)CLAMP((now - heard_at) / RP_US_PER_MS, 0,
+                                      UINT32_MAX)};
         g_array_append_val(rows, row);
     }
     g_ptr_array_unref(list);
@@ -128,5 +133,5 @@
     msg->status.replicas = RpSchema_NewList(&rp_msg_replica_info_schema);
     msg->status.services = list_services(catalog, registry, filter);
     msg->status.nodes = RpDistribution_ListNodes(distribution, now);
-    msg->status.upstreams = list_upstreams(registry, filter);
+    msg->status.upstreams = list_upstreams(registry, filter, now);
 }
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -276,9 +276,15 @@
     UINT(rp_msg_upstream_info, slots),
     UINT(rp_msg_upstream_info, flows),
     UINT(rp_msg_upstream_info, busy),
-};
-const struct rp_schema rp_msg_upstream_info_schema = RP_SCHEMA(
-    rp_msg_upstream_info, upstream_info_fields);
+    UINT(rp_msg_upstream_info, heard_here),
+    UINT(rp_msg_upstream_info, age_ms),
+};
+/* Replicas of earlier releases do not send the age. */
+const struct rp_schema rp_msg_upstream_info_schema = {
+    .fields = upstream_info_fields,
+    .count = G_N_ELEMENTS(upstream_info_fields),
+    .required = G_N_ELEMENTS(upstream_info_fields) - 2,
+    .size = sizeof(struct rp_msg_upstream_info)};
 
 static const struct rp_field replica_info_fields[] = {
     NAME(rp_msg_replica_info, name),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -267,7 +267,10 @@
 enum rp_query_kind {
     RP_QUERY_SERVICES = 1, /* answered by struct rp_msg_services */
     RP_QUERY_DOCUMENT,     /* answered by struct rp_msg_document */
-    RP_QUERY_STATUS        /* answered by struct rp_msg_status */
+    RP_QUERY_STATUS,       /* answered by struct rp_msg_status */
+    /* Answered by struct rp_msg_table: the whole table as a balancer gets it.
+     * Replicas of earlier releases answer as to RP_QUERY_STATUS. */
+    RP_QUERY_TABLE
 };
 
 /* Operator to control: requests information. */
@@ -326,6 +329,10 @@
     uint32_t slots;
     uint32_t flows;
     uint32_t busy;
+    /* 1: its agent is connected to the replica that reports this, and has
+     * announced itself `age_ms` ago. 0: its replica passes on changes only. */
+    uint8_t heard_here;
+    uint32_t age_ms;
 };
 
 /* One control replica. */
--- a/programs/cli/cli.c
+++ b/programs/cli/cli.c
@@ -22,6 +22,7 @@
     GMainLoop *loop;
     bool answered;
     bool timed_out;
+    bool unknown_request; /* an instance has answered something else */
 };
 
 static void
@@ -75,6 +76,8 @@
         msg->type = RP_MSG_NONE;
         exchange->answered = true;
     }
+    exchange->unknown_request |= msg->type != RP_MSG_NONE &&
+                                 msg->type != exchange->wanted;
     RpConn_Close(conn);
 }
 
@@ -176,8 +179,11 @@
     g_main_loop_unref(exchange.loop);
     RpKeyfile_Clear(&keyring);
     if (!exchange.answered) {
-        fprintf(stderr, "no control instance answered within %u s\n",
-                settings->timeout_seconds);
+        fprintf(stderr, "no control instance answered within %u s%s\n",
+                settings->timeout_seconds,
+                exchange.unknown_request
+                    ? ": those that run are of a release without this request"
+                    : "");
         *exit_code = RP_CLI_UNREACHABLE;
     }
     return exchange.answered;
--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -100,5 +100,6 @@
 int RpCli_UpstreamResume(int argc, char **argv);
 int RpCli_Status(int argc, char **argv);
 int RpCli_Explain(int argc, char **argv);
+int RpCli_RouteExplain(int argc, char **argv);
 
 #endif
--- a/programs/cli/main.c
+++ b/programs/cli/main.c
@@ -22,6 +22,8 @@
      "stop new flows to an upstream and keep its open ones"},
     {"upstream", "resume", RpCli_UpstreamResume,
      "allow new flows to a drained upstream"},
+    {"route", "explain", RpCli_RouteExplain,
+     "show where a packet would go now and why, without sending it"},
     {NULL, "status", RpCli_Status, "show the state of the whole system"},
     {NULL, "explain", RpCli_Explain,
      "show from log lines what happened to one request"},
--- a/programs/cli/status_merge.c
+++ b/programs/cli/status_merge.c
@@ -36,6 +36,29 @@
     }
 }
 
+/* The entry of the instance that an upstream's agent is connected to wins. */
+static void
+merge_upstreams(GArray *into, const GArray *from)
+{
+    GHashTable *known = g_hash_table_new(RpName_Hash, RpName_EqualKeys);
+
+    for (guint i = 0; i < into->len; i++) {
+        struct rp_msg_upstream_info *row = &g_array_index(
+            into, struct rp_msg_upstream_info, i);
+        g_hash_table_insert(known, &row->upstream, row);
+    }
+    for (guint i = 0; i < from->len; i++) {
+        const struct rp_msg_upstream_info *update = &g_array_index(
+            from, struct rp_msg_upstream_info, i);
+        struct rp_msg_upstream_info *row = g_hash_table_lookup(
+            known, &update->upstream);
+        if (row && update->heard_here && !row->heard_here) {
+            *row = *update;
+        }
+    }
+    g_hash_table_destroy(known);
+}
+
 static void
 swap_lists(GArray **a, GArray **b)
 {
@@ -46,7 +69,8 @@
 }
 
 /* Merges the answer `from` into `into`. Services and upstreams come from the
- * answer with the highest revision. */
+ * answer with the highest revision, loads from the replica that hears the
+ * upstream. */
 static void
 merge_status(struct rp_msg_status *into, struct rp_msg_status *from)
 {
@@ -58,6 +82,7 @@
         swap_lists(&into->services, &from->services);
         swap_lists(&into->upstreams, &from->upstreams);
     }
+    merge_upstreams(into->upstreams, from->upstreams);
 }
 
 bool
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -448,6 +448,9 @@
     case RP_QUERY_DOCUMENT:
         build_document_reply(control, &query->service, &msg);
         break;
+    case RP_QUERY_TABLE:
+        RpDistribution_FillTable(control->distribution, &msg);
+        break;
     default:
         RpStatus_FillStatus(get_catalog(control), control->registry,
                             control->distribution, RpClock_Now(),
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -89,6 +89,14 @@
 else
     fail "golden explain"
 fi
+"$BUILD/tests/route-explain" > "$BUILD/route-explain.out"
+golden=tests/golden/route-explain.golden
+[ "${UPDATE:-}" = 1 ] && cp "$BUILD/route-explain.out" "$golden"
+if diff -u "$golden" "$BUILD/route-explain.out"; then
+    pass "golden route-explain"
+else
+    fail "golden route-explain"
+fi
 missing=""
 for event in $(grep -o 'event=[a-z_]*' docs/OPERATIONS.md | sort -u); do
     grep -rqF "\"${event#event=}\"" lib programs platform ||
--- a/tests/runs/cold-host.sh
+++ b/tests/runs/cold-host.sh
@@ -61,6 +61,31 @@
 began=$(date +%s%N)
 sequence=2
 wait_until 10 has_ready lens 1 || fail "the upstream is not ready"
+# What route explain says, and that it sends nothing to balancers and agents.
+explain() { cli route explain "$@" > "$RUN/route.txt" 2>&1; }
+traffic() {
+    local i
+    for i in 0 1 2; do
+        metric "$(admin_port $((100 + i)))" packets_in_total
+    done
+}
+before=$(traffic)
+explain 10.80.0.1:7000 --from 10.9.0.1:4000 || fail "no route is explained"
+grep -q '^candidate 1: upstream-0 of lens .*ready; busy=0 ' "$RUN/route.txt" &&
+    grep -q '^a cold host gets 5.000 new flows a second' "$RUN/route.txt" &&
+    grep -q '^result: the packet goes to candidate 1 (routed)' \
+        "$RUN/route.txt" || fail "the explanation lacks a step"
+explain 10.80.0.1:7000 --via nowhere --zone-weight 3 --json ||
+    fail "no JSON is printed"
+explain 10.80.0.9:7000
+[ $? = 1 ] || fail "an unknown address does not end with 1"
+explain 10.80.0.9
+[ $? = 2 ] || fail "an address without a port does not end with 2"
+explain 10.80.0.1:7000 --control "127.0.0.1:$(control_port 9)" \
+    --timeout-seconds 1
+[ $? = 4 ] || fail "no answer does not end with 4"
+[ "$(traffic)" = "$before" ] || fail "route explain has sent packets"
+
 start client "$BIN/tests/standin-client" --requests 100000 \
     --targets "127.0.0.1:$(service_port 0)" --services lens \
     --connections 20 --per-connection 1 --pause-ms 20
