Cold hosts: the places of a window are spread

Cause: after a loss of all power a crowd took all places of a second at once; until the next second every caller was refused and used up its tries within milliseconds.

Change: at most an eighth of a window's flows in an eighth of the window. The limit of the window stays.

--- a/lib/flow/rp_cold_start.c
+++ b/lib/flow/rp_cold_start.c
@@ -5,6 +5,8 @@
 
 #define FLOWS_PER_RATE_UNIT 1000 /* a rate of 1 is a flow per 1,000 s */
 #define LONG_AGO (INT64_MIN / 2)
+/* The places of a window are spread over about this many parts. */
+#define PARTS 8
 
 void
 RpColdStart_Init(struct rp_cold_start *cold, int64_t now)
@@ -62,6 +64,7 @@
         return;
     }
     cold->limit = limit;
+    cold->burst = (limit + PARTS - 1) / PARTS;
     cold->opened = limit > 0 ? g_new(int64_t, limit) : NULL;
     cold->count = 0;
     cold->oldest = 0;
@@ -83,15 +86,25 @@
     return cold->limit > 0 && now < cold->cold_until;
 }
 
+/* Returns when the flow was opened that `back` - 1 others have followed. */
+static int64_t
+find_opened(const struct rp_cold_start *cold, uint32_t back)
+{
+    if (cold->count < back) {
+        return cold->unseen_until;
+    }
+    return cold->opened[(cold->oldest + cold->count - back) % cold->limit];
+}
+
 int64_t
 RpColdStart_NextPlace(const struct rp_cold_start *cold)
 {
     if (cold->limit == 0) {
         return LONG_AGO;
     }
-    return cold->window + (cold->count < cold->limit
-                               ? cold->unseen_until
-                               : cold->opened[cold->oldest]);
+    int64_t part = cold->window * cold->burst / cold->limit;
+    return MAX(find_opened(cold, cold->limit) + cold->window,
+               find_opened(cold, cold->burst) + part);
 }
 
 bool
--- a/lib/flow/rp_cold_start.h
+++ b/lib/flow/rp_cold_start.h
@@ -6,6 +6,10 @@
  * many. The mean is thus exactly the rate, and no second has more flows than
  * the rate, rounded up.
  *
+ * Within a window, the flows are spread: at most `burst` in the same part of
+ * the window. A crowd would else take all places at once, and every caller
+ * that comes later in the window would be refused.
+ *
  * The flows of the last window are known one by one. Those that may be
  * missing, because an earlier process opened them or because the limit was
  * lower, count as opened at the latest possible time.
@@ -24,6 +28,7 @@
     int64_t cold_until;   /* the host is cold before this time */
     int64_t window;       /* with `limit` > 0 */
     uint32_t limit;       /* flows in each window; 0: any number */
+    uint32_t burst;       /* flows in each `burst` / `limit` of a window */
     uint32_t count;       /* flows in `opened` */
     uint32_t oldest;      /* index of the earliest flow in `opened` */
     int64_t *opened;      /* ring of `limit` times */
