--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -327,6 +327,40 @@
     }
 }
 
+/* The same for a service of a table, and for an upstream of a status, whose
+ * age an earlier release does not tell. */
+static void
+test_messages_of_earlier_releases(void **state)
+{
+    const struct rp_schema earlier[] = {
+        without_last(&rp_msg_service_schema, 2),
+        without_last(&rp_msg_upstream_info_schema, 2)};
+    const struct rp_msg_service service = {.silence_ms = 9,
+                                           .cold_per_1000_s = 500};
+    const struct rp_msg_upstream_info upstream = {.busy = 9, .heard_here = 1};
+    struct rp_msg_service service_read = {0};
+    struct rp_msg_upstream_info upstream_read = {0};
+
+    (void)state;
+    GString *bytes = RpSchema_Encode(&earlier[0], &service);
+    assert_true(
+        RpSchema_Decode(&rp_msg_service_schema,
+                        (struct rp_str){.data = bytes->str, .len = bytes->len},
+                        &service_read));
+    assert_int_equal(service_read.silence_ms, 9);
+    assert_int_equal(service_read.cold_per_1000_s, 0);
+    RpSchema_Clear(&rp_msg_service_schema, &service_read);
+    g_string_free(bytes, TRUE);
+    bytes = RpSchema_Encode(&earlier[1], &upstream);
+    assert_true(
+        RpSchema_Decode(&rp_msg_upstream_info_schema,
+                        (struct rp_str){.data = bytes->str, .len = bytes->len},
+                        &upstream_read));
+    assert_int_equal(upstream_read.busy, 9);
+    assert_int_equal(upstream_read.heard_here, 0);
+    g_string_free(bytes, TRUE);
+}
+
 /* A snapshot holds the edition, its content and the ids of its services. */
 static void
 test_snapshot_round_trip(void **state)
@@ -494,6 +528,14 @@
     RpName_Set(&shelf, RpStr_FromC("shelf"));
     const struct rp_service *service = RpTable_FindByName(sent[2].table,
                                                           &shelf);
+    /* An operator who asks for the whole table gets a balancer's. */
+    struct rp_msg whole;
+    RpDistribution_FillTable(distribution, &whole);
+    assert_int_equal(whole.table.complete, 1);
+    assert_int_equal(whole.table.services->len,
+                     RpTable_CountServices(sent[1].table));
+    assert_int_equal(whole.table.vips->len, 2);
+    RpMsg_Clear(&whole);
     assert_int_equal(service->cold_per_1000_s, 500);
     assert_int_equal(service->warmup_ms, 2000);
 
@@ -727,6 +769,7 @@
         cmocka_unit_test(test_versions),
         cmocka_unit_test(test_changed_limits_of_cold_hosts),
         cmocka_unit_test(test_services_of_earlier_releases),
+        cmocka_unit_test(test_messages_of_earlier_releases),
         cmocka_unit_test(test_snapshot_round_trip),
         cmocka_unit_test(test_document_conflicts),
         cmocka_unit_test(test_distribution),
