--- a/programs/cli/cli.h
+++ b/programs/cli/cli.h
@@ -142,5 +142,6 @@
 int RpCli_ZoneRestore(int argc, char **argv);
 int RpCli_Status(int argc, char **argv);
 int RpCli_Explain(int argc, char **argv);
+int RpCli_RouteExplain(int argc, char **argv);
 
 #endif
--- a/programs/cli/main.c
+++ b/programs/cli/main.c
@@ -26,6 +26,8 @@
      "stop new flows to all upstreams of a data centre"},
     {"zone", "restore", RpCli_ZoneRestore,
      "allow new flows to an evacuated data centre"},
+    {"route", "explain", RpCli_RouteExplain,
+     "show where a packet would go now and why, without sending it"},
     {NULL, "status", RpCli_Status, "show the state of the whole system"},
     {NULL, "explain", RpCli_Explain,
      "show from log lines what happened to one request"},
