Agents tell balancers the mean load of their hosts

Cause: what an agent knows of its host is used for the new flows that come to it, and by nobody else; a balancer sends a flow to a full host as readily as to an idle one.

Change: an agent averages its host's utilisation over about a second. After it has handled a SYN that names where the balancer takes hints, it tells the utilisation there, in a datagram of 20 bytes: at most every 100 ms if it has changed by a sixteenth, every second in any case, and only while new flows come. An agent that takes no new flows tells that its host is full, and a host that has just come counts as full at first. Balancers of earlier releases name no origin in a SYN and are told nothing; agents of earlier releases skip the option.

Ruled out: the number of busy slots at the moment of the SYN (of a host with long flows it says little a second later); asking hosts.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -55,9 +55,19 @@
     X(HINT_STORED, "hint_stored", "hints about owners of flows stored")       \
     X(HINT_FOLLOWED, "hint_followed",                                         \
       "packets sent to the owner that a hint names")                          \
+    X(ROUTED_BY_LOAD, "routed_by_load",                                       \
+      "new flows sent to another upstream than ranked first, for its load")   \
+    X(ROUTED_ABROAD, "routed_abroad",                                         \
+      "new flows sent to another zone for the load of the own one")           \
+    X(LOAD_NOTE_STORED, "load_note_stored",                                   \
+      "notes about the loads of hosts stored")                                \
+    X(LOAD_NOTE_DROPPED, "load_note_dropped",                                 \
+      "notes about the loads of hosts dropped: not asked for, or no room")    \
     X(RESET_NO_MEMBER, "reset_no_member",                                     \
       "new flows reset by a balancer: no upstream is ready")                  \
     /* New flows at an agent. */                                              \
+    X(LOAD_NOTE_SENT, "load_note_sent",                                       \
+      "notes to balancers about the load of this agent's host")               \
     X(FLOW_ADMITTED, "flow_admitted", "new flows admitted")                   \
     X(FLOW_ADMITTED_LAST, "flow_admitted_last",                               \
       "new flows admitted although busy: no better candidate")                \
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -23,6 +23,7 @@
         agent->config.host_answer_timeout = RP_HOST_ANSWER_TIMEOUT_US;
     }
     agent->lost_flows = g_array_new(FALSE, FALSE, sizeof(struct rp_flow_key));
+    RpLoadAverage_Init(&agent->load_average, config->started);
     agent->chart = chart;
     agent->policy = policy;
     agent->counters = counters;
@@ -298,6 +299,7 @@
     struct rp_flow_key caller = packet->key;
 
     RpAgent_BeginCall(agent, actions);
+    RpAgent_AccountLoad(agent, now);
     if (!agent->service) {
         RpAgent_AddAction(agent, actions, RP_ACTION_DROP,
                           RP_COUNT_DROP_NO_TABLE);
@@ -332,6 +334,9 @@
     else {
         RpAgent_QueryHost(agent, now, packet, &geneve->chain, actions);
     }
+    if (RpPacket_Opens(packet)) {
+        RpAgent_NoteLoad(agent, now, &geneve->chain, actions);
+    }
 }
 
 /* Sends the host's packet to the caller. */
@@ -436,6 +441,7 @@
                                     : RpFlowKey_Reverse(packet->key);
 
     RpAgent_BeginCall(agent, actions);
+    RpAgent_AccountLoad(agent, now);
     if (packet->returned) {
         RpCounters_Add(agent->counters, RP_COUNT_HOST_GAVE_BACK);
     }
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -37,7 +37,8 @@
     RP_ACTION_TO_NEXT_AGENT, /* to the agent at `next` */
     RP_ACTION_SEARCH,        /* to each of `targets`, as a search */
     RP_ACTION_SEARCH_ANSWER, /* the verdict, to the agent at `next` */
-    RP_ACTION_HINT           /* the hint, to the balancer at `next` */
+    RP_ACTION_HINT,          /* the hint, to the balancer at `next` */
+    RP_ACTION_LOAD_NOTE      /* the load, to the balancer at `next` */
 };
 
 /* One action. `data` is borrowed: it points into the packet that was passed
@@ -47,7 +48,8 @@
     enum rp_action_kind kind;
     enum rp_counter reason; /* already counted when the call returns */
     const uint8_t *data;    /* the packet to send; NULL with RP_ACTION_DROP,
-                             * RP_ACTION_SEARCH_ANSWER and RP_ACTION_HINT */
+                             * RP_ACTION_SEARCH_ANSWER, RP_ACTION_HINT and
+                             * RP_ACTION_LOAD_NOTE */
     size_t len;
     struct rp_endpoint next; /* the receiver, where it is not implied */
     /* Only with RP_ACTION_TO_NEXT_AGENT: */
@@ -59,6 +61,7 @@
     size_t target_count;
     enum rp_search_verdict verdict; /* only with RP_ACTION_SEARCH_ANSWER */
     struct rp_owner_hint hint;      /* only with RP_ACTION_HINT */
+    struct rp_load_note load;       /* only with RP_ACTION_LOAD_NOTE */
 };
 
 struct rp_actions {
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -10,6 +10,7 @@
 #include "rp_request_queue.h"
 #include "rp_health.h"
 #include "rp_hold.h"
+#include "rp_load_average.h"
 #include "rp_owner_search.h"
 #include "rp_time.h"
 #include "rp_service_time.h"
@@ -39,6 +40,15 @@
 #define RP_LONG_REQUEST_US (200 * RP_US_PER_MS)
 /* Entries in any state. Bounds the memory that a SYN flood can take. */
 #define RP_AGENT_MAX_ENTRIES 1000000
+/* How often a balancer is told the load of the host while it sends new flows:
+ * at most, and at least, for what was told ages there. A change by less than
+ * RP_LOAD_STEP makes no difference to the balancer's choice. */
+#define RP_LOAD_NOTE_MIN_US (100 * RP_US_PER_MS)
+#define RP_LOAD_NOTE_MAX_US (1 * RP_US_PER_SECOND)
+#define RP_LOAD_STEP (RP_LOAD_UNIT / 16)
+/* Balancers of which it is known what they were told; others are told again.
+ */
+#define RP_TOLD_BALANCERS 64
 /* Largest retry budget, in hundredths of a retry. */
 #define RP_RETRY_BUDGET_MAX_CENTS 2000
 
@@ -49,6 +59,13 @@
     int64_t deadline;
 };
 
+/* The load that a balancer was told last. Port 0: the entry is free. */
+struct rp_told_load {
+    struct rp_endpoint balancer;
+    int64_t at;
+    uint8_t utilisation;
+};
+
 /* An agent. The queues and the counts below mirror the entries of `flows`. */
 struct rp_agent {
     struct rp_agent_config config;
@@ -75,6 +92,8 @@
     GQueue reservations;     /* of struct rp_flow_timer: reserved slots */
     uint32_t owned_flows;    /* flows with RP_FLOW_OWNED */
     uint32_t busy_flows;     /* flows with RP_FLOW_BUSY */
+    struct rp_load_average load_average; /* of the host's slots */
+    struct rp_told_load told[RP_TOLD_BALANCERS];
     struct rp_service_time service_time; /* of the host's requests */
     int32_t retry_budget_cents; /* retry budget, in hundredths of a retry */
     int64_t next_scan;          /* when the flow table is scanned next */
@@ -268,6 +287,16 @@
                               uint8_t state, int64_t now,
                               struct rp_actions *actions);
 
+/* rp_agent_load.c: accounts for the time since the last call, in which the
+ * number of busy slots did not change. */
+void RpAgent_AccountLoad(struct rp_agent *agent, int64_t now);
+
+/* Tells the balancer that sent a SYN the load of the host, if it asks for that
+ * and does not know it. */
+void RpAgent_NoteLoad(struct rp_agent *agent, int64_t now,
+                      const struct rp_chain *chain,
+                      struct rp_actions *actions);
+
 /* rp_agent_learn.c: queries the host about a flow without an entry: sends it
  * the packet and keeps a copy. */
 void RpAgent_QueryHost(struct rp_agent *agent, int64_t now,
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -162,6 +162,7 @@
                 struct rp_actions *actions)
 {
     RpAgent_BeginCall(agent, actions);
+    RpAgent_AccountLoad(agent, now);
     if (!agent->service) {
         return false;
     }
--- a/lib/wire/rp_geneve.c
+++ b/lib/wire/rp_geneve.c
@@ -16,11 +16,13 @@
 #define OPTION_ANSWER 0x85
 #define OPTION_ORIGIN 0x06
 #define OPTION_HINT 0x87
+#define OPTION_LOAD 0x88
 #define SERVICE_SIZE 16
 #define SEARCH_SIZE 12
 #define ANSWER_SIZE 8
 #define ORIGIN_SIZE 8
 #define HINT_SIZE 20
+#define LOAD_SIZE 8
 #define CHAIN_HEADER_SIZE 4
 #define CHAIN_HOP_SIZE 8
 #define CHAIN_FORCED 0x80 /* flag in the byte of the best candidate */
@@ -116,6 +118,18 @@
     return true;
 }
 
+static bool
+parse_load(const uint8_t *data, size_t len, struct rp_geneve *out)
+{
+    if (len != LOAD_SIZE || out->has_load) {
+        return false;
+    }
+    out->has_load = true;
+    out->load = (struct rp_load_note){.service_id = RpBytes_Get32(data),
+                                      .utilisation = data[4]};
+    return true;
+}
+
 /* Whether every candidate refers to a service of the chain. */
 static bool
 has_valid_services(const struct rp_chain *chain)
@@ -196,6 +210,9 @@
         else if (class == OPTION_CLASS && type == OPTION_HINT) {
             accepted = parse_hint(value, body_size, out);
         }
+        else if (class == OPTION_CLASS && type == OPTION_LOAD) {
+            accepted = parse_load(value, body_size, out);
+        }
         else {
             accepted = !(type & OPTION_CRITICAL);
         }
@@ -217,6 +234,7 @@
     out->has_search = false;
     out->has_answer = false;
     out->has_hint = false;
+    out->has_load = false;
     out->chain.origin = (struct rp_endpoint){0};
     out->chain.count = 0;
     out->chain.visited = 0;
@@ -397,6 +415,20 @@
     return finish_header(out, p + HINT_SIZE, protocol);
 }
 
+size_t
+RpGeneve_WriteLoad(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                   const struct rp_load_note *load)
+{
+    uint8_t *p = out + RP_GENEVE_HEADER;
+
+    memset(out, 0, RP_GENEVE_HEADER);
+    p = write_option_header(p, OPTION_LOAD, LOAD_SIZE);
+    memset(p, 0, LOAD_SIZE);
+    RpBytes_Put32(p, load->service_id);
+    p[4] = load->utilisation;
+    return finish_header(out, p + LOAD_SIZE, protocol);
+}
+
 bool
 RpChain_Contains(const struct rp_chain *chain, struct rp_endpoint endpoint)
 {
--- a/lib/wire/rp_geneve.h
+++ b/lib/wire/rp_geneve.h
@@ -19,7 +19,11 @@
  * - search (critical, 12 bytes): the agent that searches the owner of the
  *   packet's flow, and the id of its search;
  * - answer (critical, 8 bytes): the id of a search and the verdict of the
- *   agent that sends this; there is no inner packet.
+ *   agent that sends this; there is no inner packet;
+ * - load (critical, 8 bytes): the service and the utilisation of the host of
+ *   the agent that sends this; there is no inner packet. It goes only to the
+ *   origin of a packet that opens a flow: balancers of earlier releases name
+ *   no origin there.
  *
  * Unknown options are skipped unless they are marked critical.
  */
@@ -85,6 +89,12 @@
     uint32_t seq;            /* of that packet */
 };
 
+/* What an agent tells a balancer about the load of its host. */
+struct rp_load_note {
+    uint32_t service_id;
+    uint8_t utilisation; /* see rp_load_average.h */
+};
+
 /* What an agent answers to another one that searches the owner of a flow. */
 enum rp_search_verdict {
     RP_SEARCH_OWNS = 1,
@@ -99,7 +109,9 @@
     bool has_search;
     bool has_answer;
     bool has_hint;
+    bool has_load;
     struct rp_owner_hint hint;      /* with a hint */
+    struct rp_load_note load;       /* with a load */
     uint32_t search_id;             /* with a search or an answer */
     struct rp_endpoint searcher;    /* with a search */
     enum rp_search_verdict verdict; /* with an answer */
@@ -135,6 +147,11 @@
 size_t RpGeneve_WriteHint(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
                           const struct rp_owner_hint *hint);
 
+/* Writes the header of a note about the load of a host. The size is as for
+ * RpGeneve_Write. */
+size_t RpGeneve_WriteLoad(uint8_t out[RP_GENEVE_HEADROOM], uint16_t protocol,
+                          const struct rp_load_note *load);
+
 /* Returns whether `endpoint` is one of the candidates. */
 bool RpChain_Contains(const struct rp_chain *chain,
                       struct rp_endpoint endpoint);
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -187,6 +187,10 @@
         len = RpGeneve_WriteHint(header, ops->protocol, &action->hint);
         RpUdp_Send(agent->balancer_side, action->next, header, len, NULL, 0);
         break;
+    case RP_ACTION_LOAD_NOTE:
+        len = RpGeneve_WriteLoad(header, ops->protocol, &action->load);
+        RpUdp_Send(agent->balancer_side, action->next, header, len, NULL, 0);
+        break;
     }
 }
 
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -153,7 +153,7 @@
 {
     static const char *const kinds[] = {
         "drop",   "to_host",       "to_caller", "to_next_agent",
-        "search", "search_answer", "hint"};
+        "search", "search_answer", "hint",      "load_note"};
     static const char *const verdicts[] = {"none", "owns", "not_owned",
                                            "unsure"};
     struct rp_packet packet;
@@ -191,6 +191,10 @@
                action->hint.flow.src_port, action->hint.service_id,
                action->hint.seq);
     }
+    if (action->kind == RP_ACTION_LOAD_NOTE) {
+        printf(" next=%c service=%u utilisation=%u", member_name(action->next),
+               action->load.service_id, action->load.utilisation);
+    }
     printf("\n");
 }
 
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -199,6 +199,27 @@
     }
 }
 
+/* The header of a note about a host's load, also damaged. */
+static void
+test_geneve_load(void **state)
+{
+    const struct rp_load_note load = {.service_id = 3, .utilisation = 200};
+    uint8_t data[RP_GENEVE_HEADROOM];
+    struct rp_geneve geneve;
+    enum rp_counter reason;
+
+    (void)state;
+    size_t len = RpGeneve_WriteLoad(data, RP_GENEVE_IPV4, &load);
+    assert_true(RpGeneve_Parse(data, len, RP_GENEVE_IPV4, &geneve, &reason));
+    assert_true(geneve.has_load && !geneve.has_hint && !geneve.has_tag);
+    assert_int_equal(geneve.load.service_id, 3);
+    assert_int_equal(geneve.load.utilisation, 200);
+    for (size_t cut = 1; cut < len; cut++) {
+        assert_false(
+            RpGeneve_Parse(data, len - cut, RP_GENEVE_IPV4, &geneve, &reason));
+    }
+}
+
 /* Candidates of several services: each keeps its tag, and the service that
  * handles the packet replaces its own by a newer one. */
 static void
@@ -595,6 +616,7 @@
         cmocka_unit_test(test_geneve_round_trip),
         cmocka_unit_test(test_geneve_search),
         cmocka_unit_test(test_geneve_hint),
+        cmocka_unit_test(test_geneve_load),
         cmocka_unit_test(test_geneve_services),
         cmocka_unit_test(test_bad_geneve),
         cmocka_unit_test(test_unknown_option),
