Balancers: the order of a new flow's candidates follows the loads told

The flow's hash stays the only source of chance, so a flow leaves a host only in proportion, and copies of a SYN find the same order. Later packets of the flow begin at the choice, which is kept like an owner's hint. Both are off unless set.

--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -2,20 +2,27 @@
 #include "rp_balancer.h"
 
 /* Appends the highest-ranked members whose state is in `states`, until the
- * chain has `limit` candidates.
+ * chain has `limit` candidates. `order` may be NULL. Returns the member that
+ * ranks first without loads, or NULL.
  *
  * If all members appended before the last place are in the preferred zone,
  * the best member of another zone gets the last place. Otherwise a flow could
  * not reach idle members elsewhere when its own zone is full. */
-static void
+static const struct rp_member *
 append_candidates(struct rp_chain *chain, const struct rp_service *service,
-                  uint64_t hash, unsigned states, size_t limit)
+                  const struct rp_load_order *order, uint64_t hash,
+                  unsigned states, size_t limit)
 {
     const struct rp_member *ranked[RP_MAX_CHAIN];
     size_t count = RpService_RankMembers(service, hash, states, ranked,
                                          RP_MAX_CHAIN);
+    const struct rp_member *first = count > 0 ? ranked[0] : NULL;
     bool all_in_zone = true;
 
+    if (order) {
+        RpLoadView_Order(order->view, order->now, service, hash, order->spill,
+                         ranked, count);
+    }
     for (size_t i = 0; i < count && chain->count < limit; i++) {
         bool is_last = chain->count == limit - 1;
         size_t pick = i;
@@ -27,6 +34,7 @@
         all_in_zone = all_in_zone && ranked[pick]->in_preferred_zone;
         RpChain_AppendOf(chain, ranked[pick]->agent, service->tag.service_id);
     }
+    return first;
 }
 
 /* Appends candidates for a packet of an open flow: members whose lease has
@@ -37,8 +45,8 @@
 {
     size_t limit = MIN(chain->count + RP_ROUTE_MAX_CANDIDATES, RP_MAX_CHAIN);
 
-    append_candidates(chain, service, hash, RP_MEMBERS_SERVING, limit);
-    append_candidates(chain, service, hash, RP_MEMBERS_LOST, limit);
+    append_candidates(chain, service, NULL, hash, RP_MEMBERS_SERVING, limit);
+    append_candidates(chain, service, NULL, hash, RP_MEMBERS_LOST, limit);
 }
 
 /* Sets the services of the chain: the selected one and the former targets of
@@ -76,12 +84,42 @@
     }
 }
 
+/* Returns the counter for a new flow whose first candidate may have been
+ * chosen by load. `ranked_first` ranks first without loads. */
+static enum rp_counter
+find_reason(const struct rp_service *service, const struct rp_chain *chain,
+            const struct rp_member *ranked_first)
+{
+    if (!ranked_first ||
+        RpEndpoint_Equal(chain->hop[0], ranked_first->agent)) {
+        return RP_COUNT_ROUTED;
+    }
+    for (size_t i = 0; ranked_first->in_preferred_zone && i < service->count;
+         i++) {
+        const struct rp_member *member = &service->members[i];
+        if (RpEndpoint_Equal(member->agent, chain->hop[0]) &&
+            !member->in_preferred_zone) {
+            return RP_COUNT_ROUTED_ABROAD;
+        }
+    }
+    return RP_COUNT_ROUTED_BY_LOAD;
+}
+
 void
 RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
                  struct rp_route *route)
+{
+    RpBalancer_RouteByLoad(table, NULL, packet, route);
+}
+
+void
+RpBalancer_RouteByLoad(const struct rp_table *table,
+                       const struct rp_load_order *order,
+                       const struct rp_packet *packet, struct rp_route *route)
 {
     struct rp_endpoint address = RpFlowKey_Destination(packet->key);
     bool opens = RpPacket_Opens(packet);
+    enum rp_counter reason = RP_COUNT_ROUTED;
 
     *route = (struct rp_route){
         .kind = RP_ROUTE_DROP,
@@ -101,8 +139,10 @@
     }
     route->tag = service->tag;
     if (opens) {
-        append_candidates(&route->chain, service, hash, RP_MEMBERS_READY,
-                          RP_ROUTE_MAX_CANDIDATES);
+        const struct rp_member *first = append_candidates(
+            &route->chain, service, order, hash, RP_MEMBERS_READY,
+            RP_ROUTE_MAX_CANDIDATES);
+        reason = find_reason(service, &route->chain, first);
     }
     else {
         set_chain_services(&route->chain, table, address, service);
@@ -122,7 +162,7 @@
     }
     if (route->chain.count > 0) {
         route->kind = RP_ROUTE_SEND;
-        route->reason = RP_COUNT_ROUTED;
+        route->reason = reason;
     }
     else if (RpTable_MayLackMembers(table)) {
         route->kind = RP_ROUTE_WAIT;
@@ -137,6 +177,25 @@
     }
 }
 
+void
+RpBalancer_NoteChoice(struct rp_owner_hints *hints, int64_t now,
+                      const struct rp_packet *packet,
+                      const struct rp_route *route)
+{
+    const struct rp_chain *chain = &route->chain;
+
+    if (route->reason != RP_COUNT_ROUTED_BY_LOAD &&
+        route->reason != RP_COUNT_ROUTED_ABROAD) {
+        return;
+    }
+    const struct rp_owner_hint choice = {.flow = packet->key,
+                                         .service_id = route->tag.service_id,
+                                         .seq = packet->seq};
+    size_t steps = packet->syn_retransmits % chain->count;
+    RpOwnerHints_Put(hints, now, route->flow_hash, &choice,
+                     chain->hop[(chain->count - steps) % chain->count]);
+}
+
 /* Whether the service lists the agent as serving. A hint to a lost one is not
  * followed: if it were wrong, nobody else would get the packet. */
 static bool
--- a/lib/flow/rp_balancer.h
+++ b/lib/flow/rp_balancer.h
@@ -6,6 +6,7 @@
 #ifndef RP_BALANCER_H
 #define RP_BALANCER_H
 
+#include "rp_load_view.h"
 #include "rp_owner_hints.h"
 #include "rp_table.h"
 
@@ -24,6 +25,13 @@
     uint64_t flow_hash;    /* 0 without a table */
 };
 
+/* What the order of a new flow's candidates depends on beside the table. */
+struct rp_load_order {
+    struct rp_load_view *view;
+    int64_t now;
+    bool spill; /* other zones take part by the load of the own one */
+};
+
 /* Decides where a caller's packet goes and fills `*route`.
  *
  * A packet that opens a flow gets only ready members as candidates. Any
@@ -38,6 +46,21 @@
 void RpBalancer_Route(const struct rp_table *table,
                       const struct rp_packet *packet, struct rp_route *route);
 
+/* As RpBalancer_Route, but the candidates of a packet that opens a flow are
+ * ordered by the loads of their hosts, too. `order` may be NULL. */
+void RpBalancer_RouteByLoad(const struct rp_table *table,
+                            const struct rp_load_order *order,
+                            const struct rp_packet *packet,
+                            struct rp_route *route);
+
+/* Notes the first candidate of a new flow as its owner, if loads have put it
+ * before the one at which the flow's later packets would begin. If the agent
+ * passes the flow on, it passes later packets on, too, until the owner's own
+ * hint comes. */
+void RpBalancer_NoteChoice(struct rp_owner_hints *hints, int64_t now,
+                           const struct rp_packet *packet,
+                           const struct rp_route *route);
+
 /* Makes the owner that a hint names the first candidate of the route of a
  * packet, if the table lists it as serving. The other candidates follow. */
 void RpBalancer_PreferOwner(const struct rp_table *table,
--- a/lib/flow/rp_table.c
+++ b/lib/flow/rp_table.c
@@ -453,12 +453,11 @@
     return ((uint32_t)(zeros + 1) << LOG_FRACTION_BITS) - log;
 }
 
-/* Returns a member's score for a flow; the lowest score ranks first. The
- * negative logarithm of a uniform value is exponentially distributed, so
+/* The negative logarithm of a uniform value is exponentially distributed, so
  * dividing it by the weight gives each member a share of the flows in
  * proportion to its weight. */
-static uint64_t
-compute_score(const struct rp_member *member, uint64_t flow_hash)
+uint64_t
+RpMember_Score(const struct rp_member *member, uint64_t flow_hash)
 {
     uint32_t draw = negative_log2(mix_bits(flow_hash ^ member->name_hash));
 
@@ -497,7 +496,7 @@
         if (!(states >> member->state & 1)) {
             continue;
         }
-        uint64_t score = compute_score(member, flow_hash);
+        uint64_t score = RpMember_Score(member, flow_hash);
         size_t rank = count;
         while (rank > 0 && score < scores[rank - 1]) {
             rank--;
--- a/lib/flow/rp_table.h
+++ b/lib/flow/rp_table.h
@@ -149,6 +149,10 @@
 uint64_t RpTable_HashFlow(const struct rp_table *table,
                           struct rp_flow_key key);
 
+/* Returns a member's score for a flow; the lowest score ranks first. A score
+ * divided by a factor is that of a member with that many times the weight. */
+uint64_t RpMember_Score(const struct rp_member *member, uint64_t flow_hash);
+
 /* Ranks the members whose state is in `states` for a flow and writes the
  * best `max` (at most RP_MAX_CHAIN) to `out`, best first. Returns their
  * number. The pointers are valid until the table changes. */
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -25,6 +25,8 @@
     GString *packets;
     struct rp_endpoint fabric_ready; /* port 0: no readiness endpoint */
     struct rp_endpoint hint_listen;  /* port 0: takes no hints */
+    bool order_by_load;              /* of new flows' candidates */
+    bool spill_by_load;              /* to other zones */
 };
 
 struct balancer {
@@ -33,6 +35,7 @@
     struct rp_udp *udp;
     struct rp_udp *hint_side; /* from agents; NULL: takes no hints */
     struct rp_owner_hints *hints;
+    struct rp_load_view *loads; /* NULL: candidates have no order by load */
     struct rp_uplink *uplink;
     const struct rp_codec *codec;
     struct rp_platform *platform;
@@ -81,6 +84,16 @@
      .help = "receive hints of agents about the owners of flows on this "
              "address; later packets go straight to the owner",
      .optional = true},
+    {.flag = "order-by-load",
+     .kind = RP_SETTING_SWITCH,
+     .offset = offsetof(struct balancer_settings, order_by_load),
+     .help = "choose among a new flow's candidates by the loads that agents "
+             "tell; needs --hint-listen"},
+    {.flag = "spill-by-load",
+     .kind = RP_SETTING_SWITCH,
+     .offset = offsetof(struct balancer_settings, spill_by_load),
+     .help = "send new flows to other zones by how busy the own one is; needs "
+             "--order-by-load"},
     RP_PACKETS_SETTING(balancer_settings, packets),
     RP_CONTROL_PORT_SETTING(balancer_settings, control_port),
 };
@@ -207,14 +220,22 @@
     struct rp_route route;
 
     const struct rp_table *table = RpUplink_Table(balancer->uplink);
-    RpBalancer_Route(table, packet, &route);
+    const struct rp_load_order order = {
+        .view = balancer->loads,
+        .now = RpClock_Now(),
+        .spill = balancer->settings.spill_by_load};
+    RpBalancer_RouteByLoad(table, balancer->loads ? &order : NULL, packet,
+                           &route);
     if (balancer->hint_side) {
-        RpBalancer_PreferOwner(table, balancer->hints, RpClock_Now(), packet,
+        RpBalancer_PreferOwner(table, balancer->hints, order.now, packet,
                                &route);
-        if (!RpPacket_Opens(packet)) {
+        if (!RpPacket_Opens(packet) || balancer->loads) {
             route.chain.origin = balancer->settings.hint_listen;
         }
     }
+    if (RpPacket_Opens(packet) && balancer->loads) {
+        RpBalancer_NoteChoice(balancer->hints, order.now, packet, &route);
+    }
     if (RpPacket_Opens(packet) && (!waited || route.kind == RP_ROUTE_SEND)) {
         log_route(balancer, packet, &route);
     }
@@ -286,6 +307,18 @@
     }
 }
 
+static void
+store_load(struct balancer *balancer, const struct rp_load_note *load,
+           struct rp_endpoint from)
+{
+    bool stored = balancer->loads &&
+                  RpLoadView_Put(balancer->loads, RpClock_Now(), from, load);
+
+    RpCounters_Add(&balancer->daemon.counters,
+                   stored ? RP_COUNT_LOAD_NOTE_STORED
+                          : RP_COUNT_LOAD_NOTE_DROPPED);
+}
+
 static void
 on_hint(void *user, uint8_t *data, size_t len, struct rp_endpoint from)
 {
@@ -295,10 +328,14 @@
 
     if (!RpGeneve_Parse(data, len, balancer->codec->ops->protocol, &geneve,
                         &reason) ||
-        !geneve.has_hint) {
+        (!geneve.has_hint && !geneve.has_load)) {
         count_and_log_drop(balancer, reason, from);
         return;
     }
+    if (geneve.has_load) {
+        store_load(balancer, &geneve.load, from);
+        return;
+    }
     RpCounters_Add(&balancer->daemon.counters, RP_COUNT_HINT_STORED);
     RpOwnerHints_Put(
         balancer->hints, RpClock_Now(),
@@ -344,6 +381,10 @@
                            RpTable_Revision(table),
                            RpTable_CountServices(table),
                            RpUplink_IsConnected(balancer->uplink));
+    if (balancer->loads) {
+        g_string_append_printf(out, "loads_told %zu\n",
+                               RpLoadView_Count(balancer->loads));
+    }
 }
 
 /* Returns whether the fabric may send packets here: not before control has
@@ -432,6 +473,21 @@
     return balancer->udp && (!takes_hints || balancer->hint_side);
 }
 
+/* Prints what is missing for choosing by load. */
+static bool
+check_load_settings(const struct balancer_settings *settings)
+{
+    if (settings->order_by_load && settings->hint_listen.port == 0) {
+        fprintf(stderr, "--order-by-load: needs --hint-listen\n");
+        return false;
+    }
+    if (settings->spill_by_load && !settings->order_by_load) {
+        fprintf(stderr, "--spill-by-load: needs --order-by-load\n");
+        return false;
+    }
+    return true;
+}
+
 int
 RpBalancer_Main(int argc, char **argv)
 {
@@ -457,6 +513,9 @@
     if (!balancer.codec) {
         return RP_EXIT_SETTINGS;
     }
+    if (!check_load_settings(&balancer.settings)) {
+        return RP_EXIT_SETTINGS;
+    }
     RpDaemon_SetPorts(&balancer.settings.controls,
                       balancer.settings.control_port);
     if (!RpDaemon_Start(daemon, RP_ROLE_BALANCER, &balancer.settings.common,
@@ -469,6 +528,9 @@
     RpLog_SetBudget(daemon->log, "flow_waits", FLOW_LINES_PER_SECOND);
     balancer.waiting = RpWaiting_Create();
     balancer.hints = RpOwnerHints_Create();
+    if (balancer.settings.order_by_load) {
+        balancer.loads = RpLoadView_Create();
+    }
     balancer.wait_timer = RpTimer_Create(expire_waiting, &balancer);
     balancer.uplink = RpUplink_Create(daemon, (struct rp_endpoint){0},
                                       &balancer.settings.controls,
@@ -490,6 +552,7 @@
     RpTimer_Free(balancer.wait_timer);
     RpWaiting_Free(balancer.waiting);
     RpOwnerHints_Free(balancer.hints);
+    RpLoadView_Free(balancer.loads);
     RpDaemon_Clear(daemon);
     return exit_code;
 }
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -74,12 +74,13 @@
         TO_HOST,
         TO_AGENT_FROM_HOST,
         TO_CALLER,
-        HINT_TO_BALANCER
+        HINT_TO_BALANCER,
+        LOAD_TO_BALANCER
     } at;
-    unsigned balancer; /* of HINT_TO_BALANCER */
+    unsigned balancer; /* of HINT_TO_BALANCER and LOAD_TO_BALANCER */
     unsigned service;
     unsigned upstream;
-    struct rp_geneve geneve; /* of TO_AGENT and HINT_TO_BALANCER */
+    struct rp_geneve geneve; /* of TO_AGENT and notes to balancers */
     uint8_t bytes[128];
     size_t len;
 };
@@ -92,12 +93,14 @@
     struct upstream upstreams[SERVICES][UPSTREAMS];
     struct rp_table *tables[BALANCERS];
     struct rp_owner_hints *hints[BALANCERS]; /* NULL: takes no hints */
+    struct rp_load_view *loads[BALANCERS];   /* NULL: no order by load */
     struct rp_table *agent_tables[SERVICES][UPSTREAMS];
     struct caller_flow flows[FLOWS];
     GPtrArray *in_flight;
     uint64_t revision;
     uint32_t seed;
     unsigned hinted; /* hints that balancers got */
+    unsigned chosen; /* new flows whose first candidate loads have changed */
     bool faulty;     /* packets are lost, duplicated and delayed */
 };
 
@@ -416,11 +419,20 @@
     assert_true(
         RpPacket_Parse(sim_packet->bytes, sim_packet->len, &packet, &reason));
     unsigned balancer = (unsigned)random_below(sim, BALANCERS);
-    RpBalancer_Route(sim->tables[balancer], &packet, &route);
+    const struct rp_load_order order = {
+        .view = sim->loads[balancer], .now = sim->now, .spill = true};
+    RpBalancer_RouteByLoad(sim->tables[balancer], order.view ? &order : NULL,
+                           &packet, &route);
+    sim->chosen += route.reason == RP_COUNT_ROUTED_BY_LOAD;
     if (sim->hints[balancer]) {
         RpBalancer_PreferOwner(sim->tables[balancer], sim->hints[balancer],
                                sim->now, &packet, &route);
-        route.chain.origin = balancer_endpoint(balancer);
+        if (order.view || !RpPacket_Opens(&packet)) {
+            route.chain.origin = balancer_endpoint(balancer);
+        }
+    }
+    if (order.view && RpPacket_Opens(&packet)) {
+        RpBalancer_NoteChoice(sim->hints[balancer], sim->now, &packet, &route);
     }
     if (route.kind == RP_ROUTE_SEND) {
         if (random_below(sim, 100) == 0) {
@@ -452,6 +464,19 @@
     sim->hinted++;
 }
 
+/* Tells a balancer any load: what it knows may be as wrong as can be. */
+static void
+tell_any_load(struct simulation *sim, unsigned balancer, unsigned service,
+              unsigned upstream)
+{
+    const struct rp_load_note load = {
+        .service_id = service + 1,
+        .utilisation = (uint8_t)random_below(sim, RP_LOAD_MAX + 1)};
+
+    assert_true(RpLoadView_Put(sim->loads[balancer], sim->now,
+                               agent_endpoint(service, upstream), &load));
+}
+
 static void
 perform_actions(struct simulation *sim, unsigned service, unsigned upstream,
                 const struct rp_actions *actions)
@@ -463,6 +488,13 @@
         if (action->kind == RP_ACTION_DROP) {
             continue;
         }
+        if (action->kind == RP_ACTION_LOAD_NOTE) {
+            sim_packet.at = LOAD_TO_BALANCER;
+            sim_packet.balancer = action->next.ip & 0xff;
+            sim_packet.geneve.load = action->load;
+            send_sim_packet(sim, &sim_packet);
+            continue;
+        }
         if (action->kind == RP_ACTION_HINT) {
             sim_packet.at = HINT_TO_BALANCER;
             sim_packet.balancer = action->next.ip & 0xff;
@@ -521,8 +553,9 @@
 print_sim_packet(const struct simulation *sim,
                  const struct sim_packet *sim_packet)
 {
-    static const char *const places[] = {"balancer",        "agent",  "host",
-                                         "agent from host", "caller", "hint"};
+    static const char *const places[] = {
+        "balancer", "agent", "host", "agent from host",
+        "caller",   "hint",  "load"};
     struct rp_packet packet;
     enum rp_counter reason;
 
@@ -575,6 +608,12 @@
     case HINT_TO_BALANCER:
         balancer_receives_hint(sim, sim_packet);
         break;
+    case LOAD_TO_BALANCER:
+        assert_int_equal(sim_packet->geneve.load.service_id,
+                         sim_packet->service + 1);
+        tell_any_load(sim, sim_packet->balancer, sim_packet->service,
+                      sim_packet->upstream);
+        break;
     }
     g_free(sim_packet);
 }
@@ -702,6 +741,9 @@
 /* Whether balancers take hints about the owners of flows. */
 static bool takes_hints;
 static unsigned hinted;
+/* Whether they choose by load, too. */
+static bool orders_by_load;
+static unsigned chosen;
 
 static void
 init_simulation(struct simulation *sim, uint32_t seed)
@@ -726,6 +768,10 @@
         sim->tables[i] = RpTable_Create();
         update_table(sim, sim->tables[i]);
         sim->hints[i] = takes_hints ? RpOwnerHints_Create() : NULL;
+        sim->loads[i] = orders_by_load ? RpLoadView_Create() : NULL;
+        for (unsigned j = 0; orders_by_load && j < SERVICES * UPSTREAMS; j++) {
+            tell_any_load(sim, i, j / UPSTREAMS, j % UPSTREAMS);
+        }
     }
     for (unsigned i = 0; i < FLOWS; i++) {
         sim->flows[i].service = i % SERVICES;
@@ -744,8 +790,10 @@
     for (unsigned i = 0; i < BALANCERS; i++) {
         RpTable_Free(sim->tables[i]);
         RpOwnerHints_Free(sim->hints[i]);
+        RpLoadView_Free(sim->loads[i]);
     }
     hinted += sim->hinted;
+    chosen += sim->chosen;
     g_ptr_array_unref(sim->in_flight);
     g_rand_free(sim->random);
 }
@@ -811,12 +859,35 @@
     assert_true(hinted > ran);
 }
 
+/* The same where balancers choose among a new flow's candidates by the loads
+ * that agents tell: balancers that know other loads choose other agents for
+ * copies of a SYN, and later packets begin elsewhere than the SYN. The loads
+ * are drawn by lot. */
+static void
+test_ownership_with_loads(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    takes_hints = true;
+    orders_by_load = true;
+    unsigned established = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
+                                     G_N_ELEMENTS(extra_seeds), &ran);
+    print_message("%u seeds, %u flows established, none broken, %u SYNs by "
+                  "load\n",
+                  ran, established, chosen);
+    assert_true(established > ran * FLOWS / 2);
+    assert_true(chosen > ran);
+    orders_by_load = false;
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_ownership_property),
         cmocka_unit_test(test_ownership_with_hints),
+        cmocka_unit_test(test_ownership_with_loads),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_rollouts.c
+++ b/tests/unit/test_rollouts.c
@@ -104,12 +104,13 @@
         TO_HOST,
         TO_AGENT_FROM_HOST,
         TO_CALLER,
-        HINT_TO_BALANCER
+        HINT_TO_BALANCER,
+        LOAD_TO_BALANCER
     } at;
     int64_t time; /* of its arrival */
     unsigned balancer;
     unsigned upstream;
-    struct rp_geneve geneve; /* of TO_AGENT and HINT_TO_BALANCER */
+    struct rp_geneve geneve; /* of TO_AGENT and notes to balancers */
     uint8_t bytes[128];
     size_t len;
 };
@@ -128,12 +129,14 @@
     struct upstream upstreams[UPSTREAMS];
     struct rp_table *tables[BALANCERS];
     struct rp_owner_hints *hints[BALANCERS];
+    struct rp_load_view *loads[BALANCERS]; /* NULL: no order by load */
     struct caller_flow flows[FLOWS];
     struct stop stops[ROLLOUTS * UPSTREAMS];
     GPtrArray *in_flight;
     uint64_t revision;
     unsigned opened;
     unsigned broken;
+    unsigned chosen; /* new flows whose first candidate loads have changed */
 };
 
 static int
@@ -499,9 +502,18 @@
     assert_true(
         RpPacket_Parse(sim_packet->bytes, sim_packet->len, &packet, &reason));
     const struct rp_table *table = sim->tables[sim_packet->balancer];
-    RpBalancer_Route(table, &packet, &route);
+    const struct rp_load_order order = {
+        .view = sim->loads[sim_packet->balancer],
+        .now = sim->now,
+        .spill = true};
+    RpBalancer_RouteByLoad(table, order.view ? &order : NULL, &packet, &route);
     RpBalancer_PreferOwner(table, sim->hints[sim_packet->balancer], sim->now,
                            &packet, &route);
+    if (order.view && RpPacket_Opens(&packet)) {
+        RpBalancer_NoteChoice(sim->hints[sim_packet->balancer], sim->now,
+                              &packet, &route);
+    }
+    sim->chosen += route.reason == RP_COUNT_ROUTED_BY_LOAD;
     if (route.kind == RP_ROUTE_SEND) {
         next.at = TO_AGENT;
         next.upstream = route.chain.hop[0].ip & 0xff;
@@ -510,7 +522,9 @@
                                          .tag = route.tag,
                                          .chain = route.chain};
         next.geneve.chain.visited = 1;
-        next.geneve.chain.origin = balancer_endpoint(sim_packet->balancer);
+        if (order.view || !RpPacket_Opens(&packet)) {
+            next.geneve.chain.origin = balancer_endpoint(sim_packet->balancer);
+        }
         send_sim_packet(sim, &next);
     }
 }
@@ -549,6 +563,12 @@
                                                    .tag = action->tag,
                                                    .chain = action->chain};
             break;
+        case RP_ACTION_LOAD_NOTE:
+            sim_packet.at = LOAD_TO_BALANCER;
+            sim_packet.balancer = action->next.ip & 0xff;
+            sim_packet.geneve.load = action->load;
+            send_sim_packet(sim, &sim_packet);
+            continue;
         case RP_ACTION_HINT:
             sim_packet.at = HINT_TO_BALANCER;
             sim_packet.balancer = action->next.ip & 0xff;
@@ -648,6 +668,12 @@
         case HINT_TO_BALANCER:
             balancer_receives_hint(sim, sim_packet);
             break;
+        case LOAD_TO_BALANCER:
+            assert_true(RpLoadView_Put(sim->loads[sim_packet->balancer],
+                                       sim->now,
+                                       agent_endpoint(sim_packet->upstream),
+                                       &sim_packet->geneve.load));
+            break;
         }
         g_free(sim_packet);
     }
@@ -723,6 +749,10 @@
     }
 }
 
+/* Whether balancers choose by load. */
+static bool orders_by_load;
+static unsigned chosen;
+
 static void
 init_simulation(struct simulation *sim, uint32_t seed)
 {
@@ -735,6 +765,7 @@
         set_zone_name(&zone, i);
         sim->tables[i] = RpTable_Create();
         sim->hints[i] = RpOwnerHints_Create();
+        sim->loads[i] = orders_by_load ? RpLoadView_Create() : NULL;
         RpTable_PreferZone(sim->tables[i], &zone, ZONE_WEIGHT);
     }
     for (unsigned i = 0; i < UPSTREAMS; i++) {
@@ -763,6 +794,7 @@
     for (unsigned i = 0; i < BALANCERS; i++) {
         RpTable_Free(sim->tables[i]);
         RpOwnerHints_Free(sim->hints[i]);
+        RpLoadView_Free(sim->loads[i]);
     }
     g_ptr_array_unref(sim->in_flight);
     g_rand_free(sim->random);
@@ -793,30 +825,51 @@
                     seed);
     }
     opened_flows += sim.opened;
+    chosen += sim.chosen;
     unsigned broken = sim.broken;
     clear_simulation(&sim);
     return broken;
 }
 
 static void
-test_overlapping_rollouts(void **state)
+check_overlapping_rollouts(void)
 {
     uint32_t ran;
 
-    (void)state;
+    opened_flows = 0;
+    chosen = 0;
     unsigned broken = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
                                 G_N_ELEMENTS(extra_seeds), &ran);
-    print_message("%u seeds, %u flows opened, %u broken\n", ran, opened_flows,
-                  broken);
+    print_message("%u seeds, %u flows opened, %u SYNs by load, %u broken\n",
+                  ran, opened_flows, chosen, broken);
     assert_true(opened_flows > ran * FLOWS * 3 / 4);
     assert_int_equal(broken, 0);
 }
 
+static void
+test_overlapping_rollouts(void **state)
+{
+    (void)state;
+    check_overlapping_rollouts();
+}
+
+/* The same where balancers choose among a new flow's candidates by the loads
+ * that agents tell. */
+static void
+test_overlapping_rollouts_with_loads(void **state)
+{
+    (void)state;
+    orders_by_load = true;
+    check_overlapping_rollouts();
+    assert_true(chosen > opened_flows / 10);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_overlapping_rollouts),
+        cmocka_unit_test(test_overlapping_rollouts_with_loads),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
