Balancers: loads change the order of a new flow's candidates, not which they are

Change: the three candidates are those of before, and loads only order them.

Ruled out: six candidates for packets of open flows, too (24 bytes more in each).

--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -1,30 +1,24 @@
 /* The routing decision of a balancer. See rp_balancer.h. */
 #include "rp_balancer.h"
 
-/* Appends the highest-ranked members whose state is in `states`, until the
- * chain has `limit` candidates. `order` may be NULL. Returns the member that
- * ranks first without loads, or NULL.
+/* Picks the highest-ranked members whose state is in `states`, at most
+ * `limit`. Returns their number.
  *
- * If all members appended before the last place are in the preferred zone,
- * the best member of another zone gets the last place. Otherwise a flow could
- * not reach idle members elsewhere when its own zone is full. */
-static const struct rp_member *
-append_candidates(struct rp_chain *chain, const struct rp_service *service,
-                  const struct rp_load_order *order, uint64_t hash,
-                  unsigned states, size_t limit)
+ * If all members picked before the last place are in the preferred zone, the
+ * best member of another zone gets the last place. Otherwise a flow could not
+ * reach idle members elsewhere when its own zone is full. */
+static size_t
+pick_members(const struct rp_service *service, uint64_t hash, unsigned states,
+             const struct rp_member *picked[RP_MAX_CHAIN], size_t limit)
 {
     const struct rp_member *ranked[RP_MAX_CHAIN];
     size_t count = RpService_RankMembers(service, hash, states, ranked,
                                          RP_MAX_CHAIN);
-    const struct rp_member *first = count > 0 ? ranked[0] : NULL;
+    size_t picked_count = 0;
     bool all_in_zone = true;
 
-    if (order) {
-        RpLoadView_Order(order->view, order->now, service, hash, order->spill,
-                         ranked, count);
-    }
-    for (size_t i = 0; i < count && chain->count < limit; i++) {
-        bool is_last = chain->count == limit - 1;
+    for (size_t i = 0; i < count && picked_count < limit; i++) {
+        bool is_last = picked_count == limit - 1;
         size_t pick = i;
         while (is_last && all_in_zone && pick < count &&
                ranked[pick]->in_preferred_zone) {
@@ -32,9 +26,49 @@
         }
         pick = pick < count ? pick : i;
         all_in_zone = all_in_zone && ranked[pick]->in_preferred_zone;
-        RpChain_AppendOf(chain, ranked[pick]->agent, service->tag.service_id);
+        picked[picked_count++] = ranked[pick];
+    }
+    return picked_count;
+}
+
+/* Appends candidates until the chain has `limit`. */
+static void
+append_candidates(struct rp_chain *chain, const struct rp_service *service,
+                  uint64_t hash, unsigned states, size_t limit)
+{
+    const struct rp_member *picked[RP_MAX_CHAIN];
+    size_t count = pick_members(service, hash, states, picked,
+                                limit - MIN(limit, chain->count));
+
+    for (size_t i = 0; i < count; i++) {
+        RpChain_AppendOf(chain, picked[i]->agent, service->tag.service_id);
+    }
+}
+
+/* Appends the candidates of a new flow in the order that loads give them;
+ * `order` may be NULL. Returns the counter for that decision. */
+static enum rp_counter
+append_ready(struct rp_chain *chain, const struct rp_service *service,
+             const struct rp_load_order *order, uint64_t hash)
+{
+    const struct rp_member *picked[RP_MAX_CHAIN];
+    size_t count = pick_members(service, hash, RP_MEMBERS_READY, picked,
+                                RP_ROUTE_MAX_CANDIDATES);
+    const struct rp_member *first = count > 0 ? picked[0] : NULL;
+
+    if (order) {
+        RpLoadView_Order(order->view, order->now, service, hash, order->spill,
+                         picked, count);
+    }
+    for (size_t i = 0; i < count; i++) {
+        RpChain_AppendOf(chain, picked[i]->agent, service->tag.service_id);
     }
-    return first;
+    if (count == 0 || picked[0] == first) {
+        return RP_COUNT_ROUTED;
+    }
+    return first->in_preferred_zone && !picked[0]->in_preferred_zone
+               ? RP_COUNT_ROUTED_ABROAD
+               : RP_COUNT_ROUTED_BY_LOAD;
 }
 
 /* Appends candidates for a packet of an open flow: members whose lease has
@@ -45,8 +79,8 @@
 {
     size_t limit = MIN(chain->count + RP_ROUTE_MAX_CANDIDATES, RP_MAX_CHAIN);
 
-    append_candidates(chain, service, NULL, hash, RP_MEMBERS_SERVING, limit);
-    append_candidates(chain, service, NULL, hash, RP_MEMBERS_LOST, limit);
+    append_candidates(chain, service, hash, RP_MEMBERS_SERVING, limit);
+    append_candidates(chain, service, hash, RP_MEMBERS_LOST, limit);
 }
 
 /* Sets the services of the chain: the selected one and the former targets of
@@ -84,27 +118,6 @@
     }
 }
 
-/* Returns the counter for a new flow whose first candidate may have been
- * chosen by load. `ranked_first` ranks first without loads. */
-static enum rp_counter
-find_reason(const struct rp_service *service, const struct rp_chain *chain,
-            const struct rp_member *ranked_first)
-{
-    if (!ranked_first ||
-        RpEndpoint_Equal(chain->hop[0], ranked_first->agent)) {
-        return RP_COUNT_ROUTED;
-    }
-    for (size_t i = 0; ranked_first->in_preferred_zone && i < service->count;
-         i++) {
-        const struct rp_member *member = &service->members[i];
-        if (RpEndpoint_Equal(member->agent, chain->hop[0]) &&
-            !member->in_preferred_zone) {
-            return RP_COUNT_ROUTED_ABROAD;
-        }
-    }
-    return RP_COUNT_ROUTED_BY_LOAD;
-}
-
 void
 RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
                  struct rp_route *route)
@@ -139,10 +152,7 @@
     }
     route->tag = service->tag;
     if (opens) {
-        const struct rp_member *first = append_candidates(
-            &route->chain, service, order, hash, RP_MEMBERS_READY,
-            RP_ROUTE_MAX_CANDIDATES);
-        reason = find_reason(service, &route->chain, first);
+        reason = append_ready(&route->chain, service, order, hash);
     }
     else {
         set_chain_services(&route->chain, table, address, service);
--- a/lib/flow/rp_load_view.c
+++ b/lib/flow/rp_load_view.c
@@ -1,6 +1,7 @@
 /* Loads of hosts as their agents have told them. See rp_load_view.h. */
 #include "rp_load_view.h"
 
+#include <assert.h>
 #include <glib.h>
 
 #define MEANS_LIFETIME_US (100 * RP_US_PER_MS)
@@ -202,26 +203,27 @@
 void
 RpLoadView_Order(struct rp_load_view *view, int64_t now,
                  const struct rp_service *service, uint64_t flow_hash,
-                 bool spill, const struct rp_member **ranked, size_t count)
+                 bool spill, const struct rp_member **candidates, size_t count)
 {
     struct rp_load_means means = RpLoadView_Means(view, now, service);
-    uint64_t scores[RP_LOAD_CANDIDATES];
+    uint64_t scores[RP_ROUTE_MAX_CANDIDATES];
 
+    assert(count <= RP_ROUTE_MAX_CANDIDATES);
     if (!means.known) {
         return;
     }
-    for (size_t i = 0; i < MIN(count, RP_LOAD_CANDIDATES); i++) {
-        const struct rp_member *member = ranked[i];
+    for (size_t i = 0; i < count; i++) {
+        const struct rp_member *member = candidates[i];
         uint64_t score = RpMember_Score(member, flow_hash) /
                          compute_weight(view, now, service, member, &means,
                                         spill);
         size_t place = i;
         for (; place > 0 && score < scores[place - 1]; place--) {
             scores[place] = scores[place - 1];
-            ranked[place] = ranked[place - 1];
+            candidates[place] = candidates[place - 1];
         }
         scores[place] = score;
-        ranked[place] = member;
+        candidates[place] = member;
     }
 }
 
--- a/lib/flow/rp_load_view.h
+++ b/lib/flow/rp_load_view.h
@@ -13,9 +13,9 @@
  * mean of its group, which are the members in the preferred zone or those in
  * other zones. A host of which nothing is known counts as the mean.
  *
- * The order only concerns the candidates of new flows. Owners of open flows
- * are found by the ranking without loads, so only members that this ranking
- * puts first are ordered anew.
+ * Which candidates a new flow has does not depend on loads, only their order:
+ * packets of open flows have the same candidates, so that the owner is among
+ * them whatever the balancers knew.
  *
  * Nothing here reads a clock: times are microseconds on the monotonic clock.
  */
@@ -27,9 +27,6 @@
 
 /* How long a report of a host's load counts. */
 #define RP_LOAD_LIFETIME_US (4 * RP_US_PER_SECOND)
-/* Of how many members, as ranked without loads, the order is changed. A
- * packet of an open flow that comes to another balancer asks them in turn. */
-#define RP_LOAD_CANDIDATES 6
 /* Most hosts of which the load is known. */
 #define RP_LOAD_VIEW_MAX 8192
 
@@ -63,8 +60,8 @@
                                 const struct rp_member *member,
                                 const struct rp_load_means *means);
 
-/* Orders the first RP_LOAD_CANDIDATES of `count` ranked members of a service
- * anew for the flow with this hash.
+/* Orders the candidates for a new flow with this hash, at most
+ * RP_ROUTE_MAX_CANDIDATES members of a service.
  *
  * With `spill`, members of other zones take part by how busy the own zone is:
  * their weight is multiplied by the square of its mean utilisation, the chance
@@ -72,7 +69,7 @@
  * an idle zone, and the part that leaves grows without a step. */
 void RpLoadView_Order(struct rp_load_view *view, int64_t now,
                       const struct rp_service *service, uint64_t flow_hash,
-                      bool spill, const struct rp_member **ranked,
+                      bool spill, const struct rp_member **candidates,
                       size_t count);
 
 /* Returns the number of hosts of which something was told, also long ago. */
