--- a/lib/flow/rp_load_view.c
+++ b/lib/flow/rp_load_view.c
@@ -206,7 +206,7 @@
                  bool spill, const struct rp_member **candidates, size_t count)
 {
     struct rp_load_means means = RpLoadView_Means(view, now, service);
-    uint64_t scores[RP_ROUTE_MAX_CANDIDATES];
+    uint64_t scores[RP_ROUTE_MAX_CANDIDATES] = {0};
 
     assert(count <= RP_ROUTE_MAX_CANDIDATES);
     if (!means.known) {
