--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -63,6 +63,11 @@
         --lease-ms 1 --listen nowhere --control 127.0.0.1:1,x --service lens \
         --log-level loud --no-such-flag 2>&1
     echo "exit $?"
+    for flag in order-by-load spill-by-load; do
+        "$BUILD/programs/radishportd" balancer --name b --listen 127.0.0.1:1 \
+            --control 127.0.0.1:2 "--$flag" 2>&1
+        echo "exit $?"
+    done
     "$BUILD/programs/radishport" service apply 2>&1
     echo "exit $?"
     "$BUILD/programs/radishport" no such command > /dev/null 2>&1
--- a/tests/unit/test_load_view.c
+++ b/tests/unit/test_load_view.c
@@ -237,6 +237,47 @@
     RpTable_Free(table);
 }
 
+/* Later packets of a flow begin at the candidate that its first SYN went to,
+ * also after a copy of the SYN, which goes to another one first. */
+static void
+test_choice_is_noted(void **state)
+{
+    struct rp_table *table = create_table(12, 4);
+    struct rp_load_view *view = RpLoadView_Create();
+    struct rp_owner_hints *hints = RpOwnerHints_Create();
+    const struct rp_load_order order = {.view = view};
+    unsigned noted = 0;
+
+    (void)state;
+    for (size_t host = 0; host < 12; host++) {
+        tell(view, 0, host, host % 2 ? RP_LOAD_MAX : 0);
+    }
+    for (uint32_t i = 0; i < 200; i++) {
+        struct rp_packet packet = {
+            .key = {.src_ip = i, .dst_ip = 0x0a500001, .dst_port = 7000},
+            .flags = RP_TCP_SYN};
+        struct rp_endpoint first = {0};
+        struct rp_route route;
+        for (uint32_t copy = 0; copy < 3; copy++) {
+            packet.syn_retransmits = copy;
+            RpBalancer_RouteByLoad(table, &order, &packet, &route);
+            RpBalancer_PreferOwner(table, hints, 0, &packet, &route);
+            RpBalancer_NoteChoice(hints, 0, &packet, &route);
+            first = copy == 0 ? route.chain.hop[0] : first;
+        }
+        noted += route.reason == RP_COUNT_ROUTED_BY_LOAD;
+        packet.flags = RP_TCP_ACK;
+        RpBalancer_RouteByLoad(table, &order, &packet, &route);
+        RpBalancer_PreferOwner(table, hints, 0, &packet, &route);
+        assert_true(RpEndpoint_Equal(route.chain.hop[0], first));
+        assert_int_equal(route.chain.count, 3);
+    }
+    assert_in_range(noted, 40, 160);
+    RpOwnerHints_Free(hints);
+    RpLoadView_Free(view);
+    RpTable_Free(table);
+}
+
 /* Demand that moves between data centres: the part of new flows that goes to
  * the other one grows with the load of the own one without a step, is next to
  * nothing while that is idle, and does not depend on how it came about. */
@@ -553,6 +594,7 @@
         cmocka_unit_test(test_average_follows_load),
         cmocka_unit_test(test_share_follows_free_capacity),
         cmocka_unit_test(test_candidates_stay),
+        cmocka_unit_test(test_choice_is_noted),
         cmocka_unit_test(test_spill_grows_with_load),
         cmocka_unit_test(test_many_balancers_choose_at_once),
         cmocka_unit_test(test_long_flows_pinned),
