--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -65,7 +65,7 @@
     echo "exit $?"
     for flag in order-by-load spill-by-load; do
         "$BUILD/programs/radishportd" balancer --name b --listen 127.0.0.1:1 \
-            --control 127.0.0.1:2 "--$flag" 2>&1
+            --control 127.0.0.1:2 --key-file /dev/null "--$flag" 2>&1
         echo "exit $?"
     done
     "$BUILD/programs/radishport" service apply 2>&1
