--- a/lib/flow/rp_load_view.c
+++ b/lib/flow/rp_load_view.c
@@ -137,7 +137,10 @@
         const struct rp_member *member = &service->members[i];
         struct group *group = &groups[member->in_preferred_zone];
         uint8_t utilisation = 0;
-        int64_t left = find_told(view, now, service, member, &utilisation);
+        int64_t left = member->state == RP_UPSTREAM_READY
+                           ? find_told(view, now, service, member,
+                                       &utilisation)
+                           : 0;
         group->sum += left * utilisation;
         group->weight += left;
     }
--- a/lib/flow/rp_load_view.h
+++ b/lib/flow/rp_load_view.h
@@ -32,8 +32,8 @@
 
 struct rp_load_view;
 
-/* The mean utilisations of a service's members, in units of
- * 1 / RP_LOAD_UNIT. */
+/* The mean utilisations of a service's members that take new flows, in units
+ * of 1 / RP_LOAD_UNIT. */
 struct rp_load_means {
     bool known;    /* something is known of a member */
     uint32_t home; /* members in the preferred zone */
--- a/tests/unit/test_load_view.c
+++ b/tests/unit/test_load_view.c
@@ -28,7 +28,7 @@
 /* Makes a service with `count` hosts, of which the first `home` are in the
  * preferred zone, with the weight 8. */
 static struct rp_table *
-create_table(size_t count, size_t home)
+create_table_with_draining(size_t count, size_t home, size_t draining)
 {
     struct rp_table *table = RpTable_Create();
     struct rp_msg msg = {.type = RP_MSG_TABLE};
@@ -43,10 +43,11 @@
     RpName_Set(&zone, RpStr_FromC("home"));
     RpTable_PreferZone(table, &zone, 8);
     for (size_t i = 0; i < count; i++) {
-        struct rp_msg_member member = {.agent_ip = agent_of(i).ip,
-                                       .agent_port = 1,
-                                       .slots = SLOTS,
-                                       .state = RP_UPSTREAM_READY};
+        struct rp_msg_member member = {
+            .agent_ip = agent_of(i).ip,
+            .agent_port = 1,
+            .slots = SLOTS,
+            .state = i == draining ? RP_UPSTREAM_DRAINING : RP_UPSTREAM_READY};
         gchar *name = g_strdup_printf("up-%zu", i);
         RpName_Set(&member.upstream, RpStr_FromC(name));
         RpName_Set(&member.zone, RpStr_FromC(i < home ? "home" : "away"));
@@ -62,6 +63,12 @@
     return table;
 }
 
+static struct rp_table *
+create_table(size_t count, size_t home)
+{
+    return create_table_with_draining(count, home, SIZE_MAX);
+}
+
 static void
 tell(struct rp_load_view *view, int64_t now, size_t host, uint8_t utilisation)
 {
@@ -114,6 +121,23 @@
     RpTable_Free(table);
 }
 
+/* A host that takes no new flows does not count in the mean of its zone. */
+static void
+test_draining_host_does_not_count(void **state)
+{
+    struct rp_table *table = create_table_with_draining(3, 2, 1);
+    const struct rp_service *service = RpTable_FindById(table, SERVICE_ID);
+    struct rp_load_view *view = RpLoadView_Create();
+
+    (void)state;
+    tell(view, 0, 0, 40);
+    tell(view, 0, 1, RP_LOAD_MAX);
+    assert_int_equal(RpLoadView_Means(view, 0, service).home, 40);
+    assert_int_equal(RpLoadView_Means(view, 0, service).away, 40);
+    RpLoadView_Free(view);
+    RpTable_Free(table);
+}
+
 /* A view takes a bounded number of hosts; those not heard of for long give
  * way. */
 static void
@@ -590,6 +614,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_knowledge_ages),
+        cmocka_unit_test(test_draining_host_does_not_count),
         cmocka_unit_test(test_view_is_bounded),
         cmocka_unit_test(test_average_follows_load),
         cmocka_unit_test(test_share_follows_free_capacity),
