--- a/lib/flow/rp_balancer.c
+++ b/lib/flow/rp_balancer.c
@@ -1,23 +1,24 @@
 /* The routing decision of a balancer. See rp_balancer.h. */
 #include "rp_balancer.h"
 
-/* Appends the highest-ranked members whose state is in `states`, until the
- * chain has `limit` candidates.
+/* Picks the highest-ranked members whose state is in `states`, at most
+ * `limit`. Returns their number.
  *
- * If all members appended before the last place are in the preferred zone,
- * the best member of another zone gets the last place. Otherwise a flow could
- * not reach idle members elsewhere when its own zone is full. */
-static void
-append_candidates(struct rp_chain *chain, const struct rp_service *service,
-                  uint64_t hash, unsigned states, size_t limit)
+ * If all members picked before the last place are in the preferred zone, the
+ * best member of another zone gets the last place. Otherwise a flow could not
+ * reach idle members elsewhere when its own zone is full. */
+static size_t
+pick_members(const struct rp_service *service, uint64_t hash, unsigned states,
+             const struct rp_member *picked[RP_MAX_CHAIN], size_t limit)
 {
     const struct rp_member *ranked[RP_MAX_CHAIN];
     size_t count = RpService_RankMembers(service, hash, states, ranked,
                                          RP_MAX_CHAIN);
+    size_t picked_count = 0;
     bool all_in_zone = true;
 
-    for (size_t i = 0; i < count && chain->count < limit; i++) {
-        bool is_last = chain->count == limit - 1;
+    for (size_t i = 0; i < count && picked_count < limit; i++) {
+        bool is_last = picked_count == limit - 1;
         size_t pick = i;
         while (is_last && all_in_zone && pick < count &&
                ranked[pick]->in_preferred_zone) {
@@ -25,8 +26,49 @@
         }
         pick = pick < count ? pick : i;
         all_in_zone = all_in_zone && ranked[pick]->in_preferred_zone;
-        RpChain_AppendOf(chain, ranked[pick]->agent, service->tag.service_id);
+        picked[picked_count++] = ranked[pick];
+    }
+    return picked_count;
+}
+
+/* Appends candidates until the chain has `limit`. */
+static void
+append_candidates(struct rp_chain *chain, const struct rp_service *service,
+                  uint64_t hash, unsigned states, size_t limit)
+{
+    const struct rp_member *picked[RP_MAX_CHAIN];
+    size_t count = pick_members(service, hash, states, picked,
+                                limit - MIN(limit, chain->count));
+
+    for (size_t i = 0; i < count; i++) {
+        RpChain_AppendOf(chain, picked[i]->agent, service->tag.service_id);
+    }
+}
+
+/* Appends the candidates of a new flow in the order that loads give them;
+ * `order` may be NULL. Returns the counter for that decision. */
+static enum rp_counter
+append_ready(struct rp_chain *chain, const struct rp_service *service,
+             const struct rp_load_order *order, uint64_t hash)
+{
+    const struct rp_member *picked[RP_MAX_CHAIN];
+    size_t count = pick_members(service, hash, RP_MEMBERS_READY, picked,
+                                RP_ROUTE_MAX_CANDIDATES);
+    const struct rp_member *first = count > 0 ? picked[0] : NULL;
+
+    if (order) {
+        RpLoadView_Order(order->view, order->now, service, hash, order->spill,
+                         picked, count);
+    }
+    for (size_t i = 0; i < count; i++) {
+        RpChain_AppendOf(chain, picked[i]->agent, service->tag.service_id);
     }
+    if (count == 0 || picked[0] == first) {
+        return RP_COUNT_ROUTED;
+    }
+    return first->in_preferred_zone && !picked[0]->in_preferred_zone
+               ? RP_COUNT_ROUTED_ABROAD
+               : RP_COUNT_ROUTED_BY_LOAD;
 }
 
 /* Appends candidates for a packet of an open flow: members whose lease has
@@ -79,9 +121,18 @@
 void
 RpBalancer_Route(const struct rp_table *table, const struct rp_packet *packet,
                  struct rp_route *route)
+{
+    RpBalancer_RouteByLoad(table, NULL, packet, route);
+}
+
+void
+RpBalancer_RouteByLoad(const struct rp_table *table,
+                       const struct rp_load_order *order,
+                       const struct rp_packet *packet, struct rp_route *route)
 {
     struct rp_endpoint address = RpFlowKey_Destination(packet->key);
     bool opens = RpPacket_Opens(packet);
+    enum rp_counter reason = RP_COUNT_ROUTED;
 
     *route = (struct rp_route){
         .kind = RP_ROUTE_DROP,
@@ -101,8 +152,7 @@
     }
     route->tag = service->tag;
     if (opens) {
-        append_candidates(&route->chain, service, hash, RP_MEMBERS_READY,
-                          RP_ROUTE_MAX_CANDIDATES);
+        reason = append_ready(&route->chain, service, order, hash);
     }
     else {
         set_chain_services(&route->chain, table, address, service);
@@ -122,7 +172,7 @@
     }
     if (route->chain.count > 0) {
         route->kind = RP_ROUTE_SEND;
-        route->reason = RP_COUNT_ROUTED;
+        route->reason = reason;
     }
     else if (RpTable_MayLackMembers(table)) {
         route->kind = RP_ROUTE_WAIT;
@@ -143,6 +193,25 @@
     }
 }
 
+void
+RpBalancer_NoteChoice(struct rp_owner_hints *hints, int64_t now,
+                      const struct rp_packet *packet,
+                      const struct rp_route *route)
+{
+    const struct rp_chain *chain = &route->chain;
+
+    if (route->reason != RP_COUNT_ROUTED_BY_LOAD &&
+        route->reason != RP_COUNT_ROUTED_ABROAD) {
+        return;
+    }
+    const struct rp_owner_hint choice = {.flow = packet->key,
+                                         .service_id = route->tag.service_id,
+                                         .seq = packet->seq};
+    size_t steps = packet->syn_retransmits % chain->count;
+    RpOwnerHints_Put(hints, now, route->flow_hash, &choice,
+                     chain->hop[(chain->count - steps) % chain->count]);
+}
+
 /* Whether the service lists the agent as serving. A hint to a lost one is not
  * followed: if it were wrong, nobody else would get the packet. */
 static bool
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -106,14 +106,16 @@
         --data "$RUN/control-$1" --admin "127.0.0.1:$(admin_port "$1")"
 }
 
-# start_balancer INDEX [FLAGS...]
+# start_balancer INDEX [FLAGS...]: every second one chooses by the loads that
+# agents tell.
 start_balancer() {
-    local index=$1
+    local index=$1 by_load=()
     shift
+    ((index % 2 == 0)) || by_load=(--order-by-load --spill-by-load)
     start "balancer-$index" "$BIN/programs/radishportd" balancer \
         --name "balancer-$index" \
         --listen "127.0.0.1:$(balancer_port "$index")" \
-        --hint-listen "127.0.0.1:$(hint_port "$index")" \
+        --hint-listen "127.0.0.1:$(hint_port "$index")" "${by_load[@]}" \
         --admin "127.0.0.1:$(admin_port $((100 + index)))" "$@"
 }
 
