--- a/programs/daemon/control_editions.c
+++ b/programs/daemon/control_editions.c
@@ -3,10 +3,9 @@
  * centre.
  *
  * The leader answers; every other replica redirects to the leader. A write or
- * an order is
- * acknowledged once its log entry is committed, a read once a majority has
- * confirmed that this replica still leads. Each request is answered before its
- * deadline.
+ * an order is acknowledged once its log entry is committed, a read once a
+ * majority has confirmed that this replica still leads. Each request is
+ * answered before its deadline.
  */
 #include <sodium.h>
 
