Loads told count health by requests, cold hosts and evacuations; taken back means cold until the next report

An agent told balancers a low load beside a host that fails its requests or has no place for a cold start, and did not know that hosts may be cold after an evacuation. Change: such an agent tells that its host is full; after its data centre is taken back the host counts as cold until its next report.

--- a/lib/flow/rp_agent_load.c
+++ b/lib/flow/rp_agent_load.c
@@ -14,11 +14,15 @@
 /* The utilisation that balancers are told: that of a full host if this one
  * takes no new flows. */
 static uint8_t
-utilisation_to_tell(const struct rp_agent *agent)
+utilisation_to_tell(const struct rp_agent *agent, int64_t now)
 {
     bool takes_flows = !agent->draining &&
                        agent->host_state == RP_HOST_READY &&
                        agent->health.state == RP_HEALTH_HEALTHY &&
+                       agent->request_health.state == RP_HEALTH_HEALTHY &&
+                       RpColdStart_Allows(&agent->cold, now) &&
+                       !RpTable_IsEvacuated(agent->table,
+                                            &agent->config.zone) &&
                        agent->owned_flows < agent->service->flows_per_upstream;
 
     return takes_flows ? RpLoadAverage_Utilisation(&agent->load_average)
@@ -52,7 +56,7 @@
         return;
     }
     struct rp_told_load *told = find_told(agent, chain->origin);
-    uint8_t utilisation = utilisation_to_tell(agent);
+    uint8_t utilisation = utilisation_to_tell(agent, now);
     bool is_known = RpEndpoint_Equal(told->balancer, chain->origin);
     bool differs = abs(utilisation - told->utilisation) >= RP_LOAD_STEP;
     if (is_known && now < told->at + (differs ? RP_LOAD_NOTE_MIN_US
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -381,6 +381,32 @@
     RpAgentRole_Announce(user);
 }
 
+/* Sets the end of the host's cold start after a change of the table. A host
+ * without flows for a while may be cold again: one whose data centre is taken
+ * back counts as cold until its next report, or for as long as after a start
+ * if it sends none. */
+static void
+update_cold_start(struct agent *agent, bool evacuated)
+{
+    bool taken_back = agent->evacuated && !evacuated;
+
+    agent->evacuated = evacuated;
+    if (agent->settings.host_reports.port != 0) {
+        if (taken_back) {
+            RpAgent_SetHostColdUntil(agent->flows, RP_NEVER);
+        }
+        return;
+    }
+    if (taken_back) {
+        agent->cold_since = RpClock_Now();
+    }
+    if (agent->service) {
+        RpAgent_SetHostColdUntil(agent->flows,
+                                 agent->cold_since +
+                                     agent->service->warmup_ms * RP_US_PER_MS);
+    }
+}
+
 static void
 on_table_changed(void *user)
 {
@@ -390,12 +416,8 @@
     agent->service = RpTable_FindByName(table, &agent->settings.service);
     RpAgent_SetTable(agent->flows, table, agent->service);
     RpAgent_TableUpdated(agent->flows, RpClock_Now());
-    if (agent->service && agent->settings.host_reports.port == 0) {
-        /* Without reports, the host counts as started with its agent. */
-        RpAgent_SetHostColdUntil(agent->flows,
-                                 agent->started +
-                                     agent->service->warmup_ms * RP_US_PER_MS);
-    }
+    update_cold_start(
+        agent, RpTable_IsEvacuated(table, &agent->settings.common.zone));
 }
 
 static void
@@ -653,6 +675,7 @@
     agent->incarnation = (uint64_t)g_get_real_time();
     agent->drain_deadline = RP_NEVER;
     agent->started = RpClock_Now();
+    agent->cold_since = agent->started;
     agent->timer = RpTimer_Create(on_deadline, agent);
     create_flow_engine(agent);
     if (!RpAgentHost_Open(agent)) {
--- a/programs/daemon/agent.h
+++ b/programs/daemon/agent.h
@@ -42,6 +42,8 @@
     struct rp_host host; /* state of the host, from its own reports */
     enum rp_host_state host_state;
     int64_t started;        /* when this process started */
+    int64_t cold_since;     /* without reports: when the host turned cold */
+    bool evacuated;         /* the data centre, by the last table */
     struct rp_agent *flows; /* decides on the packets of flows */
     struct rp_actions actions;
     const struct rp_service *service; /* in the uplink's table; NULL until a
--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -27,9 +27,9 @@
     GString *packets;
     struct rp_endpoint fabric_ready; /* port 0: no readiness endpoint */
     struct rp_endpoint hint_listen;  /* port 0: takes no hints */
-    double link_mbps; /* of the outgoing link; 0: unknown, NAN: invalid */
-    bool order_by_load;              /* of new flows' candidates */
-    bool spill_by_load;              /* to other zones */
+    double link_mbps;   /* of the outgoing link; 0: unknown, NAN: invalid */
+    bool order_by_load; /* of new flows' candidates */
+    bool spill_by_load; /* to other zones */
 };
 
 struct balancer {
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -153,6 +153,7 @@
     SEED=$1
     RUN="demo-run/soak-$SEED"
     RANDOM=$SEED
+    BY_LOAD=$((SEED % 2))
     changes=0
     acknowledged=0
     failures=""
