Agents: a late SYN-ACK does not prove a flow that another host has

Cause: a host that stood still answers a SYN after the flow has gone to another agent. An agent that had started less than 120 s ago had shown it the caller's next packet, took the late SYN-ACK for the answer, and passed the reset of that packet on to the caller. Ruled out: the choice by load, under which it was first seen. Change: a SYN-ACK proves the flow only if the caller has acknowledged it.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -421,6 +421,11 @@
                           RP_COUNT_DROP_HOST_STRAY);
         return;
     }
+    if (event == RP_FLOW_EV_HOST_SYNACK &&
+        RpAgent_IsForeignSynAck(flow, packet)) {
+        RpAgent_ReleaseToNextAgent(agent, now, flow, actions);
+        return;
+    }
     if (flow->state == RP_FLOW_REDIRECTED &&
         (flow->flags & RP_FLOW_MAYBE_AT_HOST) &&
         event != RP_FLOW_EV_HOST_RST && event != RP_FLOW_EV_HOST_RETURNED) {
--- a/lib/flow/rp_agent_classify.c
+++ b/lib/flow/rp_agent_classify.c
@@ -103,6 +103,16 @@
            (flow->state != RP_FLOW_REDIRECTED && acked > span + MAX_UNCOUNTED);
 }
 
+bool
+RpAgent_IsForeignSynAck(const struct rp_flow *flow,
+                        const struct rp_packet *packet)
+{
+    /* The packet of a query has an acknowledgement; a SYN is not queried. */
+    return flow->state == RP_FLOW_QUERYING_HOST &&
+           !(flow->flags & RP_FLOW_KNOWS_CALLER_ISN) &&
+           packet->seq + 1 != flow->caller_acked;
+}
+
 bool
 RpAgent_IsForeignReset(const struct rp_flow *flow,
                        const struct rp_packet *packet)
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -198,6 +198,12 @@
 bool RpAgent_IsForeignReset(const struct rp_flow *flow,
                             const struct rp_packet *packet);
 
+/* Whether a host that was queried about a flow answers with a SYN-ACK that the
+ * caller has not acknowledged: the host has a half-open connection from a SYN
+ * that it answers late, and the caller has connected to another host. */
+bool RpAgent_IsForeignSynAck(const struct rp_flow *flow,
+                             const struct rp_packet *packet);
+
 /* Whether a host's packet belongs to an earlier flow with the same addresses
  * and ports: it acknowledges bytes that the caller has not sent on this one.
  */
--- a/tests/runs/flows.sh
+++ b/tests/runs/flows.sh
@@ -16,19 +16,7 @@
 agent() { start_agent lens-desk "$1" --drain-seconds 20; }
 
 prepare_run
-create_system || exit 1
-start_control 0
-for i in 0 1 2; do start_balancer $i; done
-for i in 0 1 2; do
-    start_host lens-desk 10.80.0.1:7000 $i
-    agent $i
-done
-start_edge "127.0.0.1:$(service_port 0)" 10.80.0.1:7000
-wait_until 10 cli service list || fail "control-0 does not answer"
-cli service apply "$(document lens-desk 10.80.0.1:7000)" ||
-    fail "service apply failed"
-wait_until 10 has_ready lens-desk 3 ||
-    fail "lens-desk has not 3 ready upstreams within 10 s"
+serve_lens_desk start_balancer agent
 
 say "200 connections that stay open for the whole run"
 start client "$BIN/tests/standin-client" --requests 12000 \
--- a/tests/runs/thin-link.sh
+++ b/tests/runs/thin-link.sh
@@ -22,20 +22,10 @@
     start_balancer "$1" --link-mbps 4 --stop-linger-seconds 1
 }
 
+agent() { start_agent lens-desk "$1" --drain-seconds 20; }
+
 prepare_run
-create_system || exit 1
-start_control 0
-for i in 0 1 2; do thin_balancer $i; done
-for i in 0 1 2; do
-    start_host lens-desk 10.80.0.1:7000 $i
-    start_agent lens-desk $i --drain-seconds 20
-done
-start_edge "127.0.0.1:$(service_port 0)" 10.80.0.1:7000
-wait_until 10 cli service list || fail "control-0 does not answer"
-cli service apply "$(document lens-desk 10.80.0.1:7000)" ||
-    fail "service apply failed"
-wait_until 10 has_ready lens-desk 3 ||
-    fail "lens-desk has not 3 ready upstreams within 10 s"
+serve_lens_desk thin_balancer agent
 
 say "40 callers send files of up to 60,000 bytes"
 start client "$BIN/tests/standin-client" --requests 1200 \
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -165,6 +165,26 @@
     echo "$RUN/$1.conf"
 }
 
+# serve_lens_desk BALANCER AGENT: starts one control instance, three balancers,
+# three hosts with their agents and callers, and waits until the service
+# lens-desk is served. BALANCER and AGENT start one process each, by its index.
+serve_lens_desk() {
+    local balancer=$1 agent=$2 i
+    create_system || exit 1
+    start_control 0
+    for i in 0 1 2; do "$balancer" $i; done
+    for i in 0 1 2; do
+        start_host lens-desk 10.80.0.1:7000 $i
+        "$agent" $i
+    done
+    start_edge "127.0.0.1:$(service_port 0)" 10.80.0.1:7000
+    wait_until 10 cli service list || fail "control-0 does not answer"
+    cli service apply "$(document lens-desk 10.80.0.1:7000)" ||
+        fail "service apply failed"
+    wait_until 10 has_ready lens-desk 3 ||
+        fail "lens-desk has not 3 ready upstreams within 10 s"
+}
+
 cli() { "$BIN/programs/radishport" "$@"; }
 
 # metric ADMIN_PORT NAME: prints the metric radishport_NAME.
