--- a/programs/daemon/balancer.c
+++ b/programs/daemon/balancer.c
@@ -27,9 +27,9 @@
     GString *packets;
     struct rp_endpoint fabric_ready; /* port 0: no readiness endpoint */
     struct rp_endpoint hint_listen;  /* port 0: takes no hints */
-    double link_mbps;   /* of the outgoing link; 0: unknown, NAN: invalid */
-    bool order_by_load; /* of new flows' candidates */
-    bool spill_by_load; /* to other zones */
+    double link_rate_mbit; /* of the outgoing link; 0: unknown, NAN: invalid */
+    bool order_by_load;    /* of new flows' candidates */
+    bool spill_by_load;    /* to other zones */
 };
 
 struct balancer {
@@ -88,9 +88,9 @@
      .help = "receive hints of agents about the owners of flows on this "
              "address; later packets go straight to the owner",
      .optional = true},
-    {.flag = "link-mbps",
+    {.flag = "link-rate",
      .kind = RP_SETTING_DECIMAL,
-     .offset = offsetof(struct balancer_settings, link_mbps),
+     .offset = offsetof(struct balancer_settings, link_rate_mbit),
      .value = "RATE",
      .help = "rate of this machine's outgoing link in Mbit/s: packets leave "
              "at this rate, in order of their urgency",
@@ -423,7 +423,7 @@
 
     RpDaemon_SetPorts(&updated.controls, updated.control_port);
     RpUplink_SetControls(balancer->uplink, &updated.controls);
-    RpBalancerEgress_SetRate(balancer->egress, updated.link_mbps);
+    RpBalancerEgress_SetRate(balancer->egress, updated.link_rate_mbit);
     RpDaemon_DescribeSettings(&balancer->daemon, &updated.controls, "");
 }
 
@@ -560,7 +560,8 @@
         return RP_EXIT_FAILED;
     }
     balancer.egress = RpBalancerEgress_Create(daemon, balancer.udp);
-    RpBalancerEgress_SetRate(balancer.egress, balancer.settings.link_mbps);
+    RpBalancerEgress_SetRate(balancer.egress,
+                             balancer.settings.link_rate_mbit);
     exit_code = RpDaemon_Run(daemon);
     RpUdp_ReceivePending(balancer.udp);
     RpPlatform_Close(balancer.platform);
--- a/programs/daemon/balancer_egress.c
+++ b/programs/daemon/balancer_egress.c
@@ -120,7 +120,7 @@
         send_waiting(egress, RpEgress_TakeAny);
         if (isnan(mbps)) {
             RpLog_Event(egress->daemon->log, RP_LOG_WARN, "setting_ignored",
-                        "setting=link-mbps reason=\"not a rate\"");
+                        "setting=link-rate reason=\"not a rate\"");
         }
     }
     if (egress->link.rate != before) {
--- a/tests/runs/thin-link.sh
+++ b/tests/runs/thin-link.sh
@@ -19,7 +19,7 @@
 }
 
 thin_balancer() {
-    start_balancer "$1" --link-mbps 4 --stop-linger-seconds 1
+    start_balancer "$1" --link-rate 4 --stop-linger-seconds 1
 }
 
 agent() { start_agent lens-desk "$1" --drain-seconds 20; }
@@ -49,8 +49,8 @@
 stop balancer-1 KILL
 
 say "balancer-1 comes back with a rate that is none"
-start_balancer 1 --link-mbps fast
-wait_until 10 grep -q 'event=setting_ignored setting=link-mbps' \
+start_balancer 1 --link-rate fast
+wait_until 10 grep -q 'event=setting_ignored setting=link-rate' \
     "$RUN/balancer-1.log" || fail "the odd rate was not reported"
 
 wait "${PIDS[client]}"
