--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-cc -std=gnu11 -O2 -Wall -Wextra -o target/review-2/lab review/lab-2/lab.c
+cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o target/review-2/lab review/lab-2/lab.c
--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -5,13 +5,15 @@
  *
  *   lab host   APP OUTBOUND CONTROL SERVICE ID ZONE SLOTS BEAT_MS FIRST_SEQ
  *   lab client ADDRESS PORT BALANCERS VIP FLOWS FIRST_PORT TIMES UNTIL_MS
+ *   lab router FILE READY=DATAGRAM...
  *   lab call   METHOD URL [BODY]
  *
  * APP, OUTBOUND, CONTROL and VIP are ADDR:PORT. TIMES are milliseconds after
  * the start of the client, separated by commas: when each open flow sends its
- * next request. Each line of the output begins with the Unix millisecond.
+ * next request. The router asks each entry machine of a zone for its readiness
+ * and writes those in rotation to FILE, which clients read if LAB_ROTATION
+ * names it. Each line of the output begins with the Unix time.
  */
-#define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -58,6 +60,8 @@
     return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+static void say(const char *format, ...) __attribute__((format(printf, 1, 2)));
+
 static void
 say(const char *format, ...)
 {
@@ -242,8 +246,8 @@
         const char *end = strstr(buffer, "\r\n\r\n");
         const char *length = strcasestr(buffer, "content-length:");
         if (end && length && length < end &&
-            got >= (size_t)(end + 4 - buffer) +
-                       strtoul(length + 15, NULL, 10)) {
+            got >=
+                (size_t)(end + 4 - buffer) + strtoul(length + 15, NULL, 10)) {
             break;
         }
     }
@@ -379,7 +383,8 @@
                            .dport = p->dport,
                            .peer_isn = p->seq,
                            .peer_next = p->seq + 1,
-                           .isn = (uint32_t)random() ^ (uint32_t)random() << 8};
+                           .isn = (uint32_t)random() ^ (uint32_t)random()
+                                                           << 8};
         f->next = f->isn;
         say("host %s syn port=%u copy=%u", host_id, p->sport, p->ack);
     }
@@ -416,6 +421,10 @@
         return;
     }
     struct flow *f = find_flow(&p);
+    if (!(p.flags & SYN) && getenv("LAB_TRACE")) {
+        say("host %s got flow=%08x:%u own=%d", host_id, p.src, p.sport,
+            f && (f->open || p.ack == f->isn + 1));
+    }
     if ((p.flags & SYN) && !(p.flags & ACK)) {
         if (!f || (f->peer_isn == p.seq && !f->closed)) {
             host_syn(&p, f);
@@ -554,8 +563,9 @@
     struct sockaddr_in app = parse(argv[0]);
     outbound = parse(argv[1]);
     host_id = argv[4];
-    if (getenv("LAB_WORK_MS")) {
-        work_ms = atoi(getenv("LAB_WORK_MS"));
+    const char *work = getenv("LAB_WORK_MS");
+    if (work) {
+        work_ms = atoi(work);
     }
     long beat_ms = atol(argv[7]);
     long seq = atol(argv[8]);
@@ -622,10 +632,22 @@
 {
     uint8_t bytes[HEAD + DATA_MAX];
     size_t len = pack(p, bytes);
-    uint32_t hash = (f->ip * 31 + f->port) * 2654435761u >> 16;
-    sendto(client_fd, bytes, len, 0,
-           (struct sockaddr *)&balancers[hash % balancer_count],
-           sizeof *balancers);
+    size_t best = 0;
+    uint32_t most = 0;
+    for (size_t i = 0; i < balancer_count; i++) {
+        uint32_t mix = (f->ip * 31 + f->port) * 2654435761u ^
+                       balancers[i].sin_addr.s_addr * 2246822519u;
+        mix = (mix ^ mix >> 15) * 3266489917u;
+        mix ^= mix >> 13;
+        if (mix >= most) {
+            most = mix;
+            best = i;
+        }
+    }
+    if (balancer_count > 0) {
+        sendto(client_fd, bytes, len, 0, (struct sockaddr *)&balancers[best],
+               sizeof *balancers);
+    }
 }
 
 static struct packet
@@ -672,8 +694,7 @@
         bool valid = !f->open || (off <= RESET_SPAN && off >= -RESET_SPAN);
         say("client reset_by_system port=%u open=%d valid=%d server=%s "
             "waiting=%d",
-            f->port, f->open, valid, f->server[0] ? f->server : "-",
-            f->waits);
+            f->port, f->open, valid, f->server[0] ? f->server : "-", f->waits);
         if (valid) {
             f->reset = true;
             f->waits = false;
@@ -740,13 +761,33 @@
     say("client sent id=%s port=%u", f->id, f->port);
 }
 
+/* Reads which entry machines are in rotation. */
+static void
+read_rotation(const char *path)
+{
+    char text[512] = "";
+    FILE *file = fopen(path, "r");
+
+    if (!file) {
+        return;
+    }
+    if (fgets(text, sizeof text, file)) {
+        balancer_count = 0;
+        for (char *part = strtok(text, ",\n"); part;
+             part = strtok(NULL, ",\n")) {
+            balancers[balancer_count++] = parse(part);
+        }
+    }
+    fclose(file);
+}
+
 static int
 run_client(int argc, char **argv)
 {
     static const int copies_ms[] = {0, 200, 600, 1400};
-    int64_t times[32], start = now_ms();
+    int64_t times[128], start = now_ms();
     int time_count = 0;
-    char text[512];
+    char text[1024];
 
     if (argc != 8) {
         return 2;
@@ -775,8 +816,14 @@
                                  .isn = (uint32_t)random(),
                                  .syn_at = start + (int64_t)i * 10};
     }
+    const char *rotation = getenv("LAB_ROTATION");
+    int64_t next_look = 0;
     while (!ended && now_ms() < until) {
         int64_t now = now_ms();
+        if (rotation && now >= next_look) {
+            read_rotation(rotation);
+            next_look = now + 50;
+        }
         for (size_t i = 0; i < flow_count; i++) {
             struct flow *f = &flows[i];
             if (f->reset || f->gave_up) {
@@ -832,6 +879,55 @@
     return 0;
 }
 
+/* ---- router ---- */
+
+static int
+run_router(int argc, char **argv)
+{
+    int misses[16] = {0};
+    char before[512] = "", text[512], name[512];
+
+    if (argc < 2 || argc > 17) {
+        return 2;
+    }
+    snprintf(name, sizeof name, "%s.new", argv[0]);
+    while (!ended) {
+        int64_t next = now_ms() + 500;
+        int ready = 0;
+        text[0] = 0;
+        for (int i = 1; i < argc; i++) {
+            char url[128];
+            int len = (int)strcspn(argv[i], "=");
+            snprintf(url, sizeof url, "%.*s/-/readiness", len, argv[i]);
+            bool ok = call_once("GET", url, "", NULL, NULL, 0) == 200;
+            misses[i - 1] = ok ? 0 : misses[i - 1] + 1;
+            ready += misses[i - 1] < 2;
+        }
+        /* With fewer than half of the zone's nodes ready, all are used. */
+        for (int i = 1; i < argc; i++) {
+            if (misses[i - 1] < 2 || ready * 2 < argc - 1) {
+                size_t at = strlen(text);
+                snprintf(text + at, sizeof text - at, "%s%s", at ? "," : "",
+                         strchr(argv[i], '=') + 1);
+            }
+        }
+        if (strcmp(text, before)) {
+            FILE *file = fopen(name, "w");
+            if (file) {
+                fputs(text, file);
+                fclose(file);
+                rename(name, argv[0]);
+            }
+            say("router rotation=%s", text);
+            snprintf(before, sizeof before, "%s", text);
+        }
+        if (next > now_ms()) {
+            usleep((useconds_t)(next - now_ms()) * 1000);
+        }
+    }
+    return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -845,6 +941,9 @@
     if (argc > 1 && !strcmp(argv[1], "client")) {
         return run_client(argc - 2, argv + 2);
     }
+    if (argc > 1 && !strcmp(argv[1], "router")) {
+        return run_router(argc - 2, argv + 2);
+    }
     if (argc > 1 && !strcmp(argv[1], "call")) {
         return run_call(argc - 2, argv + 2);
     }
--- a/review/lab-2/lab.sh
+++ b/review/lab-2/lab.sh
@@ -11,10 +11,10 @@
 DAEMON=target/programs/radishportd
 TROUBLE=${TROUBLE:-1}
 RUN=$(mktemp -d)
-NET=127.$((20 + RANDOM % 200))
+NET=127.$((20 + RANDOM % 200)).$((1 + RANDOM % 250))
 P=$((20000 + RANDOM % 8000))
 BEAT_MS=1200
-VIP=$NET.9.1:8080
+VIP=$NET.200:8080
 SERVICE=dele69a
 declare -A PID
 
@@ -27,7 +27,8 @@
     wait 2> /dev/null
     {
         echo "# trouble=$TROUBLE; what was sent, answered and run, by time"
-        cat "$RUN"/lab.*.log "$RUN"/steps.log 2> /dev/null | sort -s -k1,1n
+        cat "$RUN"/lab.*.log "$RUN"/steps.log 2> /dev/null | sort -s -k1,1n |
+            head -200000
         echo "# what the project's programs logged of it"
         grep -h -E "event=(host_|flow_reset|flow_asked|stop|started|packet_dropped|request_received)" \
             "$RUN"/radishport.*.log 2> /dev/null | head -300
@@ -42,8 +43,8 @@
 
 [ -x "$LAB" ] && [ -x "$DAEMON" ] || { echo "not built"; exit 2; }
 
-edge_ip() { echo "$NET.1.$1"; }
-side_ip() { echo "$NET.2.$1"; }
+edge_ip() { echo "$NET.$((10 + $1))"; }
+side_ip() { echo "$NET.$((40 + $1))"; }
 seeds() {
     local i out=
     for i in 1 2 3; do out=$out${out:+,}$(edge_ip $i):$P; done
@@ -92,19 +93,31 @@
 # start_host N ID: a host on side machine N.
 start_host() {
     "$LAB" host "$(side_ip "$1"):$((P + 6))" "$(side_ip "$1"):$((P + 3))" \
-        "$(side_ip "$1"):$P" $SERVICE "$2" "${ZONES[$1]}" 3 $BEAT_MS 1 \
+        "$(side_ip "$1"):$P" $SERVICE "$2" "${ZONES[$1]}" 7 $BEAT_MS 1 \
         >> "$RUN/lab.host-$2.log" 2>&1 &
     PID[host-$2]=$!
 }
 
 # start_client N FLOWS FIRST_PORT TIMES UNTIL_MS
 start_client() {
-    "$LAB" client "$NET.3.$1" $((P + 2)) \
+    "$LAB" client "$NET.$((80 + $1))" $((P + 2)) \
         "$(edge_ip 1):$((P + 2)),$(edge_ip 2):$((P + 2)),$(edge_ip 3):$((P + 2))" \
         "$VIP" "$2" "$3" "$4" "$5" >> "$RUN/lab.client-$1.log" 2>&1 &
     PID[client-$1]=$!
 }
 
+# start_router N...: the router of a zone with these entry machines. Clients that
+# are started after it follow it.
+start_router() {
+    local i nodes=()
+    for i in "$@"; do
+        nodes+=("$(edge_ip "$i"):$((P + 1))=$(edge_ip "$i"):$((P + 2))")
+    done
+    export LAB_ROTATION=$RUN/rotation
+    "$LAB" router "$LAB_ROTATION" "${nodes[@]}" >> "$RUN/lab.router.log" 2>&1 &
+    PID[router]=$!
+}
+
 # end NAME SIGNAL: ends a process that was started here and waits for it.
 end() {
     kill -"$2" "${PID[$1]}" 2> /dev/null
