--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -503,8 +503,13 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
                 "X-Radishport-Server-Seal: %s\r\n\r\n%s",
                 strlen(body), host_id, body);
+            if (draining) {
+                /* It closes each flow after its next response. */
+                p.flags |= FIN;
+                f->fin_sent = true;
+            }
             host_send(&p);
-            f->next += p.len;
+            f->next += p.len + (f->fin_sent ? 1u : 0u);
             start_resends(f, &p);
             continue;
         }
@@ -740,6 +745,15 @@
         say("client answered id=%s by=%s port=%u%s", id, server, f->port,
             strcmp(id, f->id) ? " WRONG" : "");
     }
+    if (p.flags & FIN) {
+        f->peer_next++;
+        struct packet fin = to_route(f, ACK | FIN);
+        client_send(f, &fin);
+        f->closed = true;
+        f->waits = false;
+        say("client closed_by_host port=%u", f->port);
+        return;
+    }
     if (p.len) {
         struct packet ack = to_route(f, ACK);
         client_send(f, &ack);
@@ -826,7 +840,7 @@
         }
         for (size_t i = 0; i < flow_count; i++) {
             struct flow *f = &flows[i];
-            if (f->reset || f->gave_up) {
+            if (f->reset || f->gave_up || f->closed) {
                 continue;
             }
             if (!f->open) {
