Host reports: a report that lacks members or names another address is not the host's

Cause: what named a host was a service, an id that the host chooses and an optional start time. A body without address, zone and version under another id counted as the first report of a new run. The decoder took born and cold-left-ms for optional, and nothing compared the address with that of the agent's host.

Ruled out: late or reordered reports (sequence numbers rose), a restart of the host or the agent (none in the logs).

Change: the decoder asks for each member; RpHost refuses a report of another address as foreign; a counter each for late, foreign and unreadable reports.

test_host had expected that a report without these members is accepted, against the platform's page; test_bodies, odd-bodies.sh and cold-host.sh sent such reports as good ones. They send whole reports now, and each missing member is a case of its own.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -156,6 +156,12 @@
     X(RESET_HOST_LOST, "reset_host_lost",                                     \
       "flows reset: the host no longer has them")                             \
     X(HOST_GAVE_BACK, "host_gave_back", "packets that the host returned")     \
+    X(REPORT_LATE, "report_late",                                             \
+      "host reports ignored: older than the latest one")                      \
+    X(REPORT_FOREIGN, "report_foreign",                                       \
+      "host reports refused: of another service or address")                  \
+    X(REPORT_UNREADABLE, "report_unreadable",                                 \
+      "host reports refused: members missing or invalid")                     \
     X(PASS_HOST_UNKNOWN, "pass_host_unknown",                                 \
       "new flows passed on: no recent report of the host")                    \
     X(DROP_WRONG_SIDE, "drop_wrong_side",                                     \
--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -3,9 +3,10 @@
 
 void
 RpHost_Init(struct rp_host *host, const struct rp_name *service,
-            int64_t report_interval)
+            struct rp_endpoint address, int64_t report_interval)
 {
     *host = (struct rp_host){.service = *service,
+                             .address = address,
                              .report_interval = report_interval};
 }
 
@@ -97,7 +98,8 @@
 RpHost_HandleReport(struct rp_host *host, int64_t now,
                     const struct rp_host_report *report)
 {
-    if (!RpName_Equal(&report->service, &host->service)) {
+    if (!RpName_Equal(&report->service, &host->service) ||
+        !RpEndpoint_Equal(report->address, host->address)) {
         return RP_HOST_REPORT_FOREIGN;
     }
     if (!host->has_report) {
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -1,10 +1,12 @@
 /* Tracks the state of the host that an agent serves, from the host's reports.
  *
  * A host sends reports periodically. A report may arrive late or twice, or
- * come from an earlier run of the host or from a host of another service, and
- * reports may stop. A run is the time from one start of the host process to
- * its end. Runs are told apart by their start time (`host_start_ms`), because
- * the sequence numbers of reports restart in each run.
+ * come from an earlier run of the host or from another host, and reports may
+ * stop. The agent's host is the one of its service at its address: a report
+ * that names another service or address is foreign. A run is the time from one
+ * start of the host process to its end. Runs are told apart by their start
+ * time (`host_start_ms`), because the sequence numbers of reports restart in
+ * each run.
  *
  * Nothing here does I/O or reads a clock. All times are microseconds on one
  * monotonic clock, unless a name says otherwise.
@@ -15,6 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "rp_endpoint.h"
 #include "rp_msg.h"
 #include "rp_str.h"
 #include "rp_time.h"
@@ -26,8 +29,9 @@
 
 /* A decoded report. */
 struct rp_host_report {
-    struct rp_name id;      /* of this run of the host */
-    struct rp_name service; /* that the host belongs to */
+    struct rp_name id;          /* of this run of the host */
+    struct rp_name service;     /* that the host belongs to */
+    struct rp_endpoint address; /* at which it receives packets */
     uint64_t host_start_ms; /* start, by the host's wall clock; 0: unknown */
     uint64_t sequence;      /* increases with each report of a run */
     uint32_t slots;        /* requests that the host serves at the same time */
@@ -38,7 +42,7 @@
 /* What RpHost_HandleReport did with a report. */
 enum rp_host_report_result {
     RP_HOST_REPORT_STALE,     /* ignored: not newer than the latest report */
-    RP_HOST_REPORT_FOREIGN,   /* ignored: from a host of another service */
+    RP_HOST_REPORT_FOREIGN,   /* ignored: of another service or address */
     RP_HOST_REPORT_UNCHANGED, /* accepted; nothing changed but its time */
     RP_HOST_REPORT_CHANGED, /* accepted; state, slots or cold start changed */
     RP_HOST_REPORT_NEW_RUN  /* accepted; first report of a run */
@@ -51,7 +55,8 @@
 };
 
 struct rp_host {
-    struct rp_name service; /* reports of other services are ignored */
+    struct rp_name service;     /* reports of other services and addresses */
+    struct rp_endpoint address; /* are ignored */
     int64_t report_interval;
     bool has_report; /* a report has been accepted */
     bool knows_run;  /* this process has run since before the latest run */
@@ -60,10 +65,11 @@
     int64_t last_report_at; /* time of the latest report or deregistration */
 };
 
-/* Initialises the state of a host of this service that has not sent a report
- * yet. It sends one about every `report_interval` microseconds. */
+/* Initialises the state of the host of this service at this address, which
+ * has not sent a report yet. It sends one about every `report_interval`
+ * microseconds. */
 void RpHost_Init(struct rp_host *host, const struct rp_name *service,
-                 int64_t report_interval);
+                 struct rp_endpoint address, int64_t report_interval);
 
 /* Handles a report: stores it if it is newer than the stored one. */
 enum rp_host_report_result
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -73,12 +73,16 @@
                                                             report);
 
     if (result == RP_HOST_REPORT_FOREIGN) {
+        char address[RP_ENDPOINT_TEXT_MAX];
+        RpCounters_Add(&agent->daemon.counters, RP_COUNT_REPORT_FOREIGN);
         RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_foreign",
-                    "host=%s service=%s", report->id.data,
-                    report->service.data);
+                    "host=%s service=%s address=%s", report->id.data,
+                    report->service.data,
+                    RpEndpoint_Format(report->address, address));
         return RP_ERR_NOT_FOUND;
     }
     if (result == RP_HOST_REPORT_STALE) {
+        RpCounters_Add(&agent->daemon.counters, RP_COUNT_REPORT_LATE);
         RpLog_Event(agent->daemon.log, RP_LOG_WARN, "host_report_late",
                     "host=%s sequence=%" G_GUINT64_FORMAT
                     " known=%" G_GUINT64_FORMAT,
@@ -125,6 +129,7 @@
     gchar *pairs = g_strdup_printf("what=%s ", message);
 
     (void)sender;
+    RpCounters_Add(&agent->daemon.counters, RP_COUNT_REPORT_UNREADABLE);
     RpDaemon_LogFindings(&agent->daemon, RP_LOG_WARN, "message_unreadable",
                          pairs, error);
     g_free(pairs);
@@ -144,7 +149,7 @@
     }
     agent->host_state = RP_HOST_UNKNOWN;
     RpAgent_SetHostState(agent->flows, RP_HOST_UNKNOWN);
-    RpHost_Init(&agent->host, &agent->settings.service,
+    RpHost_Init(&agent->host, &agent->settings.service, agent->settings.host,
                 agent->settings.report_ms * RP_US_PER_MS);
     RpError_Init(&error);
     agent->platform = RpPlatform_Open(agent->settings.host_reports,
--- a/tests/runs/cold-host.sh
+++ b/tests/runs/cold-host.sh
@@ -17,8 +17,8 @@
 
 # report SEQUENCE COLD_MS: the host's report to its agent.
 report() {
-    printf '{"service":"lens","slots":7,"state":"ready","born":1,"seq":%s,"cold-left-ms":%s}' \
-        "$1" "$2" |
+    printf '{"service":"lens","address":"127.0.0.1:%s","zone":"z","version":"v1","slots":7,"state":"ready","born":1,"seq":%s,"cold-left-ms":%s}' \
+        "$(host_port 0)" "$1" "$2" |
         curl -sf -m 1 -X PUT -H 'Content-Type: application/json' -d @- \
             "127.0.0.1:$(reports_port)/-/instances/i-1" > /dev/null
 }
--- a/tests/runs/odd-bodies.sh
+++ b/tests/runs/odd-bodies.sh
@@ -65,6 +65,7 @@
 
 report() {
     printf '{"service":"lens","address":"127.0.0.1:%d",' "$(host_port 0)"
+    printf '"zone":"z","version":"v1","born":1,"cold-left-ms":0,'
     printf '"slots":7,"state":"ready","seq":%d}' "$1"
 }
 
@@ -115,12 +116,20 @@
 done
 for odd in '"seq":9223372036854775808' '"seq":1e400' '"seq":-1' \
     '"seq":2,"slots":70000' '"seq":2,"cold-left-ms":99999999999' \
-    '"seq":2,"born":[]' '"seq":2,"state":"lost"' '"seq":2,"service":"a b"'; do
+    '"seq":2,"born":[]' '"seq":2,"state":"lost"' '"seq":2,"service":"a b"' \
+    '"seq":2,"service":"photos"' '"seq":2,"address":"127.0.0.1"' \
+    '"seq":2,"address":"127.0.0.1:1"' '"seq":2,"address":7' \
+    '"seq":2,"zone":null' '"seq":2,"version":1'; do
     report 1 | sed "s/\"seq\":1/$odd/" > "$RUN/odd"
     status=$(send PUT "$REPORTS/i-1" "$RUN/odd")
     check_process agent-0 "$odd"
     [ "$status" = 400 ] || fail "$odd: status $status"
 done
+for missing in service address zone version born cold-left-ms slots state; do
+    report 2 | sed "s/\"$missing\":/\"other\":/" > "$RUN/odd"
+    status=$(send PUT "$REPORTS/i-1" "$RUN/odd")
+    [ "$status" = 400 ] || fail "a report without $missing: status $status"
+done
 for id in "$(repeat a 300)" "$(repeat %00 50)" '%0aevent=x' "$(repeat a/ 900)"; do
     send PUT "$REPORTS/$id" "$RUN/good" > /dev/null
     send DELETE "$REPORTS/$id" /dev/null > /dev/null
--- a/tests/unit/test_bodies.c
+++ b/tests/unit/test_bodies.c
@@ -19,8 +19,9 @@
     "\"download\",\"timeout-ms\":" timeout ",\"service\":\"lens\"}"
 #define EDITION(timeout, rest) EDITION_HEAD ROUTE(timeout) "]" rest "}"
 #define REPORT(seq, rest)                                                     \
-    "{\"service\":\"lens\",\"slots\":7,\"state\":\"ready\",\"seq\":" seq rest \
-    "}"
+    "{\"service\":\"lens\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+    "\"version\":\"v1\",\"slots\":7,\"state\":\"ready\",\"cold-left-ms\":0,"  \
+    "\"born\":1,\"seq\":" seq rest "}"
 
 static enum rp_code
 decode_edition(struct rp_str body, size_t body_max)
@@ -124,12 +125,9 @@
         {REPORT("1", ",\"born\":-5"), false},
         {REPORT("1", ",\"cold-left-ms\":4294967296"), false},
         {REPORT("1", ",\"unknown\":99999999999999999999999999"), false},
-        {"{\"service\":\"lens\",\"slots\":65536,\"state\":\"ready\","
-         "\"seq\":1}",
-         false},
-        {"{\"service\":\"le\\u0000ns\",\"slots\":1,\"state\":\"ready\","
-         "\"seq\":1}",
-         false},
+        {REPORT("1", ",\"slots\":65535"), true},
+        {REPORT("1", ",\"slots\":65536"), false},
+        {REPORT("1", ",\"service\":\"le\\u0000ns\""), false},
     };
 
     (void)state;
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -32,19 +32,40 @@
     bool alive; /* whether the host may get new flows afterwards */
 };
 
+static struct rp_endpoint
+make_address(const char *text)
+{
+    struct rp_endpoint address;
+
+    assert_true(RpEndpoint_Parse(RpStr_FromC(text), &address));
+    return address;
+}
+
+#define HOST_ADDRESS "10.0.0.1:80"
+
+/* Initialises the state of the host of lens-desk at HOST_ADDRESS. */
 static void
-run_events(const char *title, const struct event *events, size_t count)
+init_host(struct rp_host *host)
 {
     struct rp_name service = make_name("lens-desk");
+
+    RpHost_Init(host, &service, make_address(HOST_ADDRESS), INTERVAL_US);
+}
+
+static void
+run_events(const char *title, const struct event *events, size_t count)
+{
     struct rp_host host;
 
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     for (size_t i = 0; i < count; i++) {
         const struct event *event = &events[i];
         int64_t now = event->at_ms * RP_US_PER_MS;
+        const char *service = event->service ? event->service : "lens-desk";
         const struct rp_host_report report = {
             .id = make_name(event->id),
-            .service = event->service ? make_name(event->service) : service,
+            .service = make_name(service),
+            .address = make_address(HOST_ADDRESS),
             .host_start_ms = event->born,
             .sequence = event->sequence,
             .slots = 7,
@@ -135,16 +156,56 @@
         {20, "i-2", NULL, 300, 1, false, false, RP_HOST_REPORT_NEW_RUN, true});
 }
 
+/* Guards against a report of another host, complete but for another address,
+ * that passes for a new run of the agent's own host. */
+static void
+test_other_address(void **state)
+{
+    struct rp_host_report own = {.id = make_name("i-1"),
+                                 .service = make_name("lens-desk"),
+                                 .address = make_address(HOST_ADDRESS),
+                                 .host_start_ms = 90,
+                                 .sequence = 1,
+                                 .slots = 7};
+    struct rp_host_report other = own;
+    struct rp_host host;
+
+    (void)state;
+    init_host(&host);
+    other.address = make_address("10.0.0.2:80");
+    other.host_start_ms = 200;
+    assert_int_equal(RpHost_HandleReport(&host, 1, &other),
+                     RP_HOST_REPORT_FOREIGN);
+    assert_false(host.has_report);
+    assert_int_equal(RpHost_HandleReport(&host, 2, &own),
+                     RP_HOST_REPORT_NEW_RUN);
+    assert_int_equal(RpHost_HandleReport(&host, 3, &other),
+                     RP_HOST_REPORT_FOREIGN);
+    other.id = make_name("i-2");
+    other.address = make_address("10.0.0.1:81");
+    other.draining = true;
+    assert_int_equal(RpHost_HandleReport(&host, 4, &other),
+                     RP_HOST_REPORT_FOREIGN);
+    own.sequence = 2;
+    assert_int_equal(RpHost_HandleReport(&host, INTERVAL_US, &own),
+                     RP_HOST_REPORT_UNCHANGED);
+    assert_true(RpHost_IsAlive(&host, INTERVAL_US));
+}
+
 static void
 test_timeout(void **state)
 {
     struct rp_name service = make_name("lens-desk");
     struct rp_host host;
     const struct rp_host_report report = {
-        .id = make_name("i-1"), .service = service, .sequence = 1, .slots = 7};
+        .id = make_name("i-1"),
+        .service = service,
+        .address = make_address(HOST_ADDRESS),
+        .sequence = 1,
+        .slots = 7};
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     assert_false(RpHost_IsAlive(&host, 0));
     RpHost_HandleReport(&host, 0, &report);
     assert_int_equal(RpHost_TimeoutDeadline(&host), 3 * INTERVAL_US);
@@ -152,7 +213,12 @@
     assert_false(RpHost_IsAlive(&host, 3 * INTERVAL_US));
 }
 
-/* Report bodies, and the findings that each must produce, in order. */
+#define COMPLETE                                                              \
+    "{\"service\":\"lens\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+    "\"version\":\"v1\""
+
+/* Guards against a report of another writer that passes for the host's own:
+ * report bodies, and the findings that each must produce, in order. */
 static void
 test_decode_reports(void **state)
 {
@@ -160,33 +226,55 @@
         const char *body;
         const char *expected;
     } cases[] = {
-        {"{\"service\":\"lens\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-         "\"version\":\"v1\",\"slots\":7,\"state\":\"ready\","
-         "\"cold-left-ms\":0,\"seq\":4,\"born\":1700000000000}",
+        {COMPLETE ",\"slots\":7,\"state\":\"ready\",\"cold-left-ms\":0,"
+                  "\"seq\":4,\"born\":1700000000000}",
          ""},
-        {"{\"service\":\"lens\",\"slots\":7,\"state\":\"draining\","
-         "\"seq\":4,\"new-field\":[1,2]}",
+        {COMPLETE ",\"slots\":7,\"state\":\"draining\",\"cold-left-ms\":9,"
+                  "\"seq\":4,\"born\":1700000000000,\"new-field\":[1,2]}",
          ""},
         {"", "body: byte 0: '[' or '{' expected near end of file\n"},
         {"[1]", "body: is not an object\n"},
-        {"{\"service\":7,\"slots\":\"many\",\"state\":\"resting\",\"seq\":-1,"
-         "\"born\":\"today\"}",
+        {"{\"service\":7,\"address\":\"10.0.0.1\",\"zone\":null,"
+         "\"version\":2,\"slots\":\"many\",\"state\":\"resting\","
+         "\"cold-left-ms\":0.5,\"seq\":-1,\"born\":\"today\"}",
          "report: service is missing or not a string\n"
          "report: service is not a valid name\n"
+         "report: address is not an address with a port\n"
+         "report: zone is missing or not a string\n"
+         "report: version is missing or not a string\n"
          "report: born is missing, not an integer or out of range\n"
          "report: seq is missing, not an integer or out of range\n"
          "report: slots is missing, not an integer or out of range\n"
+         "report: cold-left-ms is missing, not an integer or out of range\n"
          "report: state is neither ready nor draining\n"},
-        {"{}", "report: service is missing or not a string\n"
-               "report: service is not a valid name\n"
-               "report: seq is missing, not an integer or out of range\n"
-               "report: slots is missing, not an integer or out of range\n"
-               "report: state is missing or not a string\n"
-               "report: state is neither ready nor draining\n"},
-        {"{\"service\":\"lens\",\"slots\":0.5,\"state\":null,\"seq\":1}",
+        {"{}",
+         "report: service is missing or not a string\n"
+         "report: service is not a valid name\n"
+         "report: address is missing or not a string\n"
+         "report: address is not an address with a port\n"
+         "report: zone is missing or not a string\n"
+         "report: version is missing or not a string\n"
+         "report: born is missing, not an integer or out of range\n"
+         "report: seq is missing, not an integer or out of range\n"
+         "report: slots is missing, not an integer or out of range\n"
+         "report: cold-left-ms is missing, not an integer or out of range\n"
+         "report: state is missing or not a string\n"
+         "report: state is neither ready nor draining\n"},
+        {COMPLETE ",\"slots\":0.5,\"state\":null,\"cold-left-ms\":0,"
+                  "\"seq\":1,\"born\":1}",
          "report: slots is missing, not an integer or out of range\n"
          "report: state is missing or not a string\n"
          "report: state is neither ready nor draining\n"},
+        /* Of another writer, readable but for what is missing. */
+        {"{\"service\":\"lens\",\"slots\":7,\"state\":\"ready\","
+         "\"cold-left-ms\":0,\"seq\":1,\"born\":1700000000000}",
+         "report: address is missing or not a string\n"
+         "report: address is not an address with a port\n"
+         "report: zone is missing or not a string\n"
+         "report: version is missing or not a string\n"},
+        {COMPLETE ",\"slots\":7,\"state\":\"ready\",\"seq\":1}",
+         "report: born is missing, not an integer or out of range\n"
+         "report: cold-left-ms is missing, not an integer or out of range\n"},
     };
 
     (void)state;
@@ -224,12 +312,14 @@
 test_announced_state(void **state)
 {
     struct rp_name service = make_name("lens-desk");
-    struct rp_host_report report = {
-        .id = make_name("i-1"), .service = service, .sequence = 4};
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = service,
+                                    .address = make_address(HOST_ADDRESS),
+                                    .sequence = 4};
     struct rp_host host;
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     assert_int_equal(RpHost_UpstreamState(&host, 5, 5), RP_UPSTREAM_UNHEARD);
     assert_int_equal(RpHost_UpstreamState(&host, 4 + 3 * INTERVAL_US, 5),
                      RP_UPSTREAM_UNHEARD);
@@ -255,11 +345,14 @@
 {
     struct rp_name service = make_name("lens-desk");
     const struct rp_host_report report = {
-        .id = make_name("i-1"), .service = service, .sequence = 4};
+        .id = make_name("i-1"),
+        .service = service,
+        .address = make_address(HOST_ADDRESS),
+        .sequence = 4};
     struct rp_host host;
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     RpHost_HandleReport(&host, 0, &report);
     assert_false(RpHost_IsAlive(&host, 9 * INTERVAL_US));
     RpHost_RecordPause(&host, 8 * INTERVAL_US);
@@ -275,12 +368,13 @@
     struct rp_name service = make_name("lens-desk");
     struct rp_host_report report = {.id = make_name("i-1"),
                                     .service = service,
+                                    .address = make_address(HOST_ADDRESS),
                                     .sequence = 4,
                                     .draining = true};
     struct rp_host host;
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_REPLACED);
     RpHost_HandleReport(&host, 1, &report);
     assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_REPLACED);
@@ -302,16 +396,17 @@
     struct rp_name service = make_name("lens-desk");
     struct rp_host_report report = {.id = make_name("i-1"),
                                     .service = service,
+                                    .address = make_address(HOST_ADDRESS),
                                     .host_start_ms = INT64_MAX,
                                     .sequence = 2};
     struct rp_host host;
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     assert_false(RpHost_KnowsRunFromStart(&host));
     RpHost_HandleReport(&host, 1, &report);
     assert_false(RpHost_KnowsRunFromStart(&host));
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     report.sequence = 1;
     RpHost_HandleReport(&host, 1, &report);
     assert_true(RpHost_KnowsRunFromStart(&host));
@@ -328,12 +423,13 @@
     struct rp_name service = make_name("lens-desk");
     struct rp_host_report report = {.id = make_name("i-1"),
                                     .service = service,
+                                    .address = make_address(HOST_ADDRESS),
                                     .host_start_ms = 5000,
                                     .sequence = 9};
     struct rp_host host;
 
     (void)state;
-    RpHost_Init(&host, &service, INTERVAL_US);
+    init_host(&host);
     RpHost_HandleReport(&host, 1, &report);
     report.host_start_ms = 3000;
     report.sequence = 1;
@@ -357,6 +453,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_report_sequences),
+        cmocka_unit_test(test_other_address),
         cmocka_unit_test(test_timeout),
         cmocka_unit_test(test_announced_state),
         cmocka_unit_test(test_pause),
