Agent: a host's silence shows that it has a flow only if it was heard since

Cause: an agent that started after its host does not know the host's flows and shows it the first packet of each unknown one. No answer within the host's patience counted as ownership (presumed_owned) while the host's last report was recent, up to three intervals. A crashed host is silent about every flow.

Ruled out: the tables (the agent was ranked first by right, its host was new), the owners (they lived and had the flows), lost answers (none were sent).

Change: a flow is presumed only if the host was heard, by a packet or a report, after the query; otherwise the packet goes on to the next agent, and the host's late answer still proves the flow. A presumed flow is queried again when its host has not been heard since the packet before.

--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -89,6 +89,12 @@
     agent->host_state = state;
 }
 
+void
+RpAgent_HostHeard(struct rp_agent *agent, int64_t now)
+{
+    agent->host_heard_at = now;
+}
+
 void
 RpAgent_SetHostSlots(struct rp_agent *agent, uint32_t slots)
 {
@@ -266,6 +272,17 @@
                           RP_COUNT_PACKETS_OUT, data, len);
 }
 
+/* Whether a presumed flow must be queried again: the host got the flow's last
+ * packet a while ago and has not been heard since. */
+static bool
+is_presumption_outdated(const struct rp_agent *agent, int64_t now,
+                        const struct rp_flow *flow)
+{
+    return flow->state == RP_FLOW_PRESUMED_OWNED &&
+           agent->host_heard_at <= flow->caller_seen &&
+           now >= flow->caller_seen + agent->config.host_answer_timeout;
+}
+
 /* Looks up a caller's packet in the flow chart and performs the action. */
 static void
 handle_caller_packet(struct rp_agent *agent, int64_t now, struct rp_flow *flow,
@@ -274,6 +291,10 @@
 {
     enum rp_flow_event event = RpAgent_ClassifyCaller(flow, packet,
                                                       chain->forced);
+    if ((event == RP_FLOW_EV_DATA || event == RP_FLOW_EV_FIN) &&
+        is_presumption_outdated(agent, now, flow)) {
+        event = RP_FLOW_EV_MAYBE_OWNED;
+    }
     struct rp_chart_step step = RpChart_Step(agent->chart, flow->state, event);
 
     if (event == RP_FLOW_EV_RST || event == RP_FLOW_EV_FIN) {
@@ -500,6 +521,7 @@
 
     RpAgent_BeginCall(agent, actions);
     RpAgent_AccountLoad(agent, now);
+    RpAgent_HostHeard(agent, now);
     if (packet->returned) {
         RpCounters_Add(agent->counters, RP_COUNT_HOST_GAVE_BACK);
     }
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -137,6 +137,11 @@
  * RP_HOST_READY. */
 void RpAgent_SetHostState(struct rp_agent *agent, enum rp_host_state state);
 
+/* Tells the agent that the host lives: it has just sent a report. Its packets
+ * count without a call. The silence of a host about a flow means that it has
+ * the flow only if the host lives. */
+void RpAgent_HostHeard(struct rp_agent *agent, int64_t now);
+
 /* Sets the host's slots; 0 counts as 1. A cold start needs no lower number
  * here: the requests of a slow host take longer and so occupy its slots for
  * longer. */
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -78,6 +78,7 @@
     bool draining;
     bool knows_all_flows; /* `flows` has every flow of the host */
     enum rp_host_state host_state;
+    int64_t host_heard_at;   /* time of the host's last packet or report */
     GArray *lost_flows;      /* of struct rp_flow_key: lost by the host */
     struct rp_health health; /* by handshakes */
     struct rp_health request_health; /* by requests */
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -8,14 +8,16 @@
 #define SCANS_PER_TABLE 50    /* one scan covers 1/50 of the table */
 #define MIN_SCAN_BUCKETS 4096 /* but at least this many buckets */
 
-/* Whether the flow's timer event is the one without a living host. An agent
- * that has started beside no host must not hold on to flows of others. */
+/* Whether the flow's timer event is the one without a living host: nothing
+ * shows that the host has read the query, which may be about a flow of another
+ * host. `host_seen` is the time of the query. */
 static bool
 lacks_host(const struct rp_agent *agent, const struct rp_flow *flow)
 {
     return flow->state == RP_FLOW_QUERYING_HOST &&
            (agent->host_state == RP_HOST_UNKNOWN ||
-            agent->host_state == RP_HOST_GONE);
+            agent->host_state == RP_HOST_GONE ||
+            agent->host_heard_at <= flow->host_seen);
 }
 
 /* Performs the action of the flow chart for the timer event. */
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -90,6 +90,7 @@
                     agent->host.last_report.sequence);
         return RP_OK;
     }
+    RpAgent_HostHeard(agent->flows, now);
     if (result == RP_HOST_REPORT_NEW_RUN) {
         on_host_started(agent, now, had_reported);
     }
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -39,6 +39,7 @@
  *   host-state ready|unheard|draining|gone
  *                                    sets the host's state; unheard is
  *                                    RP_HOST_UNKNOWN
+ *   host-heard                       the host has sent a report
  *   knows-all-flows                  the agent has run since before its host
  *   host-restarts                    the host has lost its flows
  *   format platform                  uses the platform's packet format
@@ -636,6 +637,9 @@
     else if (!strcmp(words[0], "host-state")) {
         do_host_state(session, words[1]);
     }
+    else if (!strcmp(words[0], "host-heard")) {
+        RpAgent_HostHeard(session->agent, session->now);
+    }
     else if (!strcmp(words[0], "knows-all-flows")) {
         RpAgent_SetKnowsAllFlows(session->agent);
     }
