Agent: flows are reset when their host returns them, not when a report says so

Cause: the first report of a run counted as proof that every flow with RP_FLOW_OWNED was over. A report may be late or another writer's, and the flag also stands for flows that were only presumed, or whose SYN another host may have answered. The host itself knows which flows it has.

Ruled out: the host's packets (it returned and reset none of these flows), the reset's own sequence numbers (valid, since they came from the caller's packet).

Change: the agent keeps the first packet that its host got of each flow that the host certainly has. After a report of a new run it sends the host these packets once more, 32 at a time: a host that has lost a flow returns the packet, and then the caller is reset, as in any other case. Presumed flows go on to the next agent, half-open ones stay. RpAgent_HostEnded is the call for a stop after the host has left; it resets certain flows only. A report of a new run no longer implies that the agent knows all flows: that is RpHost's decision.

--- a/lib/common/rp_counters.h
+++ b/lib/common/rp_counters.h
@@ -135,6 +135,8 @@
     X(FLOW_CLOSED, "flow_closed", "flows closed or reset")                    \
     X(FLOW_ASKED, "flow_asked",                                               \
       "unknown flows that the host was asked about")                          \
+    X(FLOW_CHECKED, "flow_checked",                                           \
+      "open flows that the host was asked about after its restart")           \
     X(FLOW_RELEARNED, "flow_relearned", "unknown flows that the host has")    \
     X(FLOW_NOT_HOSTS, "flow_not_hosts",                                       \
       "unknown flows that the host does not have")                            \
--- a/lib/flow/rp_agent.c
+++ b/lib/flow/rp_agent.c
@@ -23,12 +23,15 @@
         agent->config.host_answer_timeout = RP_HOST_ANSWER_TIMEOUT_US;
     }
     agent->lost_flows = g_array_new(FALSE, FALSE, sizeof(struct rp_flow_key));
+    agent->unchecked_flows = g_array_new(FALSE, FALSE,
+                                         sizeof(struct rp_flow_key));
     RpLoadAverage_Init(&agent->load_average, config->started);
     agent->chart = chart;
     agent->policy = policy;
     agent->counters = counters;
     agent->flows = RpFlowTable_Create(config->seed);
     agent->hold = RpHold_Create();
+    agent->first_packets = RpHold_Create();
     agent->searches = RpOwnerSearch_Create();
     agent->search_targets = g_array_new(FALSE, FALSE,
                                         sizeof(struct rp_endpoint));
@@ -52,10 +55,12 @@
     g_queue_clear_full(&agent->short_timers, g_free);
     g_queue_clear_full(&agent->reservations, g_free);
     g_array_free(agent->lost_flows, TRUE);
+    g_array_free(agent->unchecked_flows, TRUE);
     RpAgent_FreeRequestQueue(agent);
     RpColdStart_Clear(&agent->cold);
     RpFlowTable_Free(agent->flows);
     RpHold_Free(agent->hold);
+    RpHold_Free(agent->first_packets);
     RpOwnerSearch_Free(agent->searches);
     g_array_free(agent->search_targets, TRUE);
     g_free(agent->action_packet);
@@ -115,22 +120,34 @@
 }
 
 void
-RpAgent_SetKnowsAllFlows(struct rp_agent *agent)
+RpAgent_SetKnowsAllFlows(struct rp_agent *agent, bool knows)
+{
+    agent->knows_all_flows = knows;
+}
+
+void
+RpAgent_SetSeenFromStart(struct rp_agent *agent)
 {
-    agent->knows_all_flows = true;
     RpColdStart_SetSeenFromStart(&agent->cold);
 }
 
 void
 RpAgent_HostRestarted(struct rp_agent *agent, int64_t now)
 {
-    agent->knows_all_flows = true;
-    g_array_set_size(agent->lost_flows, 0);
-    RpFlowTable_CollectFlagged(agent->flows, RP_FLOW_OWNED, agent->lost_flows);
+    g_array_set_size(agent->unchecked_flows, 0);
+    RpFlowTable_CollectFlagged(agent->flows, RP_FLOW_OWNED,
+                               agent->unchecked_flows);
     RpHealth_RecordSuccess(&agent->health, now);
     RpHealth_RecordSuccess(&agent->request_health, now);
 }
 
+void
+RpAgent_HostEnded(struct rp_agent *agent)
+{
+    g_array_set_size(agent->lost_flows, 0);
+    RpFlowTable_CollectFlagged(agent->flows, RP_FLOW_OWNED, agent->lost_flows);
+}
+
 void
 RpAgent_BeginCall(struct rp_agent *agent, struct rp_actions *actions)
 {
@@ -268,6 +285,9 @@
         data = scratch;
         RpCounters_Add(agent->counters, RP_COUNT_SYN_TRIMMED);
     }
+    if (RpAgent_IsCertainOwner(flow->state)) {
+        RpAgent_KeepFirstPacket(agent, flow, data, len);
+    }
     RpAgent_AddSendAction(agent, actions, RP_ACTION_TO_HOST,
                           RP_COUNT_PACKETS_OUT, data, len);
 }
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -154,16 +154,28 @@
 /* Returns whether the host is cold and its new flows are limited. */
 bool RpAgent_IsHostLimited(const struct rp_agent *agent, int64_t now);
 
-/* Tells the agent that it has run since before its host started. It then
- * knows every flow of the host, and forwards packets of unknown flows without
+/* Sets whether the agent has run since before its host started. It then knows
+ * every flow of the host, and forwards packets of unknown flows without
  * querying the host. */
-void RpAgent_SetKnowsAllFlows(struct rp_agent *agent);
-
-/* Tells the agent that the host has restarted and lost all flows. The next
- * calls of RpAgent_OnTimer reset their callers. Implies
- * RpAgent_SetKnowsAllFlows. */
+void RpAgent_SetKnowsAllFlows(struct rp_agent *agent, bool knows);
+
+/* Tells the agent that it has seen every flow that its host has opened since
+ * the host started, so that none counts against the limit of a cold host but
+ * these. */
+void RpAgent_SetSeenFromStart(struct rp_agent *agent);
+
+/* Tells the agent that, by its reports, the host has restarted. What a report
+ * says is no proof, so the next calls of RpAgent_OnTimer send the host a copy
+ * of a packet of each flow that it had: a host that has lost the flow returns
+ * or resets it, and only then is the caller reset. Flows that were presumed
+ * to be the host's are left to the next agent. */
 void RpAgent_HostRestarted(struct rp_agent *agent, int64_t now);
 
+/* Tells the agent that the host has ended and no other takes its place here.
+ * The next calls of RpAgent_OnTimer reset the callers of the flows that the
+ * host had. */
+void RpAgent_HostEnded(struct rp_agent *agent);
+
 /* Returns the time at which RpAgent_OnTimer must be called next; 0 means at
  * once, RP_NEVER that no timer is set. */
 int64_t RpAgent_NextTimer(const struct rp_agent *agent);
--- a/lib/flow/rp_agent_flow.c
+++ b/lib/flow/rp_agent_flow.c
@@ -92,6 +92,17 @@
     return state == RP_FLOW_SYN_SENT || state == RP_FLOW_QUERYING_HOST;
 }
 
+void
+RpAgent_KeepFirstPacket(struct rp_agent *agent, const struct rp_flow *flow,
+                        const uint8_t *data, size_t len)
+{
+    static const struct rp_chain no_chain;
+
+    if (!RpHold_Get(agent->first_packets, flow->caller)) {
+        RpHold_Put(agent->first_packets, flow->caller, &no_chain, data, len);
+    }
+}
+
 void
 RpAgent_EnterState(struct rp_agent *agent, struct rp_flow *flow, uint8_t state,
                    int64_t now)
@@ -99,6 +110,9 @@
     if (state == RP_FLOW_CLOSED && (flow->flags & RP_FLOW_OWNED)) {
         RpCounters_Add(agent->counters, RP_COUNT_FLOW_CLOSED);
     }
+    if (!RpAgent_IsCertainOwner(state)) {
+        RpHold_Drop(agent->first_packets, flow->caller);
+    }
     flow->state = state;
     flow->deadline = state_deadline(agent, state, now);
     set_owned(agent, flow, is_owner_state(state));
@@ -114,6 +128,7 @@
 RpAgent_RemoveFlow(struct rp_agent *agent, struct rp_flow *flow)
 {
     RpHold_Drop(agent->hold, flow->caller);
+    RpHold_Drop(agent->first_packets, flow->caller);
     RpAgent_SetBusy(agent, flow, false);
     set_owned(agent, flow, false);
     RpFlowTable_Remove(agent->flows, flow);
--- a/lib/flow/rp_agent_hint.c
+++ b/lib/flow/rp_agent_hint.c
@@ -2,24 +2,13 @@
  * packet of it to another agent first. See rp_owner_hints.h. */
 #include "rp_agent_internal.h"
 
-/* Whether the host has certainly accepted the caller's end of the flow. While
- * its SYN-ACK is not acknowledged, another host may have answered, too, and a
- * flow that is presumed may be another host's. */
-static bool
-is_certain_owner(const struct rp_flow *flow)
-{
-    return flow->state == RP_FLOW_ESTABLISHED ||
-           flow->state == RP_FLOW_CALLER_CLOSED ||
-           flow->state == RP_FLOW_HOST_CLOSED;
-}
-
 void
 RpAgent_HintOwner(struct rp_agent *agent, const struct rp_flow *flow,
                   const struct rp_packet *packet, const struct rp_chain *chain,
                   struct rp_actions *actions)
 {
     if (chain->origin.port == 0 || chain->visited <= 1 ||
-        !is_certain_owner(flow) ||
+        !RpAgent_IsCertainOwner(flow->state) ||
         (packet->flags & (RP_TCP_SYN | RP_TCP_RST))) {
         return;
     }
@@ -42,6 +31,9 @@
     enum rp_counter reason;
 
     RpAgent_TakeOwnership(agent, flow, state, now);
+    if (held) {
+        RpAgent_KeepFirstPacket(agent, flow, held->data, held->len);
+    }
     if (held && agent->config.codec->ops->parse(held->data, held->len, &packet,
                                                 &reason)) {
         RpAgent_HintOwner(agent, flow, &packet, &held->chain, actions);
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -53,6 +53,11 @@
 /* Largest retry budget, in hundredths of a retry. */
 #define RP_RETRY_BUDGET_MAX_CENTS 2000
 
+/* After a restart of the host, it is asked about this many flows at once, and
+ * about the next ones after the pause: more might overflow its socket. */
+#define RP_CHECKS_PER_BATCH 32
+#define RP_CHECK_PAUSE_US (5 * RP_US_PER_MS)
+
 /* A timer in a FIFO queue. All timers of a queue have the same duration, so
  * they are in the order of their deadlines. */
 struct rp_flow_timer {
@@ -80,11 +85,16 @@
     enum rp_host_state host_state;
     int64_t host_heard_at;   /* time of the host's last packet or report */
     GArray *lost_flows;      /* of struct rp_flow_key: lost by the host */
-    struct rp_health health; /* by handshakes */
+    GArray *unchecked_flows; /* the same: the host may have lost them */
+    int64_t next_check;      /* when the host may be asked about the next */
+    guint checks_in_batch;
+    struct rp_health health;         /* by handshakes */
     struct rp_health request_health; /* by requests */
     struct rp_cold_start cold;
     struct rp_flow_table *flows;
     struct rp_hold *hold;
+    /* The first packet that the host got of each flow that it has. */
+    struct rp_hold *first_packets;
     /* The packet that the actions of the last call point into, or NULL. */
     struct rp_held_packet *action_packet;
     struct rp_request_queue *request_queue;
@@ -145,6 +155,22 @@
     return agent->config.codec->ops->make_segment != NULL;
 }
 
+/* Whether the host has certainly accepted the caller's end of the flow. While
+ * its SYN-ACK is not acknowledged, another host may have answered, too, and a
+ * flow that is presumed may be another host's. */
+static inline bool
+RpAgent_IsCertainOwner(uint8_t state)
+{
+    return state == RP_FLOW_ESTABLISHED || state == RP_FLOW_CALLER_CLOSED ||
+           state == RP_FLOW_HOST_CLOSED;
+}
+
+/* Keeps a packet that the host got of a flow that it has, unless an earlier
+ * one is kept. */
+void RpAgent_KeepFirstPacket(struct rp_agent *agent,
+                             const struct rp_flow *flow, const uint8_t *data,
+                             size_t len);
+
 /* Closes a flow that its host has lost and resets its caller. */
 void RpAgent_ResetLostFlow(struct rp_agent *agent, int64_t now,
                            struct rp_flow *flow, struct rp_actions *actions);
--- a/lib/flow/rp_agent_timer.c
+++ b/lib/flow/rp_agent_timer.c
@@ -125,7 +125,7 @@
             agent->flows, g_array_index(agent->lost_flows, struct rp_flow_key,
                                         agent->lost_flows->len - 1));
         g_array_set_size(agent->lost_flows, agent->lost_flows->len - 1);
-        if (flow && (flow->flags & RP_FLOW_OWNED)) {
+        if (flow && RpAgent_IsCertainOwner(flow->state)) {
             RpAgent_ResetLostFlow(agent, now, flow, actions);
             return true;
         }
@@ -133,6 +133,66 @@
     return false;
 }
 
+/* Sends the host a copy of a packet that it got of the flow: a host that has
+ * lost the flow returns or resets it. Without a copy, the caller's next packet
+ * shows that. */
+static bool
+send_check(struct rp_agent *agent, const struct rp_flow *flow,
+           struct rp_actions *actions)
+{
+    const struct rp_held_packet *copy = RpHold_Get(agent->first_packets,
+                                                   flow->caller);
+
+    if (!copy) {
+        return false;
+    }
+    RpAgent_AddSendAction(agent, actions, RP_ACTION_TO_HOST,
+                          RP_COUNT_FLOW_CHECKED, copy->data, copy->len);
+    return true;
+}
+
+/* Performs the action of the flow chart for a flow of a host that may have
+ * restarted. Returns false if there is none. */
+static bool
+handle_unchecked_flow(struct rp_agent *agent, int64_t now,
+                      struct rp_flow *flow, struct rp_actions *actions)
+{
+    struct rp_chart_step step = RpChart_Step(agent->chart, flow->state,
+                                             RP_FLOW_EV_HOST_RESTARTED);
+
+    if (step.listed && step.action == RP_FLOW_DO_RELEASE_TO_NEXT_AGENT) {
+        flow->flags |= RP_FLOW_MAYBE_AT_HOST;
+        RpAgent_ReleaseToNextAgent(agent, now, flow, actions);
+        return true;
+    }
+    return step.listed && send_check(agent, flow, actions);
+}
+
+/* Handles one flow that the host may have lost; false if none is due. */
+static bool
+check_next_flow(struct rp_agent *agent, int64_t now,
+                struct rp_actions *actions)
+{
+    GArray *unchecked = agent->unchecked_flows;
+    bool handled = false;
+
+    if (now < agent->next_check) {
+        return false;
+    }
+    while (!handled && unchecked->len > 0) {
+        struct rp_flow *flow = RpFlowTable_Find(
+            agent->flows,
+            g_array_index(unchecked, struct rp_flow_key, unchecked->len - 1));
+        g_array_set_size(unchecked, unchecked->len - 1);
+        handled = flow && handle_unchecked_flow(agent, now, flow, actions);
+    }
+    if (handled && ++agent->checks_in_batch >= RP_CHECKS_PER_BATCH) {
+        agent->checks_in_batch = 0;
+        agent->next_check = now + RP_CHECK_PAUSE_US;
+    }
+    return handled;
+}
+
 static int64_t
 first_deadline(const GQueue *timers)
 {
@@ -156,6 +216,9 @@
     if (RpFlowTable_Count(agent->flows) > 0) {
         next = MIN(next, agent->next_scan);
     }
+    if (agent->unchecked_flows->len > 0) {
+        next = MIN(next, agent->next_check);
+    }
     return MIN(next, RpRequestQueue_NextDeadline(agent->request_queue));
 }
 
@@ -168,7 +231,8 @@
     if (!agent->service) {
         return false;
     }
-    if (reset_next_lost_flow(agent, now, actions)) {
+    if (reset_next_lost_flow(agent, now, actions) ||
+        check_next_flow(agent, now, actions)) {
         return true;
     }
     end_expired_reservations(agent, now);
--- a/lib/flow/rp_flow_chart.c
+++ b/lib/flow/rp_flow_chart.c
@@ -18,23 +18,12 @@
     NULL};
 
 static const char *const event_names[RP_FLOW_EVENT_COUNT + 1] = {
-    "repeated_syn",
-    "new_syn",
-    "syn_sent_back",
-    "maybe_owned",
-    "data",
-    "fin",
-    "rst",
-    "foreign_ack",
-    "late",
-    "host_synack",
-    "host_data",
-    "host_fin",
-    "host_rst",
-    "host_returned",
-    "timer",
-    "timer_no_host",
-    NULL};
+    "repeated_syn",  "new_syn",        "syn_sent_back",
+    "maybe_owned",   "data",           "fin",
+    "rst",           "foreign_ack",    "late",
+    "host_synack",   "host_data",      "host_fin",
+    "host_rst",      "host_returned",  "timer",
+    "timer_no_host", "host_restarted", NULL};
 
 static const char *const action_names[RP_FLOW_ACTION_COUNT + 1] = {
     "nothing",
@@ -56,6 +45,7 @@
     "drop_late",
     "drop_stray",
     "reset_caller",
+    "check_with_host",
     NULL};
 
 enum rp_code
--- a/lib/flow/rp_hold.c
+++ b/lib/flow/rp_hold.c
@@ -45,6 +45,12 @@
     return true;
 }
 
+const struct rp_held_packet *
+RpHold_Get(const struct rp_hold *hold, struct rp_flow_key caller)
+{
+    return g_hash_table_lookup(hold->packets, &caller);
+}
+
 void
 RpHold_Drop(struct rp_hold *hold, struct rp_flow_key caller)
 {
--- a/lib/flow/rp_hold.h
+++ b/lib/flow/rp_hold.h
@@ -1,7 +1,8 @@
 /* Packets that an agent keeps for a possible forward to the next agent: a SYN
  * until the host answers it, or the packet with which the agent queried the
- * host about an unknown flow. At most one packet for each flow, bounded in
- * number and size. */
+ * host about an unknown flow. Also the packets with which it asks its host
+ * later whether the host still has a flow. At most one packet for each flow,
+ * bounded in number and size. */
 #ifndef RP_HOLD_H
 #define RP_HOLD_H
 
@@ -35,6 +36,11 @@
 bool RpHold_Put(struct rp_hold *hold, struct rp_flow_key caller,
                 const struct rp_chain *chain, const uint8_t *data, size_t len);
 
+/* Returns the flow's packet, which stays valid until the next call that
+ * changes it; NULL if there is none. */
+const struct rp_held_packet *RpHold_Get(const struct rp_hold *hold,
+                                        struct rp_flow_key caller);
+
 /* Removes the flow's packet and returns it; the caller of this function frees
  * it with g_free. NULL if there is none. */
 struct rp_held_packet *RpHold_Take(struct rp_hold *hold,
--- a/programs/daemon/agent.c
+++ b/programs/daemon/agent.c
@@ -498,7 +498,7 @@
         RpDaemon_Quit(&agent->daemon, RP_EXIT_OK);
         return;
     }
-    RpAgent_HostRestarted(agent->flows, now);
+    RpAgent_HostEnded(agent->flows);
     RpAgentRole_RunTimers(agent, now);
     agent->drain_deadline = now;
     set_draining(agent, true);
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -44,7 +44,7 @@
 }
 
 /* Handles the first accepted report of a run of the host. Flows of an earlier
- * run are lost. */
+ * run are over, but the report may be a late one: the host itself decides. */
 static void
 on_host_started(struct agent *agent, int64_t now, bool had_reported)
 {
@@ -58,8 +58,8 @@
     if (had_reported) {
         RpAgent_HostRestarted(agent->flows, now);
     }
-    else if (RpHost_KnowsRunFromStart(&agent->host)) {
-        RpAgent_SetKnowsAllFlows(agent->flows);
+    if (report->sequence <= RP_HOST_FIRST_SEQUENCE) {
+        RpAgent_SetSeenFromStart(agent->flows);
     }
 }
 
@@ -94,6 +94,8 @@
     if (result == RP_HOST_REPORT_NEW_RUN) {
         on_host_started(agent, now, had_reported);
     }
+    RpAgent_SetKnowsAllFlows(agent->flows,
+                             RpHost_KnowsRunFromStart(&agent->host));
     RpAgent_SetHostSlots(agent->flows, report->slots);
     RpAgent_SetHostColdUntil(agent->flows,
                              now + report->cold_left_ms * RP_US_PER_MS);
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -41,7 +41,8 @@
  *                                    RP_HOST_UNKNOWN
  *   host-heard                       the host has sent a report
  *   knows-all-flows                  the agent has run since before its host
- *   host-restarts                    the host has lost its flows
+ *   host-restarts                    the host says that it has restarted
+ *   host-ends                        the host has ended, its flows are over
  *   format platform                  uses the platform's packet format
  *   run-timers                       calls RpAgent_OnTimer until it is done
  *   drain | resume                   sets whether the agent is draining
@@ -641,11 +642,15 @@
         RpAgent_HostHeard(session->agent, session->now);
     }
     else if (!strcmp(words[0], "knows-all-flows")) {
-        RpAgent_SetKnowsAllFlows(session->agent);
+        RpAgent_SetKnowsAllFlows(session->agent, true);
+        RpAgent_SetSeenFromStart(session->agent);
     }
     else if (!strcmp(words[0], "host-restarts")) {
         RpAgent_HostRestarted(session->agent, session->now);
     }
+    else if (!strcmp(words[0], "host-ends")) {
+        RpAgent_HostEnded(session->agent);
+    }
     else if (!strcmp(words[0], "caller")) {
         do_caller(session, words);
     }
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -183,6 +183,11 @@
                  from != RP_FLOW_REDIRECTED) ||
                 (event == RP_FLOW_EV_TIMER_NO_HOST &&
                  from != RP_FLOW_QUERYING_HOST) ||
+                (event == RP_FLOW_EV_HOST_RESTARTED &&
+                 from != RP_FLOW_ESTABLISHED &&
+                 from != RP_FLOW_CALLER_CLOSED &&
+                 from != RP_FLOW_HOST_CLOSED &&
+                 from != RP_FLOW_PRESUMED_OWNED) ||
                 (event == RP_FLOW_EV_LATE && (from == RP_FLOW_QUERYING_HOST ||
                                               from == RP_FLOW_PRESUMED_OWNED));
             assert_int_equal(
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -668,6 +668,20 @@
     }
 }
 
+/* Tells an agent that its host has restarted, as a late report or one of
+ * another writer does. */
+static void
+report_false_restart(struct simulation *sim)
+{
+    unsigned service = (unsigned)random_below(sim, SERVICES);
+    unsigned number = (unsigned)random_below(sim, UPSTREAMS);
+    const struct upstream *upstream = &sim->upstreams[service][number];
+
+    if (upstream->alive) {
+        RpAgent_HostRestarted(upstream->agent, sim->now);
+    }
+}
+
 /* Checks that payload of a flow reached at most one host of each service. */
 static void
 check_payload(struct simulation *sim)
@@ -741,6 +755,8 @@
 /* Whether balancers take hints about the owners of flows. */
 static bool takes_hints;
 static unsigned hinted;
+/* Whether agents are told of restarts of their hosts that did not happen. */
+static bool has_false_restarts;
 /* Whether they choose by load, too. */
 static bool orders_by_load;
 static unsigned chosen;
@@ -815,6 +831,9 @@
         if (random_below(&sim, 60) == 0) {
             apply_random_change(&sim);
         }
+        if (has_false_restarts && random_below(&sim, 60) == 0) {
+            report_false_restart(&sim);
+        }
         deliver(&sim);
         run_timers(&sim);
         check_payload(&sim);
@@ -881,6 +900,23 @@
     orders_by_load = false;
 }
 
+/* Guards against resets of flows that live, on the word of a report: hosts
+ * that never fail are said to have restarted. */
+static void
+test_ownership_with_false_restarts(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    has_false_restarts = true;
+    unsigned established = run_seeds(run_seed, DEFAULT_SEEDS, extra_seeds,
+                                     G_N_ELEMENTS(extra_seeds), &ran);
+    print_message("%u seeds, %u flows established, none broken\n", ran,
+                  established);
+    assert_true(established > ran * FLOWS / 2);
+    has_false_restarts = false;
+}
+
 int
 main(void)
 {
@@ -888,6 +924,7 @@
         cmocka_unit_test(test_ownership_property),
         cmocka_unit_test(test_ownership_with_hints),
         cmocka_unit_test(test_ownership_with_loads),
+        cmocka_unit_test(test_ownership_with_false_restarts),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_route_moves.c
+++ b/tests/unit/test_route_moves.c
@@ -460,7 +460,7 @@
 {
     for (int i = 0; i < SERVICES * AGENTS; i++) {
         start_agent(sim, i);
-        RpAgent_SetKnowsAllFlows(sim->nodes[BALANCERS + i].agent);
+        RpAgent_SetKnowsAllFlows(sim->nodes[BALANCERS + i].agent, true);
     }
     for (unsigned i = 0; i < FLOWS; i++) {
         sim->flows[i].died = true;
