Host reports: a late first report does not show that the agent knows all flows

Cause: the first report that a new agent reads was taken for that of the living run, and each later run for one that began under the agent's eyes. A late report of a crashed run, read first, made the agent sure of flows that it had never seen.

Change: an agent knows the flows of a run only if it has accepted the run's first report and a later one. Until then it asks the host about unknown flows.

Evidence: with the earlier rp_host.c, test_late_report_after_agent_start (new) and test_knows_run_from_start fail. The latter expected that one report with the first sequence number is enough; it asks for the second one now, so it is stricter.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -94,6 +94,16 @@
     host->last_report_at = now;
 }
 
+static void
+accept_new_run(struct rp_host *host, int64_t now,
+               const struct rp_host_report *report)
+{
+    accept_report(host, now, report);
+    host->is_deregistered = false;
+    host->knows_run = false;
+    host->has_first_report = report->sequence <= RP_HOST_FIRST_SEQUENCE;
+}
+
 enum rp_host_report_result
 RpHost_HandleReport(struct rp_host *host, int64_t now,
                     const struct rp_host_report *report)
@@ -103,17 +113,14 @@
         return RP_HOST_REPORT_FOREIGN;
     }
     if (!host->has_report) {
-        accept_report(host, now, report);
-        host->knows_run = report->sequence <= RP_HOST_FIRST_SEQUENCE;
+        accept_new_run(host, now, report);
         return RP_HOST_REPORT_NEW_RUN;
     }
     if (is_other_run(host, report)) {
         if (!is_later_run(host, now, report)) {
             return RP_HOST_REPORT_STALE;
         }
-        host->is_deregistered = false;
-        host->knows_run = true;
-        accept_report(host, now, report);
+        accept_new_run(host, now, report);
         return RP_HOST_REPORT_NEW_RUN;
     }
     if (host->is_deregistered ||
@@ -125,6 +132,7 @@
                      (report->cold_left_ms > 0) ==
                          (host->last_report.cold_left_ms > 0);
     accept_report(host, now, report);
+    host->knows_run = host->has_first_report;
     return unchanged ? RP_HOST_REPORT_UNCHANGED : RP_HOST_REPORT_CHANGED;
 }
 
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -58,9 +58,10 @@
     struct rp_name service;     /* reports of other services and addresses */
     struct rp_endpoint address; /* are ignored */
     int64_t report_interval;
-    bool has_report; /* a report has been accepted */
-    bool knows_run;  /* this process has run since before the latest run */
-    bool is_deregistered; /* since its latest report */
+    bool has_report;       /* a report has been accepted */
+    bool has_first_report; /* the first report of the run was accepted */
+    bool knows_run;        /* and a later one: it is no late report */
+    bool is_deregistered;  /* since its latest report */
     struct rp_host_report last_report;
     int64_t last_report_at; /* time of the latest report or deregistration */
 };
@@ -101,9 +102,10 @@
  * have open flows. */
 enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host);
 
-/* Returns whether the first report of the host's latest run was accepted, so
- * that this process has run since before the run's first flow. The time of day
- * proves nothing: it may have been stepped. */
+/* Returns whether the first report of the host's latest run and a later one
+ * were accepted, so that this process has run since before the run's first
+ * flow. A first report alone may be a late one of an earlier run that has
+ * crashed. The time of day proves nothing: it may have been stepped. */
 bool RpHost_KnowsRunFromStart(const struct rp_host *host);
 
 /* Returns when the host times out if it sends no report before. */
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -409,12 +409,52 @@
     init_host(&host);
     report.sequence = 1;
     RpHost_HandleReport(&host, 1, &report);
-    assert_true(RpHost_KnowsRunFromStart(&host));
+    assert_false(RpHost_KnowsRunFromStart(&host));
     report.sequence = 2;
     RpHost_HandleReport(&host, 2, &report);
     assert_true(RpHost_KnowsRunFromStart(&host));
 }
 
+/* Guards against an agent that takes a late report of a crashed run, the first
+ * that it reads after its start, for that of the living one, and so believes
+ * that it knows all flows: whichever of the crashed run's reports it is, and
+ * after two crashes in a row. */
+static void
+test_late_report_after_agent_start(void **state)
+{
+    struct rp_host_report late = {.id = make_name("i-1"),
+                                  .service = make_name("lens-desk"),
+                                  .address = make_address(HOST_ADDRESS),
+                                  .host_start_ms = 1000};
+    struct rp_host_report living = late;
+    struct rp_host host;
+
+    (void)state;
+    living.host_start_ms = 5000;
+    for (uint64_t sequence = 1; sequence <= 4; sequence += 3) {
+        init_host(&host);
+        late.sequence = sequence;
+        RpHost_HandleReport(&host, 1, &late);
+        assert_false(RpHost_KnowsRunFromStart(&host));
+        living.sequence = 5;
+        assert_int_equal(RpHost_HandleReport(&host, 2, &living),
+                         RP_HOST_REPORT_NEW_RUN);
+        assert_false(RpHost_KnowsRunFromStart(&host));
+        living.sequence = 6;
+        RpHost_HandleReport(&host, INTERVAL_US, &living);
+        assert_false(RpHost_KnowsRunFromStart(&host));
+    }
+    /* The next run starts under the agent's eyes, and under the same id. */
+    living.host_start_ms = 9000;
+    living.sequence = 1;
+    assert_int_equal(RpHost_HandleReport(&host, 2 * INTERVAL_US, &living),
+                     RP_HOST_REPORT_NEW_RUN);
+    assert_false(RpHost_KnowsRunFromStart(&host));
+    living.sequence = 2;
+    RpHost_HandleReport(&host, 3 * INTERVAL_US, &living);
+    assert_true(RpHost_KnowsRunFromStart(&host));
+}
+
 /* Guards against a host that is never heard again: it was started again under
  * its id while the time of day of its machine was behind. */
 static void
@@ -459,6 +499,7 @@
         cmocka_unit_test(test_pause),
         cmocka_unit_test(test_stop),
         cmocka_unit_test(test_knows_run_from_start),
+        cmocka_unit_test(test_late_report_after_agent_start),
         cmocka_unit_test(test_earlier_start_time),
         cmocka_unit_test(test_decode_reports),
         cmocka_unit_test(test_invalid_json),
