Host reports: a late deregistration is taken back by the run that goes on

Cause: a deregistration carries the host's id only, which a host may keep over a restart, so a late one of the run before is like the living run's own. Every later report of that run was then ignored as stale, and a stop read the run as ended.

Ruled out: the reports (they arrived, each with a higher sequence number and the same start time), the kept flows (confirmed by the host).

Change: a later report of the run takes the deregistration back; the second one if the run has said that it drains, as one report may have been overtaken by it. A stop means that the host has ended only if it has said before that it drains, as the platform's hosts do.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -47,8 +47,10 @@
 enum rp_host_stop
 RpHost_ClassifyStop(const struct rp_host *host)
 {
-    return host->has_report && host->is_deregistered ? RP_HOST_STOP_ENDED
-                                                     : RP_HOST_STOP_REPLACED;
+    return host->has_report && host->is_deregistered &&
+                   host->last_report.draining
+               ? RP_HOST_STOP_ENDED
+               : RP_HOST_STOP_REPLACED;
 }
 
 bool
@@ -104,6 +106,19 @@
     host->has_first_report = report->sequence <= RP_HOST_FIRST_SEQUENCE;
 }
 
+/* Returns whether a newer report of a run that has deregistered shows that the
+ * run goes on. */
+static bool
+takes_back_deregistration(struct rp_host *host,
+                          const struct rp_host_report *report)
+{
+    if (host->last_report.draining && host->contradicting_sequence == 0) {
+        host->contradicting_sequence = report->sequence;
+        return false;
+    }
+    return report->sequence > host->contradicting_sequence;
+}
+
 enum rp_host_report_result
 RpHost_HandleReport(struct rp_host *host, int64_t now,
                     const struct rp_host_report *report)
@@ -123,15 +138,17 @@
         accept_new_run(host, now, report);
         return RP_HOST_REPORT_NEW_RUN;
     }
-    if (host->is_deregistered ||
-        report->sequence <= host->last_report.sequence) {
+    if (report->sequence <= host->last_report.sequence ||
+        (host->is_deregistered && !takes_back_deregistration(host, report))) {
         return RP_HOST_REPORT_STALE;
     }
-    bool unchanged = report->draining == host->last_report.draining &&
+    bool unchanged = !host->is_deregistered &&
+                     report->draining == host->last_report.draining &&
                      report->slots == host->last_report.slots &&
                      (report->cold_left_ms > 0) ==
                          (host->last_report.cold_left_ms > 0);
     accept_report(host, now, report);
+    host->is_deregistered = false;
     host->knows_run = host->has_first_report;
     return unchanged ? RP_HOST_REPORT_UNCHANGED : RP_HOST_REPORT_CHANGED;
 }
@@ -144,6 +161,7 @@
         return false;
     }
     host->is_deregistered = true;
+    host->contradicting_sequence = 0;
     host->last_report_at = now;
     return true;
 }
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -62,6 +62,7 @@
     bool has_first_report; /* the first report of the run was accepted */
     bool knows_run;        /* and a later one: it is no late report */
     bool is_deregistered;  /* since its latest report */
+    uint64_t contradicting_sequence; /* of a report after that; 0: none */
     struct rp_host_report last_report;
     int64_t last_report_at; /* time of the latest report or deregistration */
 };
@@ -78,7 +79,10 @@
                     const struct rp_host_report *report);
 
 /* Handles a host's deregistration, which it sends before it stops. Returns
- * false, and changes nothing, if `id` is not the id of the current run. */
+ * false, and changes nothing, if `id` is not the id of the current run. A late
+ * one of an earlier run may have that id, too: it is taken back by the next
+ * report of the run, or by the second one if the run has said that it drains,
+ * as one report may have been overtaken by the deregistration. */
 bool RpHost_HandleDeregistration(struct rp_host *host, int64_t now,
                                  const struct rp_name *id);
 
@@ -99,7 +103,8 @@
 
 /* Returns what a stop request means. Only the host itself can say that it has
  * ended: one that is silent, or that this process has not heard yet, may still
- * have open flows. */
+ * have open flows. A host drains before it ends, so the deregistration of one
+ * that has not said so may be a late one of an earlier run. */
 enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host);
 
 /* Returns whether the first report of the host's latest run and a later one
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -455,6 +455,53 @@
     assert_true(RpHost_KnowsRunFromStart(&host));
 }
 
+/* Guards against a late deregistration of an earlier run with the same id: the
+ * living host gets new flows again, and a stop is not its end. */
+static void
+test_late_deregistration(void **state)
+{
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = make_name("lens-desk"),
+                                    .address = make_address(HOST_ADDRESS),
+                                    .host_start_ms = 5000,
+                                    .sequence = 1,
+                                    .slots = 7};
+    struct rp_host host;
+
+    (void)state;
+    init_host(&host);
+    RpHost_HandleReport(&host, 1, &report);
+    RpHost_HandleDeregistration(&host, 2, &report.id);
+    assert_false(RpHost_IsAlive(&host, 3));
+    assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_REPLACED);
+    /* A report from before does not take it back. */
+    assert_int_equal(RpHost_HandleReport(&host, 4, &report),
+                     RP_HOST_REPORT_STALE);
+    assert_false(RpHost_IsAlive(&host, 4));
+    report.sequence = 2;
+    assert_int_equal(RpHost_HandleReport(&host, INTERVAL_US, &report),
+                     RP_HOST_REPORT_CHANGED);
+    assert_true(RpHost_IsAlive(&host, INTERVAL_US));
+
+    /* A run that drains may have sent one report before it left. */
+    report.draining = true;
+    report.sequence = 3;
+    RpHost_HandleReport(&host, 2 * INTERVAL_US, &report);
+    RpHost_HandleDeregistration(&host, 2 * INTERVAL_US, &report.id);
+    assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_ENDED);
+    for (uint64_t sequence = 3; sequence <= 4; sequence++) {
+        report.sequence = sequence;
+        assert_int_equal(RpHost_HandleReport(&host, 3 * INTERVAL_US, &report),
+                         RP_HOST_REPORT_STALE);
+        assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_ENDED);
+    }
+    report.sequence = 5;
+    assert_int_equal(RpHost_HandleReport(&host, 4 * INTERVAL_US, &report),
+                     RP_HOST_REPORT_CHANGED);
+    assert_int_equal(RpHost_ClassifyStop(&host), RP_HOST_STOP_REPLACED);
+    assert_true(RpHost_IsAlive(&host, 4 * INTERVAL_US));
+}
+
 /* Guards against a host that is never heard again: it was started again under
  * its id while the time of day of its machine was behind. */
 static void
@@ -500,6 +547,7 @@
         cmocka_unit_test(test_stop),
         cmocka_unit_test(test_knows_run_from_start),
         cmocka_unit_test(test_late_report_after_agent_start),
+        cmocka_unit_test(test_late_deregistration),
         cmocka_unit_test(test_earlier_start_time),
         cmocka_unit_test(test_decode_reports),
         cmocka_unit_test(test_invalid_json),
