Host reports: the first report of a run that began with the agent is proof at once

Cause: an agent waited for a second report of each run before it knew all flows, and other agents reset nothing until then. But a late report of a run that has been replaced since comes from before the agent's start.

Change: the first report is proof at once if its run began less than one report interval before the agent, or later; else the second one is, as before.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -3,11 +3,13 @@
 
 void
 RpHost_Init(struct rp_host *host, const struct rp_name *service,
-            struct rp_endpoint address, int64_t report_interval)
+            struct rp_endpoint address, int64_t report_interval,
+            uint64_t started_ms)
 {
     *host = (struct rp_host){.service = *service,
                              .address = address,
-                             .report_interval = report_interval};
+                             .report_interval = report_interval,
+                             .started_ms = started_ms};
 }
 
 int64_t
@@ -96,14 +98,25 @@
     host->last_report_at = now;
 }
 
+/* Returns whether the report's run began less than a report interval before
+ * this process, or later. A run that has crashed and been replaced since began
+ * earlier. */
+static bool
+began_with_us(const struct rp_host *host, const struct rp_host_report *report)
+{
+    return report->host_start_ms +
+               (uint64_t)(host->report_interval / RP_US_PER_MS) >=
+           host->started_ms;
+}
+
 static void
 accept_new_run(struct rp_host *host, int64_t now,
                const struct rp_host_report *report)
 {
     accept_report(host, now, report);
     host->is_deregistered = false;
-    host->knows_run = false;
     host->has_first_report = report->sequence <= RP_HOST_FIRST_SEQUENCE;
+    host->knows_run = host->has_first_report && began_with_us(host, report);
 }
 
 /* Returns whether a newer report of a run that has deregistered shows that the
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -58,9 +58,10 @@
     struct rp_name service;     /* reports of other services and addresses */
     struct rp_endpoint address; /* are ignored */
     int64_t report_interval;
+    uint64_t started_ms;   /* start of this process by the wall clock */
     bool has_report;       /* a report has been accepted */
     bool has_first_report; /* the first report of the run was accepted */
-    bool knows_run;        /* and a later one: it is no late report */
+    bool knows_run;        /* and it was not a late one */
     bool is_deregistered;  /* since its latest report */
     uint64_t contradicting_sequence; /* of a report after that; 0: none */
     struct rp_host_report last_report;
@@ -69,9 +70,11 @@
 
 /* Initialises the state of the host of this service at this address, which
  * has not sent a report yet. It sends one about every `report_interval`
- * microseconds. */
+ * microseconds. `started_ms` is when this process started, in Unix
+ * milliseconds by the wall clock, like a host's start time. */
 void RpHost_Init(struct rp_host *host, const struct rp_name *service,
-                 struct rp_endpoint address, int64_t report_interval);
+                 struct rp_endpoint address, int64_t report_interval,
+                 uint64_t started_ms);
 
 /* Handles a report: stores it if it is newer than the stored one. */
 enum rp_host_report_result
@@ -107,10 +110,11 @@
  * that has not said so may be a late one of an earlier run. */
 enum rp_host_stop RpHost_ClassifyStop(const struct rp_host *host);
 
-/* Returns whether the first report of the host's latest run and a later one
- * were accepted, so that this process has run since before the run's first
- * flow. A first report alone may be a late one of an earlier run that has
- * crashed. The time of day proves nothing: it may have been stepped. */
+/* Returns whether this process has run since before the first flow of the
+ * host's latest run: it has accepted the run's first report, and that was not
+ * a late one of a run that has crashed. It was not if the run began with this
+ * process or later, or if a later report followed. The time of day alone
+ * proves nothing, as it may have been stepped. */
 bool RpHost_KnowsRunFromStart(const struct rp_host *host);
 
 /* Returns when the host times out if it sends no report before. */
--- a/programs/daemon/agent_host.c
+++ b/programs/daemon/agent_host.c
@@ -153,7 +153,8 @@
     agent->host_state = RP_HOST_UNKNOWN;
     RpAgent_SetHostState(agent->flows, RP_HOST_UNKNOWN);
     RpHost_Init(&agent->host, &agent->settings.service, agent->settings.host,
-                agent->settings.report_ms * RP_US_PER_MS);
+                agent->settings.report_ms * RP_US_PER_MS,
+                (uint64_t)(g_get_real_time() / RP_US_PER_MS));
     RpError_Init(&error);
     agent->platform = RpPlatform_Open(agent->settings.host_reports,
                                       RP_PLATFORM_REPORT_MAX,
