--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -100,8 +100,9 @@
 static int net_base; /* second byte of all addresses */
 static uint16_t port_datagram, port_ready, port_control, port_outbound,
     port_app, port_internal0, port_internal1;
-static pid_t controls[LAB_EDGES], balancers[LAB_EDGES];
-static bool edge_ready[LAB_EDGES];
+static pid_t controls[LAB_EDGES_MAX], balancers[LAB_EDGES_MAX];
+static bool edge_ready[LAB_EDGES_MAX];
+static bool edge_used[LAB_EDGES_MAX]; /* in the operator's list */
 static struct host hosts[LAB_MAX_HOSTS];
 static struct client_flow flows[LAB_MAX_FLOWS];
 static int flow_count;
@@ -174,7 +175,7 @@
 static void
 stop_all(void)
 {
-    for (int i = 0; i < LAB_EDGES; i++) {
+    for (int i = 0; i < LAB_EDGES_MAX; i++) {
         pid_t p[2] = {balancers[i], controls[i]};
         for (int j = 0; j < 2; j++) {
             if (p[j] > 0) {
@@ -310,7 +311,9 @@
 static void
 edge_ip(int edge, char *out)
 {
-    sprintf(out, "127.%d.%d.10", net_base, edge + 1);
+    sprintf(out, "127.%d.%d.%d", net_base,
+            edge < LAB_EDGES ? edge + 1 : LAB_EDGES,
+            edge < LAB_EDGES ? 10 : 11);
 }
 
 static void
@@ -588,9 +591,9 @@
     size_t n = encode(&p, b);
     /* The router: the zone's edge machine, or the next one that is ready. */
     int edge = f->zone;
-    for (int i = 0; i < LAB_EDGES; i++) {
-        if (edge_ready[(f->zone + i) % LAB_EDGES]) {
-            edge = (f->zone + i) % LAB_EDGES;
+    for (int i = 0; i < LAB_EDGES_MAX; i++) {
+        if (edge_ready[(f->zone + i) % LAB_EDGES_MAX]) {
+            edge = (f->zone + i) % LAB_EDGES_MAX;
             break;
         }
     }
@@ -927,11 +930,37 @@
     return status;
 }
 
+/* Draws an edge machine that serves control. */
+static int
+draw_edge(void)
+{
+    for (;;) {
+        int edge = (int)(draw() % LAB_EDGES_MAX);
+        if (edge_used[edge]) {
+            return edge;
+        }
+    }
+}
+
+int
+lab_find_leader(void)
+{
+    for (int i = 0; i < LAB_EDGES_MAX; i++) {
+        char ip[32];
+        edge_ip(i, ip);
+        if (edge_used[i] && http(ip, port_control, "GET", "/-/config", NULL,
+                                 1.0, NULL, 0, NULL, 0) == 200) {
+            return i;
+        }
+    }
+    return -1;
+}
+
 int
 lab_put_config(const char *json, double seconds)
 {
     double until = clock_s() + seconds;
-    int edge = (int)(draw() % LAB_EDGES);
+    int edge = draw_edge();
     while (clock_s() < until) {
         int status = operator_call(edge, "PUT", "/-/config", json, NULL, 0);
         int version = 0;
@@ -940,7 +969,9 @@
         if (status == 200 || (status >= 400 && status < 500)) {
             return status;
         }
-        edge = (edge + 1) % LAB_EDGES;
+        do {
+            edge = (edge + 1) % LAB_EDGES_MAX;
+        } while (!edge_used[edge]);
         lab_sleep(0.1);
     }
     return 0;
@@ -949,8 +980,8 @@
 int
 lab_get_config(int edge, char *out, size_t size)
 {
-    return operator_call(edge < 0 ? (int)(draw() % LAB_EDGES) : edge, "GET",
-                         "/-/config", NULL, out, size);
+    return operator_call(edge < 0 ? draw_edge() : edge, "GET", "/-/config",
+                         NULL, out, size);
 }
 
 /* --- beats, readiness --- */
@@ -995,11 +1026,15 @@
 static void *
 ready_thread(void *unused)
 {
-    int misses[LAB_EDGES] = {0};
+    int misses[LAB_EDGES_MAX] = {0};
     (void)unused;
     for (;;) {
-        for (int i = 0; i < LAB_EDGES; i++) {
+        for (int i = 0; i < LAB_EDGES_MAX; i++) {
             char ip[32];
+            if (!edge_used[i]) {
+                edge_ready[i] = false;
+                continue;
+            }
             edge_ip(i, ip);
             int status = http(ip, port_ready, "GET", "/-/readiness", NULL, 0.4,
                               NULL, 0, NULL, 0);
@@ -1124,13 +1159,27 @@
     return pid;
 }
 
+static int
+edge_zone(int edge)
+{
+    return edge < LAB_EDGES ? edge : LAB_EDGES - 1;
+}
+
+static void
+edge_id(int edge, char *out, size_t size)
+{
+    snprintf(out, size, "edge-%s-%d", zone_names[edge_zone(edge)],
+             edge < LAB_EDGES ? 1 : 2);
+}
+
 void
 lab_start_control(int edge, bool bootstrap)
 {
     char ip[32], id[32], path[600];
     edge_ip(edge, ip);
-    snprintf(id, sizeof id, "edge-%s-1", zone_names[edge]);
-    fill("deploy/control.conf", "control", id, ip, edge, "", bootstrap, path,
+    edge_id(edge, id, sizeof id);
+    edge_used[edge] = true;
+    fill("deploy/control.conf", "control", id, ip, edge_zone(edge), "", bootstrap, path,
          sizeof path);
     controls[edge] = spawn("control", id, path);
 }
@@ -1140,8 +1189,8 @@
 {
     char ip[32], id[32], path[600];
     edge_ip(edge, ip);
-    snprintf(id, sizeof id, "edge-%s-1", zone_names[edge]);
-    fill("deploy/balancer.conf", "balancer", id, ip, edge, "", false, path,
+    edge_id(edge, id, sizeof id);
+    fill("deploy/balancer.conf", "balancer", id, ip, edge_zone(edge), "", false, path,
          sizeof path);
     balancers[edge] = spawn("balancer", id, path);
 }
@@ -1155,6 +1204,42 @@
     }
 }
 
+void
+lab_add_edge(void)
+{
+    lab_start_control(LAB_EDGES, false);
+    lab_start_balancer(LAB_EDGES);
+}
+
+void
+lab_remove_edge(int edge)
+{
+    char id[32];
+    edge_id(edge, id, sizeof id);
+    lab_note("machine %s is gone for good", id);
+    lab_signal("control", controls[edge], SIGKILL);
+    lab_signal("balancer", balancers[edge], SIGKILL);
+    controls[edge] = 0;
+    balancers[edge] = 0;
+    edge_used[edge] = false;
+}
+
+void
+lab_wipe_control(int edge, double down_s)
+{
+    char id[32], path[400];
+    edge_id(edge, id, sizeof id);
+    lab_note("machine %s loses its disk", id);
+    lab_signal("control", controls[edge], SIGKILL);
+    controls[edge] = 0;
+    snprintf(path, sizeof path, "%s/data-%s/journal", dir, id);
+    unlink(path);
+    strcat(path, ".new");
+    unlink(path);
+    lab_sleep(down_s);
+    lab_start_control(edge, false);
+}
+
 pid_t
 lab_control_pid(int edge)
 {
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -14,7 +14,8 @@
 
 #define LAB_MAX_HOSTS 24
 #define LAB_MAX_FLOWS 4096
-#define LAB_EDGES 3
+#define LAB_EDGES 3 /* started at first, one in each zone */
+#define LAB_EDGES_MAX 4 /* with one that is added later, in the last zone */
 
 /* --- records --- */
 /* Writes one line with the time since the start to record.txt. */
@@ -35,6 +36,15 @@
 void lab_start_edges(void);
 void lab_start_control(int edge, bool bootstrap);
 void lab_start_balancer(int edge);
+/* Adds the fourth edge machine, with an empty disk. */
+void lab_add_edge(void);
+/* Removes an edge machine for good, without SIGTERM. */
+void lab_remove_edge(int edge);
+/* Kills control on an edge machine; it is back after `down_s` at its address
+ * with an empty disk. */
+void lab_wipe_control(int edge, double down_s);
+/* The edge machine whose control answers a read itself, or -1. */
+int lab_find_leader(void);
 pid_t lab_control_pid(int edge);
 pid_t lab_balancer_pid(int edge);
 /* Sends a signal and waits for the end if it ends the process. */
