--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -108,6 +108,7 @@
 static int flow_count;
 static int client_udp[3]; /* a client address in each zone */
 static int work_ms = 20, answer_bytes = 600;
+static unsigned first_beat = 1;
 static int broken_count;
 static double started;
 static uint64_t rng_state = 88172645463325252ull;
@@ -989,12 +990,13 @@
 beat_thread(void *data)
 {
     struct host *h = data;
+    uint64_t calls = 0;
     for (;;) {
         pthread_mutex_lock(&lock);
         bool stop = !h->running;
         char body[512], path[128], ip[32];
         bool draining = h->draining;
-        h->seq++;
+        h->seq = calls++ + first_beat;
         snprintf(body, sizeof body,
                  "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
                  "\"version\":\"v1\",\"slots\":7,\"state\":\"%s\","
@@ -1295,6 +1297,12 @@
     lab_start_balancer(edge);
 }
 
+void
+lab_set_first_beat(unsigned seq)
+{
+    first_beat = seq;
+}
+
 void
 lab_start_agent(int host)
 {
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -59,6 +59,8 @@
 /* --- hosts --- */
 /* Adds a side machine in a zone (0..2) with its agent and its host. */
 int lab_add_host(const char *service, int zone);
+/* The number of a host's first beat: 1 by default. */
+void lab_set_first_beat(unsigned seq);
 void lab_start_agent(int host);
 /* A host that ends: it drains, is acknowledged, serves on for `serve_s`,
  * deregisters and exits; then its agent gets SIGTERM. */
