--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -103,6 +103,7 @@
 static pid_t controls[LAB_EDGES_MAX], balancers[LAB_EDGES_MAX];
 static bool edge_ready[LAB_EDGES_MAX];
 static bool edge_used[LAB_EDGES_MAX]; /* in the operator's list */
+static bool edge_serves[LAB_EDGES_MAX]; /* has a balancer */
 static struct host hosts[LAB_MAX_HOSTS];
 static struct client_flow flows[LAB_MAX_FLOWS];
 static int flow_count;
@@ -309,12 +310,25 @@
     return ntohl(a.s_addr);
 }
 
+static int
+edge_zone(int edge)
+{
+    return edge >= LAB_FRONT_ONLY ? 0 : edge < LAB_EDGES ? edge : LAB_EDGES - 1;
+}
+
+/* The number of an edge machine in its zone. */
+static int
+edge_number(int edge)
+{
+    return edge >= LAB_FRONT_ONLY ? edge - LAB_FRONT_ONLY + 1
+                                  : edge < LAB_EDGES ? 0 : 1;
+}
+
 static void
 edge_ip(int edge, char *out)
 {
-    sprintf(out, "127.%d.%d.%d", net_base,
-            edge < LAB_EDGES ? edge + 1 : LAB_EDGES,
-            edge < LAB_EDGES ? 10 : 11);
+    sprintf(out, "127.%d.%d.%d", net_base, edge_zone(edge) + 1,
+            10 + edge_number(edge));
 }
 
 static void
@@ -570,6 +584,45 @@
     }
 }
 
+/* --- the router --- */
+/* A node's rank for a flow; the highest one takes it. */
+static uint64_t
+rank_of(int edge, uint16_t port)
+{
+    uint64_t x = ((uint64_t)port << 8 | (uint64_t)edge) + 0x9e3779b97f4a7c15ull;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
+    return x ^ (x >> 31);
+}
+
+/* The node that gets a client's packet: of those of the zone that are in
+ * rotation; of all of the zone's, if fewer than half are; of another zone's, if
+ * none is. */
+static int
+choose_edge(int zone, uint16_t port)
+{
+    for (int i = 0; i < LAB_EDGES; i++) {
+        int all = 0, ready = 0, best = -1;
+        for (int e = 0; e < LAB_EDGES_MAX; e++) {
+            if (edge_serves[e] && edge_zone(e) == (zone + i) % LAB_EDGES) {
+                all++;
+                ready += edge_ready[e];
+            }
+        }
+        for (int e = 0; ready > 0 && e < LAB_EDGES_MAX; e++) {
+            if (edge_serves[e] && edge_zone(e) == (zone + i) % LAB_EDGES &&
+                (edge_ready[e] || 2 * ready < all) &&
+                (best < 0 || rank_of(e, port) > rank_of(best, port))) {
+                best = e;
+            }
+        }
+        if (best >= 0) {
+            return best;
+        }
+    }
+    return zone;
+}
+
 /* --- clients --- */
 static void
 client_send(struct client_flow *f, uint8_t flags, uint32_t seq, uint32_t ack,
@@ -590,14 +643,7 @@
         memcpy(p.data, data, len);
     }
     size_t n = encode(&p, b);
-    /* The router: the zone's edge machine, or the next one that is ready. */
-    int edge = f->zone;
-    for (int i = 0; i < LAB_EDGES_MAX; i++) {
-        if (edge_ready[(f->zone + i) % LAB_EDGES_MAX]) {
-            edge = (f->zone + i) % LAB_EDGES_MAX;
-            break;
-        }
-    }
+    int edge = choose_edge(f->zone, f->port);
     edge_ip(edge, ip);
     struct sockaddr_in to = address(ip, port_datagram);
     sendto(client_udp[f->zone], b, n, 0, (struct sockaddr *)&to, sizeof to);
@@ -1026,28 +1072,29 @@
 }
 
 static void *
-ready_thread(void *unused)
+ready_thread(void *arg)
 {
-    int misses[LAB_EDGES_MAX] = {0};
-    (void)unused;
+    int i = (int)(intptr_t)arg, misses = 0;
     for (;;) {
-        for (int i = 0; i < LAB_EDGES_MAX; i++) {
+        double next = clock_s() + 0.5;
+        if (edge_serves[i]) {
             char ip[32];
-            if (!edge_used[i]) {
-                edge_ready[i] = false;
-                continue;
-            }
             edge_ip(i, ip);
             int status = http(ip, port_ready, "GET", "/-/readiness", NULL, 0.4,
                               NULL, 0, NULL, 0);
-            pthread_mutex_lock(&lock);
-            misses[i] = status == 200 ? 0 : misses[i] + 1;
-            if (misses[i] == 0 || misses[i] >= 2) {
-                edge_ready[i] = misses[i] == 0;
-            }
-            pthread_mutex_unlock(&lock);
+            misses = status == 200 ? 0 : misses + 1;
+        }
+        pthread_mutex_lock(&lock);
+        if (!edge_serves[i]) {
+            edge_ready[i] = false;
+        }
+        else if (misses == 0 || misses >= 2) {
+            edge_ready[i] = misses == 0;
+        }
+        pthread_mutex_unlock(&lock);
+        while (clock_s() < next) {
+            lab_sleep(0.01);
         }
-        lab_sleep(0.4);
     }
     return NULL;
 }
@@ -1161,17 +1208,11 @@
     return pid;
 }
 
-static int
-edge_zone(int edge)
-{
-    return edge < LAB_EDGES ? edge : LAB_EDGES - 1;
-}
-
 static void
 edge_id(int edge, char *out, size_t size)
 {
     snprintf(out, size, "edge-%s-%d", zone_names[edge_zone(edge)],
-             edge < LAB_EDGES ? 1 : 2);
+             edge_number(edge) + 1);
 }
 
 void
@@ -1195,6 +1236,7 @@
     fill("deploy/balancer.conf", "balancer", id, ip, edge_zone(edge), "", false, path,
          sizeof path);
     balancers[edge] = spawn("balancer", id, path);
+    edge_serves[edge] = true;
 }
 
 void
@@ -1206,6 +1248,14 @@
     }
 }
 
+void
+lab_start_fronts(void)
+{
+    for (int i = LAB_FRONT_ONLY; i < LAB_EDGES_MAX; i++) {
+        lab_start_balancer(i);
+    }
+}
+
 void
 lab_add_edge(void)
 {
@@ -1224,6 +1274,7 @@
     controls[edge] = 0;
     balancers[edge] = 0;
     edge_used[edge] = false;
+    edge_serves[edge] = false;
 }
 
 void
@@ -1599,7 +1650,9 @@
     }
     pthread_t thread;
     pthread_create(&thread, NULL, net_thread, NULL);
-    pthread_create(&thread, NULL, ready_thread, NULL);
+    for (int i = 0; i < LAB_EDGES_MAX; i++) {
+        pthread_create(&thread, NULL, ready_thread, (void *)(intptr_t)i);
+    }
     run_case();
     stop_all();
     lab_note("the end: %s", broken_count ? "a rule was broken" : "rules held");
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -15,7 +15,10 @@
 #define LAB_MAX_HOSTS 24
 #define LAB_MAX_FLOWS 4096
 #define LAB_EDGES 3 /* started at first, one in each zone */
-#define LAB_EDGES_MAX 4 /* with one that is added later, in the last zone */
+/* With one that may be added later, in the last zone, and two in the first zone
+ * that have a balancer only. */
+#define LAB_EDGES_MAX 6
+#define LAB_FRONT_ONLY 4 /* the first of those two */
 
 /* --- records --- */
 /* Writes one line with the time since the start to record.txt. */
@@ -36,6 +39,8 @@
 void lab_start_edges(void);
 void lab_start_control(int edge, bool bootstrap);
 void lab_start_balancer(int edge);
+/* Adds two edge machines without control in the first zone. */
+void lab_start_fronts(void);
 /* Adds the fourth edge machine, with an empty disk. */
 void lab_add_edge(void);
 /* Removes an edge machine for good, without SIGTERM. */
