--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -377,7 +377,8 @@
                        .src = f->route_ip,
                        .sport = f->route_port,
                        .seq = seq,
-                       .ack = f->client_isn + 1 + f->got,
+                       .ack = f->client_isn + 1 +
+                              ((flags & F_SYN) ? 0 : f->got),
                        .flags = flags,
                        .len = len};
     if (len) {
