--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -70,6 +70,8 @@
     int zone;
     char service[64], ip[32], id[64];
     uint64_t born, seq;
+    char held[512]; /* the body of the first call, if it is held on its way */
+    unsigned acks;
     int udp;
     pid_t agent;
     int agent_starts;
@@ -111,7 +113,7 @@
 static uint16_t next_port = 20000;
 static int client_udp[3]; /* a client address in each zone */
 static int work_ms = 20, answer_bytes = 600;
-static unsigned first_beat = 1;
+static bool hold_first_calls;
 static int broken_count;
 static double started;
 static uint64_t rng_state = 88172645463325252ull;
@@ -1047,7 +1049,7 @@
         bool stop = !h->running;
         char body[512], path[128], ip[32];
         bool draining = h->draining;
-        h->seq = calls++ + first_beat;
+        h->seq = ++calls;
         snprintf(body, sizeof body,
                  "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
                  "\"version\":\"v1\",\"slots\":7,\"state\":\"%s\","
@@ -1057,10 +1059,19 @@
                  (unsigned long long)h->seq);
         snprintf(path, sizeof path, "/-/instances/%s", h->id);
         snprintf(ip, sizeof ip, "%s", h->ip);
+        bool held = calls == 1 && hold_first_calls;
+        if (held) {
+            snprintf(h->held, sizeof h->held, "%s", body);
+        }
         pthread_mutex_unlock(&lock);
         if (stop) {
             return NULL;
         }
+        if (held) {
+            lab_note("host %s: call 1 is held on its way", h->id);
+            lab_sleep(1.0);
+            continue;
+        }
         int status = http(ip, port_control, "PUT", path, body, 1.0, NULL, 0,
                           NULL, 0);
         bool good = status >= 200 && status < 300;
@@ -1070,6 +1081,7 @@
             lab_note("host %s: draining is acknowledged", h->id);
         }
         h->acked = h->acked || good;
+        h->acks += good;
         pthread_mutex_unlock(&lock);
         lab_sleep(good ? BEAT_MS / 1e3 * (0.95 + 0.1 * (draw() % 100) / 100.0)
                        : 0.3);
@@ -1370,9 +1382,38 @@
 }
 
 void
-lab_set_first_beat(unsigned seq)
+lab_hold_first_calls(bool hold)
 {
-    first_beat = seq;
+    pthread_mutex_lock(&lock);
+    hold_first_calls = hold;
+    pthread_mutex_unlock(&lock);
+}
+
+int
+lab_deliver_held_call(int host)
+{
+    struct host *h = &hosts[host];
+    char path[128];
+    snprintf(path, sizeof path, "/-/instances/%s", h->id);
+    int status = http(h->ip, port_control, "PUT", path, h->held, 1.0, NULL, 0,
+                      NULL, 0);
+    lab_note("host %s: its held call 1 is delivered: %d", h->id, status);
+    return status;
+}
+
+void
+lab_wait_beat(int host)
+{
+    unsigned before, now;
+    pthread_mutex_lock(&lock);
+    before = now = hosts[host].acks;
+    pthread_mutex_unlock(&lock);
+    for (int i = 0; i < 500 && now == before; i++) {
+        lab_sleep(0.005);
+        pthread_mutex_lock(&lock);
+        now = hosts[host].acks;
+        pthread_mutex_unlock(&lock);
+    }
 }
 
 void
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -66,8 +66,13 @@
 /* --- hosts --- */
 /* Adds a side machine in a zone (0..2) with its agent and its host. */
 int lab_add_host(const char *service, int zone);
-/* The number of a host's first beat: 1 by default. */
-void lab_set_first_beat(unsigned seq);
+/* The first call of each host that is added from now on is held on its way; the
+ * host waits a second for the answer and then calls again. */
+void lab_hold_first_calls(bool hold);
+/* Delivers that call. Returns the status. */
+int lab_deliver_held_call(int host);
+/* Waits until a call of the host has just been acknowledged. */
+void lab_wait_beat(int host);
 void lab_start_agent(int host);
 /* A host that ends: it drains, is acknowledged, serves on for `serve_s`,
  * deregisters and exits; then its agent gets SIGTERM. */
