--- a/review/11/case.c
+++ b/review/11/case.c
@@ -1,6 +1,6 @@
 /* A core machine is replaced, its successor first; then another one loses its
  * disk. Never more than one machine is lost at a time. */
-#include "lab.h"
+#include "../lab-3/lab.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -15,16 +15,17 @@
 config(int version)
 {
     static char text[1024];
-    snprintf(text, sizeof text,
-             "{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":"
-             "\"198.18.0.1\",\"path-prefix\":\"/8443/\",\"route-type\":"
-             "\"non_idempotent\",\"timeout-ms\":%d,\"target-latency-ms\":300,"
-             "\"priority\":1,\"service\":\"svc-0\",\"max-attempts\":2}],"
-             "\"services\":[{\"name\":\"svc-0\",\"health-path\":\"/health\","
-             "\"max-conns\":2000,\"protocol\":\"h1\",\"tls\":false}],"
-             "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
-             "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-             version, 1500 + version);
+    snprintf(
+        text, sizeof text,
+        "{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":"
+        "\"198.18.0.1\",\"path-prefix\":\"/8443/\",\"route-type\":"
+        "\"non_idempotent\",\"timeout-ms\":%d,\"target-latency-ms\":300,"
+        "\"priority\":1,\"service\":\"svc-0\",\"max-attempts\":2}],"
+        "\"services\":[{\"name\":\"svc-0\",\"health-path\":\"/health\","
+        "\"max-conns\":2000,\"protocol\":\"h1\",\"tls\":false}],"
+        "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
+        "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
+        version, 1500 + version);
     return text;
 }
 
@@ -47,8 +48,8 @@
         }
         lab_sleep(0.5);
     }
-    lab_note("not read back in %d tries at all nodes, the last one: %d",
-             tries, last);
+    lab_note("not read back in %d tries at all nodes, the last one: %d", tries,
+             last);
     return false;
 }
 
@@ -83,8 +84,9 @@
     lab_note("all machines are back");
     lab_sleep(RECOVERY_S);
     if (!read_back(9, WATCH_S)) {
-        lab_broken("CONFIG", "the acknowledged configuration does not come, "
-                             "%.0f s after all machines are back",
+        lab_broken("CONFIG",
+                   "the acknowledged configuration does not come, "
+                   "%.0f s after all machines are back",
                    RECOVERY_S + WATCH_S);
     }
     int status = lab_put_config(config(12), 5);
--- a/review/13/case.c
+++ b/review/13/case.c
@@ -1,7 +1,7 @@
 /* A route is moved from one service to another while two entry machines are
  * frozen. Flows that are opened through these machines as they wake go to the
  * service that had the route; their clients keep them open. */
-#include "lab.h"
+#include "../lab-3/lab.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -10,8 +10,8 @@
 #define ROUTE_PORT 8443
 #define FLOWS 40
 #define FREEZE_S 3.5
-/* The SYNs are sent so long before the machines wake: less than the 1.4 s after
- * which a client gives up. */
+/* The SYNs are sent so long before the machines wake: less than the 1.4 s
+ * after which a client gives up. */
 #define SYN_BEFORE_S 1.0
 #define FLOW_MAX_S 60.0
 #define PAUSE_S 5.0 /* between the requests of a flow */
@@ -88,8 +88,8 @@
     }
     /* The last requests are sent when the flows are a little younger than
      * flow-max-s. */
-    for (double age = 1; age < FLOW_MAX_S - 0.3;
-         age += age < FLOW_MAX_S - 8 ? PAUSE_S : 0.25) {
+    double age = 1;
+    while (age < FLOW_MAX_S - 0.3) {
         lab_sleep(opened_at + age - lab_now_s());
         for (int i = 0; i < FLOWS; i++) {
             if (lab_flow_state(flows[i]) == LAB_FLOW_OPEN) {
@@ -109,5 +109,6 @@
                        "still holds it, did not send",
                        i, lab_now_s() - opened_at);
         }
+        age += age < FLOW_MAX_S - 8 ? PAUSE_S : 0.25;
     }
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,6 +7,6 @@
 for case in review/1[1-5]/case.c; do
     [ -f "$case" ] || continue
     number=$(basename "$(dirname "$case")")
-    cc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -pthread -I review/lab-3 \
+    cc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -pthread \
         -o "target/review-3/case-$number" review/lab-3/lab.c "$case"
 done
--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -44,10 +44,10 @@
 /* One end's stream of bytes that it sends. */
 struct sender {
     uint8_t *bytes;
-    uint32_t len;      /* bytes queued in all */
-    uint32_t acked;    /* by the peer */
-    uint32_t sent;     /* highest sent */
-    double resend_at;  /* 0: nothing outstanding */
+    uint32_t len;     /* bytes queued in all */
+    uint32_t acked;   /* by the peer */
+    uint32_t sent;    /* highest sent */
+    double resend_at; /* 0: nothing outstanding */
     double interval;
     int resends;
 };
@@ -57,10 +57,10 @@
     uint32_t client_ip, route_ip;
     uint16_t client_port, route_port;
     uint32_t isn, client_isn;
-    uint32_t got;            /* bytes of the client received in order */
-    char request[8192];      /* the current request's bytes */
+    uint32_t got;       /* bytes of the client received in order */
+    char request[8192]; /* the current request's bytes */
     uint32_t request_len;
-    double answer_at;        /* 0: none is being worked on */
+    double answer_at; /* 0: none is being worked on */
     char id[64];
     struct sender out;
 };
@@ -91,7 +91,7 @@
     uint32_t got;
     uint8_t *in;
     bool asked;
-    uint32_t answer_end;      /* bytes of `in` that end the last answer */
+    uint32_t answer_end; /* bytes of `in` that end the last answer */
     char id[64];
     struct sender out;
 };
@@ -104,8 +104,8 @@
     port_app, port_internal0, port_internal1;
 static pid_t controls[LAB_EDGES_MAX], balancers[LAB_EDGES_MAX];
 static bool edge_ready[LAB_EDGES_MAX];
-static bool edge_used[LAB_EDGES_MAX]; /* in the operator's list */
-static bool edge_serves[LAB_EDGES_MAX]; /* has a balancer */
+static bool edge_used[LAB_EDGES_MAX];       /* in the operator's list */
+static bool edge_serves[LAB_EDGES_MAX];     /* has a balancer */
 static unsigned edge_probes[LAB_EDGES_MAX]; /* that were answered with 200 */
 static struct host hosts[LAB_MAX_HOSTS];
 static struct client_flow flows[LAB_MAX_FLOWS];
@@ -150,6 +150,9 @@
     return (uint32_t)(rng_state >> 16);
 }
 
+static void note_v(const char *format, va_list args)
+    __attribute__((format(printf, 1, 0)));
+
 static void
 note_v(const char *format, va_list args)
 {
@@ -317,7 +320,9 @@
 static int
 edge_zone(int edge)
 {
-    return edge >= LAB_FRONT_ONLY ? 0 : edge < LAB_EDGES ? edge : LAB_EDGES - 1;
+    return edge >= LAB_FRONT_ONLY ? 0
+           : edge < LAB_EDGES     ? edge
+                                  : LAB_EDGES - 1;
 }
 
 /* The number of an edge machine in its zone. */
@@ -325,7 +330,8 @@
 edge_number(int edge)
 {
     return edge >= LAB_FRONT_ONLY ? edge - LAB_FRONT_ONLY + 1
-                                  : edge < LAB_EDGES ? 0 : 1;
+           : edge < LAB_EDGES     ? 0
+                                  : 1;
 }
 
 static void
@@ -405,9 +411,8 @@
 {
     for (size_t i = 0; i < sizeof h->flows / sizeof *h->flows; i++) {
         struct host_flow *f = &h->flows[i];
-        if (f->used && f->client_ip == p->src &&
-            f->client_port == p->sport && f->route_ip == p->dst &&
-            f->route_port == p->dport) {
+        if (f->used && f->client_ip == p->src && f->client_port == p->sport &&
+            f->route_ip == p->dst && f->route_port == p->dport) {
             return f;
         }
     }
@@ -594,15 +599,16 @@
 static uint64_t
 rank_of(int edge, uint16_t port)
 {
-    uint64_t x = ((uint64_t)port << 8 | (uint64_t)edge) + 0x9e3779b97f4a7c15ull;
+    uint64_t x = ((uint64_t)port << 8 | (uint64_t)edge) +
+                 0x9e3779b97f4a7c15ull;
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
     x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
     return x ^ (x >> 31);
 }
 
 /* The node that gets a client's packet: of those of the zone that are in
- * rotation; of all of the zone's, if fewer than half are; of another zone's, if
- * none is. */
+ * rotation; of all of the zone's, if fewer than half are; of another zone's,
+ * if none is. */
 static int
 choose_edge(int zone, uint16_t port)
 {
@@ -836,8 +842,7 @@
         }
         for (int i = 0; i < LAB_MAX_HOSTS; i++) {
             if (hosts[i].used && hosts[i].running) {
-                fds[n] = (struct pollfd){.fd = hosts[i].udp,
-                                         .events = POLLIN};
+                fds[n] = (struct pollfd){.fd = hosts[i].udp, .events = POLLIN};
                 who[n++] = i;
             }
         }
@@ -884,15 +889,12 @@
     double until = clock_s() + patience;
     size_t body_len = body ? strlen(body) : 0;
     char *request = malloc(body_len + 1024);
-    int len = sprintf(request,
-                      "%s %s HTTP/1.1\r\nHost: %s:%u\r\n"
-                      "Content-Type: application/json\r\n"
-                      "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-                      method, path, ip, port, body_len);
-    if (body_len) {
-        memcpy(request + len, body, body_len);
-    }
-    size_t total = (size_t)len + body_len, sent = 0, got = 0;
+    int len = snprintf(request, body_len + 1024,
+                       "%s %s HTTP/1.1\r\nHost: %s:%u\r\n"
+                       "Content-Type: application/json\r\n"
+                       "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+                       method, path, ip, port, body_len, body ? body : "");
+    size_t total = (size_t)len, sent = 0, got = 0;
     static const size_t room = 1 << 20;
     char *answer = malloc(room);
     int status = 0;
@@ -949,10 +951,9 @@
             if (location) {
                 location[0] = 0;
                 if (to && to < end) {
-                    char form[32];
-                    snprintf(form, sizeof form, "%%%zu[^:/\r]",
-                             location_size - 1);
-                    sscanf(to + 17, form, location);
+                    to += strlen("location: http://");
+                    snprintf(location, location_size, "%.*s",
+                             (int)strcspn(to, ":/\r"), to);
                 }
             }
             break;
@@ -1124,10 +1125,10 @@
     char *at;
     while ((at = strstr(text, from)) != NULL) {
         size_t head = (size_t)(at - text);
-        char *next = malloc(strlen(text) + strlen(to) + 1);
-        memcpy(next, text, head);
-        strcpy(next + head, to);
-        strcat(next, at + strlen(from));
+        size_t size = strlen(text) + strlen(to) + 1;
+        char *next = malloc(size);
+        snprintf(next, size, "%.*s%s%s", (int)head, text, to,
+                 at + strlen(from));
         free(text);
         text = next;
     }
@@ -1165,7 +1166,8 @@
         sprintf(seeds + strlen(seeds), "%s%s:%u", i ? "," : "", edge,
                 port_control);
     }
-#define VALUE(format, ...) (snprintf(value, sizeof value, format, __VA_ARGS__), value)
+#define VALUE(format, ...)                                                    \
+    (snprintf(value, sizeof value, format, __VA_ARGS__), value)
     text = replace(text, "{{node-id}}", id);
     text = replace(text, "{{zone}}", zone_names[zone]);
     text = replace(text, "{{ip}}", ip);
@@ -1240,8 +1242,8 @@
     edge_ip(edge, ip);
     edge_id(edge, id, sizeof id);
     edge_used[edge] = true;
-    fill("deploy/control.conf", "control", id, ip, edge_zone(edge), "", bootstrap, path,
-         sizeof path);
+    fill("deploy/control.conf", "control", id, ip, edge_zone(edge), "",
+         bootstrap, path, sizeof path);
     controls[edge] = spawn("control", id, path);
 }
 
@@ -1251,8 +1253,8 @@
     char ip[32], id[32], path[600];
     edge_ip(edge, ip);
     edge_id(edge, id, sizeof id);
-    fill("deploy/balancer.conf", "balancer", id, ip, edge_zone(edge), "", false, path,
-         sizeof path);
+    fill("deploy/balancer.conf", "balancer", id, ip, edge_zone(edge), "",
+         false, path, sizeof path);
     balancers[edge] = spawn("balancer", id, path);
     edge_serves[edge] = true;
 }
@@ -1305,7 +1307,7 @@
     controls[edge] = 0;
     snprintf(path, sizeof path, "%s/data-%s/journal", dir, id);
     unlink(path);
-    strcat(path, ".new");
+    snprintf(path, sizeof path, "%s/data-%s/journal.new", dir, id);
     unlink(path);
     lab_sleep(down_s);
     lab_start_control(edge, false);
@@ -1565,9 +1567,9 @@
         uint16_t port = next_port++;
         bool is_best = true;
         for (int e = 0; e < LAB_EDGES_MAX; e++) {
-            is_best = is_best && (!edge_serves[e] ||
-                                  edge_zone(e) != edge_zone(edge) ||
-                                  rank_of(e, port) <= rank_of(edge, port));
+            is_best = is_best &&
+                      (!edge_serves[e] || edge_zone(e) != edge_zone(edge) ||
+                       rank_of(e, port) <= rank_of(edge, port));
         }
         if (is_best) {
             return open_flow(route_ip, route_port, edge_zone(edge), port);
@@ -1665,8 +1667,8 @@
     return flows[flow].reset_at;
 }
 
-/* Chooses addresses that no other run uses. The socket that claims them is kept
- * until the program ends. */
+/* Chooses addresses that no other run uses. The socket that claims them is
+ * kept until the program ends. */
 static void
 choose_net(void)
 {
@@ -1719,8 +1721,8 @@
     rng_state ^= (uint64_t)getpid() << 32 ^ (uint64_t)time(NULL);
     choose_net();
     uint16_t port = 8160;
-    uint16_t *ports[] = {&port_datagram, &port_ready,     &port_control,
-                         &port_outbound, &port_app,       &port_internal0,
+    uint16_t *ports[] = {&port_datagram, &port_ready, &port_control,
+                         &port_outbound, &port_app,   &port_internal0,
                          &port_internal1};
     for (size_t i = 0; i < sizeof ports / sizeof *ports; i++) {
         while (!is_free(port)) {
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -15,8 +15,8 @@
 #define LAB_MAX_HOSTS 24
 #define LAB_MAX_FLOWS 4096
 #define LAB_EDGES 3 /* started at first, one in each zone */
-/* With one that may be added later, in the last zone, and two in the first zone
- * that have a balancer only. */
+/* With one that may be added later, in the last zone, and two in the first
+ * zone that have a balancer only. */
 #define LAB_EDGES_MAX 6
 #define LAB_FRONT_ONLY 4 /* the first of those two */
 
@@ -66,8 +66,8 @@
 /* --- hosts --- */
 /* Adds a side machine in a zone (0..2) with its agent and its host. */
 int lab_add_host(const char *service, int zone);
-/* The first call of each host that is added from now on is held on its way; the
- * host waits a second for the answer and then calls again. */
+/* The first call of each host that is added from now on is held on its way;
+ * the host waits a second for the answer and then calls again. */
 void lab_hold_first_calls(bool hold);
 /* Delivers that call. Returns the status. */
 int lab_deliver_held_call(int host);
@@ -94,9 +94,9 @@
 enum lab_flow_state {
     LAB_FLOW_OPENING,
     LAB_FLOW_OPEN,
-    LAB_FLOW_REFUSED,     /* reset or no answer before it opened */
-    LAB_FLOW_RESET,       /* a reset of the system's own after it opened */
-    LAB_FLOW_HOST_RESET,  /* a reset that its host sent */
+    LAB_FLOW_REFUSED,    /* reset or no answer before it opened */
+    LAB_FLOW_RESET,      /* a reset of the system's own after it opened */
+    LAB_FLOW_HOST_RESET, /* a reset that its host sent */
     LAB_FLOW_CLOSED
 };
 /* Opens a flow to a route; returns its number at once. */
