Replica: a lost disk beside a removed voter no longer ends the quorum

Cause: a removed voter counts until a leader takes it out, which takes an election if it led. Until then four voters need three. A voter whose disk is lost never answers again, only a leader can take it out, and the group can no longer elect one, although the replica in its place asks all of them to join. Evidence: replica_without_quorum names these two voters on both that are left, replica_connected shows that the empty one reaches them. Ruled out: no connection to the empty replica; votes not asked for or refused.

Change: half of an even number of voters is a quorum once one of the voters is known to have lost its disk (another replica asks to join from its address). Such a half and a majority of the voters after a change need not have a replica in common, so until a change of the voters is committed, a decision needs a quorum of the voters before it, too. The leader then appends the list once more, so that a replica knows after a restart that the change is committed. A replica whose own vote is taken by a change that is not known to be committed may still be elected.

Why it works: two halves without the lost voter, and a half and an earlier majority, always share a replica that has its disk; a half of the voters before a change meets everyone who decided under the change.

New line replica_disk_lost.

--- a/lib/state/rp_replica.c
+++ b/lib/state/rp_replica.c
@@ -49,6 +49,9 @@
     replica->log = g_ptr_array_new_with_free_func(free_entry);
     replica->members = g_array_new(FALSE, TRUE,
                                    sizeof(struct rp_replica_member));
+    replica->previous_members = g_array_new(FALSE, TRUE,
+                                            sizeof(struct rp_replica_member));
+    replica->lost = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     replica->peers = g_array_new(FALSE, TRUE, sizeof(struct rp_peer));
     replica->round_send_times = g_array_new(FALSE, TRUE, sizeof(int64_t));
     /* This replica may have acknowledged a leader's heartbeat just before it
@@ -75,6 +78,8 @@
     g_array_free(replica->actions, TRUE);
     g_ptr_array_unref(replica->log);
     g_array_free(replica->members, TRUE);
+    g_array_free(replica->previous_members, TRUE);
+    g_array_free(replica->lost, TRUE);
     g_array_free(replica->peers, TRUE);
     g_array_free(replica->round_send_times, TRUE);
     RpReplicaLog_FreeSnapshot(replica->snapshot);
@@ -241,24 +246,6 @@
     return member && member->voter;
 }
 
-size_t
-RpReplica_VoterCount(const struct rp_replica *replica)
-{
-    size_t voters = 0;
-
-    for (guint i = 0; i < replica->members->len; i++) {
-        voters += g_array_index(replica->members, struct rp_replica_member, i)
-                      .voter != 0;
-    }
-    return voters;
-}
-
-size_t
-RpReplica_Quorum(const struct rp_replica *replica)
-{
-    return RpReplica_VoterCount(replica) / 2 + 1;
-}
-
 void
 RpReplica_ApplyCommitted(struct rp_replica *replica)
 {
@@ -336,7 +323,7 @@
         RpReplica_LeaderTick(replica, now);
         return;
     }
-    if (!RpReplica_IsVoter(replica, replica->id)) {
+    if (!RpReplica_MayVote(replica, replica->id)) {
         return;
     }
     /* A sole member can have no other leader, so it does not wait. */
@@ -402,6 +389,7 @@
     if (recipient_of(msg) != replica->id) {
         return;
     }
+    RpReplica_UnmarkLost(replica, RpReplica_Sender(msg));
     switch (msg->type) {
     case RP_MSG_VOTE:
         RpReplica_OnVoteRequest(replica, now, &msg->vote);
@@ -450,38 +438,28 @@
     return replica->round;
 }
 
+static bool
+has_answered(const struct rp_peer *peer, uint64_t round)
+{
+    return peer->acked_round >= round;
+}
+
 size_t
 RpReplica_CountAnswered(const struct rp_replica *replica, uint64_t round)
 {
-    size_t answered = RpReplica_IsVoter(replica, replica->id);
-
-    if (replica->role != RP_REPLICA_LEADER) {
-        return 0;
-    }
-    for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        answered += peer->acked_round >= round &&
-                    RpReplica_IsVoter(replica, peer->id);
-    }
-    return answered;
+    return replica->role == RP_REPLICA_LEADER
+               ? RpReplica_CountAgreeing(replica, replica->members,
+                                         has_answered, round)
+               : 0;
 }
 
 size_t
 RpReplica_CountStored(const struct rp_replica *replica, uint64_t index)
 {
-    size_t stored = RpReplica_IsVoter(replica, replica->id);
-
-    if (replica->role != RP_REPLICA_LEADER) {
-        return 0;
-    }
-    for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        stored += peer->match_index >= index &&
-                  RpReplica_IsVoter(replica, peer->id);
-    }
-    return stored;
+    return replica->role == RP_REPLICA_LEADER
+               ? RpReplica_CountAgreeing(replica, replica->members,
+                                         RpReplica_HasStored, index)
+               : 0;
 }
 
 bool
@@ -489,8 +467,7 @@
                      uint64_t round)
 {
     return replica->role == RP_REPLICA_LEADER && replica->term == term &&
-           RpReplica_CountAnswered(replica, round) >=
-               RpReplica_Quorum(replica);
+           RpReplica_HasQuorum(replica, has_answered, round);
 }
 
 const struct rp_replica_member *
--- a/lib/state/rp_replica.h
+++ b/lib/state/rp_replica.h
@@ -1,9 +1,9 @@
 /* One replica of a replicated log, as in Raft, without I/O or a clock.
  *
  * The voters elect a leader. The leader orders the entries and commits an
- * entry once a majority of the voters has stored it. A committed entry is
- * never lost or changed, on any replica, whatever else fails. Beyond plain
- * Raft:
+ * entry once a quorum of the voters, a majority, has stored it. A committed
+ * entry is never lost or changed, on any replica, whatever else fails. Beyond
+ * plain Raft:
  *
  * - Pre-vote: before it raises its term, a replica asks whether it could win,
  *   so that a replica that was cut off does not depose the leader when it
@@ -18,7 +18,10 @@
  *   a voter. A learner that has been silent for RP_MEMBER_SILENCE_TIMEOUT_US
  *   is removed.
  * - A replica that lost its disk has a new id and joins again as a new
- *   member.
+ *   member. Its request is proof that the voter at its address is lost, and
+ *   half of an even number of voters is a quorum then (rp_replica_quorum.c).
+ * - While a change of the voters is not committed, a decision needs a quorum
+ *   of the voters before it, too.
  * - A voter that the group can do without becomes a learner as soon as it does
  *   not answer, or says that it is about to stop (RpReplica_Leave): an even
  *   number of voters tolerates no loss more than the odd number below it, but
@@ -78,6 +81,7 @@
     RP_REPLICA_SEND,           /* send msg to the member with id `to` */
     RP_REPLICA_APPLY,          /* apply entry, which is committed */
     RP_REPLICA_REPORT_CHANGE,  /* log that this leader changes the members */
+    RP_REPLICA_REPORT_LOST,    /* log that the disk of `member` is lost */
     /* Log that the leader's snapshot up to index does not decode. */
     RP_REPLICA_REPORT_BAD_SNAPSHOT
 };
@@ -171,7 +175,7 @@
  * not committed an entry of its own term. */
 uint64_t RpReplica_StartRead(struct rp_replica *replica, int64_t now);
 
-/* Whether a majority of the voters has answered `round` or a later one, and
+/* Whether a quorum of the voters has answered `round` or a later one, and
  * this replica has been the leader throughout. `term` is the term in which the
  * round was started. */
 bool RpReplica_ReadIsSafe(const struct rp_replica *replica, uint64_t term,
@@ -244,9 +248,14 @@
 
 size_t RpReplica_VoterCount(const struct rp_replica *replica);
 
-/* Returns how many voters must store an entry or grant a vote. */
+/* Returns how many voters must store an entry or grant a vote, see
+ * rp_replica_quorum.c; while a change of the voters is not committed, as many
+ * of the new ones. */
 size_t RpReplica_Quorum(const struct rp_replica *replica);
 
+/* Returns how many of the voters are known to have lost their disk. */
+size_t RpReplica_LostVoterCount(const struct rp_replica *replica);
+
 /* On the leader: returns how many more voters can fail before the group stops,
  * which counts as failed those that have not answered for
  * RP_ELECTION_TIMEOUT_US; -1 on any other replica. */
--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -25,9 +25,7 @@
     uint64_t snapshot_offset;   /* of the next chunk to send */
     bool leaving;               /* it says that it is about to stop */
     bool vote_granted;          /* in the current vote or pre-vote */
-    /* Its vote reply says that it has heard from no leader since its start, or
-     * its process is gone, because another one asks to join from its
-     * address. */
+    /* Its vote reply says that it has heard from no leader since its start. */
     bool restarted;
 };
 
@@ -52,6 +50,9 @@
     uint64_t last_applied;
     uint64_t leader_commit_index; /* as of `last_fresh_contact` */
     GArray *members;              /* of struct rp_replica_member */
+    GArray *previous_members;     /* same, of the list before; may be empty */
+    GArray *lost;                 /* of uint64_t: ids of members whose disk is
+                                   * lost, some of them former members */
     GArray *peers;                /* of struct rp_peer */
     uint64_t last_leader_id;      /* of the leader heard last; 0: none */
     int64_t last_leader_contact;  /* when a leader's last message came */
@@ -101,7 +102,7 @@
 GArray *RpReplicaLog_MembersAt(const struct rp_replica *replica,
                                uint64_t index);
 /* Sets the members from the newest entry that lists them, or else from the
- * snapshot. */
+ * snapshot, and the previous members from the one before. */
 void RpReplicaLog_RefreshMembers(struct rp_replica *replica);
 
 /* rp_replica.c: actions, the term and the role, members and quorum. */
@@ -131,10 +132,36 @@
 struct rp_peer *RpReplica_FindPeer(struct rp_replica *replica, uint64_t id);
 bool RpReplica_IsVoter(const struct rp_replica *replica, uint64_t id);
 
+/* rp_replica_quorum.c: quorums, and voters whose disk is lost. */
+/* Whether this replica and the peers for which `agrees(peer, value)` holds are
+ * a quorum. */
+bool RpReplica_HasQuorum(const struct rp_replica *replica,
+                         bool (*agrees)(const struct rp_peer *, uint64_t),
+                         uint64_t value);
+/* Counts the voters of `members` that agree, this replica among them. */
+size_t RpReplica_CountAgreeing(
+    const struct rp_replica *replica, const GArray *members,
+    bool (*agrees)(const struct rp_peer *, uint64_t), uint64_t value);
+/* Whether the vote of the replica with this id may count, now or once a change
+ * of the voters is committed. */
+bool RpReplica_MayVote(const struct rp_replica *replica, uint64_t id);
+/* Whether the voters differ from those of the list before. */
+bool RpReplica_VotersChanged(const struct rp_replica *replica);
+/* Records that the disk of `member` is lost, and reports it. */
+void RpReplica_MarkLost(struct rp_replica *replica,
+                        const struct rp_replica_member *member);
+/* Records that the disk of any other member at the address of `successor` is
+ * lost, because another replica started there. */
+void RpReplica_MarkReplacedMembers(struct rp_replica *replica,
+                                   const struct rp_replica_member *successor);
+/* Records that the replica with this id has its disk: it sent a message. */
+void RpReplica_UnmarkLost(struct rp_replica *replica, uint64_t id);
+bool RpReplica_IsLost(const struct rp_replica *replica, uint64_t id);
+
 /* rp_replica_vote.c: pre-votes and elections. */
-/* Counts the voters that have granted the current vote or pre-vote; this
- * replica grants its own. */
-size_t RpReplica_CountVotes(const struct rp_replica *replica);
+/* Whether a quorum has granted the current vote or pre-vote; this replica
+ * grants its own. */
+bool RpReplica_HasVotes(const struct rp_replica *replica);
 /* Forgets the votes granted so far and sends a request to all voters, or to
  * all members for a startup pre-vote. */
 void RpReplica_SendVoteRequests(struct rp_replica *replica, uint64_t term,
@@ -165,13 +192,10 @@
                                 const struct rp_msg_vote *vote);
 void RpReplica_OnStartupPreVoteReply(struct rp_replica *replica, int64_t now,
                                      const struct rp_msg_vote_reply *reply);
-/* Records that the process of any other member at the address of `successor`
- * is gone, because another process uses that address now. If that was the last
- * member not known to have restarted, and the startup pre-vote has a majority,
- * starts the election. Does nothing if this replica has had a leader since its
- * start. */
-void RpReplica_MarkReplacedMembers(struct rp_replica *replica, int64_t now,
-                                   const struct rp_replica_member *successor);
+/* Starts the election if the startup pre-vote has succeeded, and this replica
+ * has had no leader since its start. Call it when a member was marked lost. */
+void RpReplica_StartElectionIfAllRestarted(struct rp_replica *replica,
+                                           int64_t now);
 
 /* rp_replica_lead.c: the leader's side. */
 /* Becomes the leader of the current term and appends an empty entry, whose
@@ -187,7 +211,9 @@
  * the members if that is due, whether or not other traffic puts off the
  * heartbeats; sends heartbeats that are due. */
 void RpReplica_LeaderTick(struct rp_replica *replica, int64_t now);
-/* Raises the commit index to the last entry that a majority has stored, if
+/* Whether the peer is known to store the entry. */
+bool RpReplica_HasStored(const struct rp_peer *peer, uint64_t index);
+/* Raises the commit index to the last entry that a quorum has stored, if
  * that entry is of the current term, and applies what is committed. */
 void RpReplica_AdvanceCommit(struct rp_replica *replica);
 /* Returns when the newest round that a majority has answered was sent;
@@ -209,6 +235,10 @@
  * that has caught up a voter, takes the vote of a member that does not answer
  * or is about to stop, or removes a silent learner. */
 void RpReplica_UpdateMembers(struct rp_replica *replica, int64_t now);
+/* On the leader: once a change of the voters is committed, appends the list
+ * once more, to show that to those that hold it. The entry goes out with the
+ * next round. */
+void RpReplica_ConfirmMembers(struct rp_replica *replica);
 /* Whether the group may go on with one voter less. */
 bool RpReplica_MayRemoveVoter(const struct rp_replica *replica);
 
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -7,8 +7,6 @@
  * Each broadcast of appends is a round with a number. Replies echo the
  * number, so the leader knows when the round that a peer has answered was
  * sent; its lease and confirmed reads rest on that. */
-#include <stdlib.h>
-
 #include "rp_replica_internal.h"
 
 #define MAX_ROUND_SEND_TIMES 64 /* newest rounds whose send time is kept */
@@ -212,55 +210,43 @@
     replica->heartbeat_deadline = now + RP_HEARTBEAT_INTERVAL_US;
 }
 
-static int
-compare_times_descending(const void *a, const void *b)
+/* Whether the peer has answered a round that was sent at `time` or later. */
+static bool
+is_in_contact_since(const struct rp_peer *peer, uint64_t time)
 {
-    int64_t left = *(const int64_t *)a;
-    int64_t right = *(const int64_t *)b;
-
-    return (left < right) - (left > right);
+    return peer->last_contact >= (int64_t)time;
 }
 
 int64_t
 RpReplica_LastQuorumContact(const struct rp_replica *replica)
 {
-    int64_t times[RP_REPLICA_MEMBERS_MAX];
-    size_t count = 0;
-    size_t other_votes_needed = RpReplica_Quorum(replica) -
-                                RpReplica_IsVoter(replica, replica->id);
+    int64_t newest = 0;
 
-    if (other_votes_needed == 0) {
+    if (RpReplica_HasQuorum(replica, is_in_contact_since, RP_NEVER)) {
         return RP_NEVER;
     }
     for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        if (RpReplica_IsVoter(replica, peer->id)) {
-            times[count++] = peer->last_contact;
+        int64_t time =
+            g_array_index(replica->peers, struct rp_peer, i).last_contact;
+        if (time > newest && RpReplica_HasQuorum(replica, is_in_contact_since,
+                                                 (uint64_t)time)) {
+            newest = time;
         }
     }
-    if (count < other_votes_needed) {
-        return 0;
-    }
-    qsort(times, count, sizeof *times, compare_times_descending);
-    return times[other_votes_needed - 1];
+    return newest;
 }
 
 int
 RpReplica_FailuresTolerated(const struct rp_replica *replica, int64_t now)
 {
-    int answering = RpReplica_IsVoter(replica, replica->id);
+    uint64_t since = (uint64_t)(now - RP_ELECTION_TIMEOUT_US + 1);
 
     if (replica->role != RP_REPLICA_LEADER) {
         return -1;
     }
-    for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        answering += RpReplica_IsVoter(replica, peer->id) &&
-                     peer->last_contact > now - RP_ELECTION_TIMEOUT_US;
-    }
-    return answering - (int)RpReplica_Quorum(replica);
+    return (int)RpReplica_CountAgreeing(replica, replica->members,
+                                        is_in_contact_since, since) -
+           (int)RpReplica_Quorum(replica);
 }
 
 void
@@ -276,39 +262,40 @@
     }
 }
 
-/* Counts the voters, this replica included, that have stored the entry. */
-static size_t
-count_voters_with_entry(const struct rp_replica *replica, uint64_t index)
+bool
+RpReplica_HasStored(const struct rp_peer *peer, uint64_t index)
 {
-    size_t count = RpReplica_IsVoter(replica, replica->id);
-
-    for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        count += peer->match_index >= index &&
-                 RpReplica_IsVoter(replica, peer->id);
-    }
-    return count;
+    return peer->match_index >= index;
 }
 
-void
-RpReplica_AdvanceCommit(struct rp_replica *replica)
+/* Commits what a quorum has stored. Returns whether anything was committed. */
+static bool
+commit_stored_entries(struct rp_replica *replica)
 {
     uint64_t term = 0;
     uint64_t index = RpReplicaLog_LastIndex(replica);
 
-    /* A majority that stores an entry of an earlier term does not commit it:
+    /* A quorum that stores an entry of an earlier term does not commit it:
      * a later leader could still overwrite it. Such entries are committed
      * together with the first entry of this leader's term. */
     while (index > replica->commit_index &&
-           count_voters_with_entry(replica, index) <
-               RpReplica_Quorum(replica)) {
+           !RpReplica_HasQuorum(replica, RpReplica_HasStored, index)) {
         index--;
     }
     if (index > replica->commit_index &&
         RpReplicaLog_TermAt(replica, index, &term) && term == replica->term) {
         replica->commit_index = index;
         RpReplica_ApplyCommitted(replica);
+        return true;
+    }
+    return false;
+}
+
+void
+RpReplica_AdvanceCommit(struct rp_replica *replica)
+{
+    while (commit_stored_entries(replica)) {
+        RpReplica_ConfirmMembers(replica);
     }
 }
 
--- a/lib/state/rp_replica_log.c
+++ b/lib/state/rp_replica_log.c
@@ -181,7 +181,12 @@
 void
 RpReplicaLog_RefreshMembers(struct rp_replica *replica)
 {
+    uint64_t previous_index;
+
     g_array_free(replica->members, TRUE);
+    g_array_free(replica->previous_members, TRUE);
     replica->members = find_members_at(
         replica, RpReplicaLog_LastIndex(replica), &replica->members_index);
+    replica->previous_members = find_members_at(
+        replica, MAX(replica->members_index, 1) - 1, &previous_index);
 }
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -68,6 +68,19 @@
     RpReplica_BroadcastAppend(replica, now, false);
 }
 
+void
+RpReplica_ConfirmMembers(struct rp_replica *replica)
+{
+    if (replica->members_index > replica->commit_index ||
+        !RpReplica_VotersChanged(replica)) {
+        return;
+    }
+    const struct rp_replica_members members = {.list = replica->members};
+    GString *data = RpSchema_Encode(&rp_replica_members_schema, &members);
+    RpReplica_AppendEntry(replica, RP_ENTRY_MEMBERS, data);
+    g_string_free(data, TRUE);
+}
+
 static GArray *
 copy_members(const struct rp_replica *replica)
 {
@@ -143,6 +156,7 @@
 
     learner.voter = 0;
     if (replaced >= 0) {
+        RpReplica_MarkLost(replica, member_at(replica, (guint)replaced));
         report_change(replica, RP_MEMBER_DISK_LOST,
                       member_at(replica, (guint)replaced));
         g_array_remove_index(list, (guint)replaced);
@@ -168,9 +182,12 @@
 RpReplica_HandleJoin(struct rp_replica *replica, int64_t now,
                      const struct rp_replica_member *member, bool forwarded)
 {
+    if (member->id != 0) {
+        RpReplica_MarkReplacedMembers(replica, member);
+    }
     if (replica->role != RP_REPLICA_LEADER) {
+        RpReplica_StartElectionIfAllRestarted(replica, now);
         if (!forwarded) {
-            RpReplica_MarkReplacedMembers(replica, now, member);
             forward_join(replica, member);
         }
         return;
@@ -204,16 +221,29 @@
     return peer->last_heard > now - RP_ELECTION_TIMEOUT_US;
 }
 
-/* Returns the position of a learner that has caught up, answers and is not
- * about to stop; -1 if there is none. */
+/* Whether a member has caught up, answers and is not about to stop; the leader
+ * itself may have become a learner in a change that it could not commit before
+ * it restarted. */
+static bool
+is_fit_to_vote(struct rp_replica *replica, int64_t now, uint64_t id)
+{
+    const struct rp_peer *peer = RpReplica_FindPeer(replica, id);
+
+    if (id == replica->id) {
+        return !replica->leaving;
+    }
+    return peer && is_caught_up(replica, peer) && answers(peer, now) &&
+           !peer->leaving;
+}
+
+/* Returns the position of a learner that is fit to vote; -1 if there is
+ * none. */
 static int
 find_caught_up_learner(struct rp_replica *replica, int64_t now)
 {
     for (guint i = 0; i < replica->members->len; i++) {
         const struct rp_replica_member *member = member_at(replica, i);
-        const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
-        if (!member->voter && peer && is_caught_up(replica, peer) &&
-            answers(peer, now) && !peer->leaving) {
+        if (!member->voter && is_fit_to_vote(replica, now, member->id)) {
             return (int)i;
         }
     }
--- a/lib/state/rp_replica_vote.c
+++ b/lib/state/rp_replica_vote.c
@@ -5,17 +5,17 @@
  * all just started. */
 #include "rp_replica_internal.h"
 
-size_t
-RpReplica_CountVotes(const struct rp_replica *replica)
+static bool
+has_granted_vote(const struct rp_peer *peer, uint64_t unused)
 {
-    size_t granted = RpReplica_IsVoter(replica, replica->id);
+    (void)unused;
+    return peer->vote_granted;
+}
 
-    for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        granted += peer->vote_granted && RpReplica_IsVoter(replica, peer->id);
-    }
-    return granted;
+bool
+RpReplica_HasVotes(const struct rp_replica *replica)
+{
+    return RpReplica_HasQuorum(replica, has_granted_vote, 0);
 }
 
 void
@@ -35,7 +35,7 @@
                      .last_term = RpReplicaLog_LastTerm(replica)}};
         peer->vote_granted = false;
         if (kind == RP_VOTE_STARTUP_PRE_VOTE ||
-            RpReplica_IsVoter(replica, peer->id)) {
+            RpReplica_MayVote(replica, peer->id)) {
             RpReplica_QueueMessage(replica, peer->id, &msg);
         }
     }
@@ -51,7 +51,7 @@
     replica->voted_for = replica->id;
     RpReplica_StoreVote(replica);
     RpReplica_SendVoteRequests(replica, replica->term, kind);
-    if (RpReplica_CountVotes(replica) >= RpReplica_Quorum(replica)) {
+    if (RpReplica_HasVotes(replica)) {
         RpReplica_BecomeLeader(replica, now);
     }
 }
@@ -64,7 +64,7 @@
     RpReplica_ResetElectionTimer(replica, now);
     RpReplica_UpdatePeers(replica, now);
     RpReplica_SendVoteRequests(replica, replica->term + 1, RP_VOTE_PRE_VOTE);
-    if (RpReplica_CountVotes(replica) >= RpReplica_Quorum(replica)) {
+    if (RpReplica_HasVotes(replica)) {
         RpReplica_StartElection(replica, now, RP_VOTE_REAL);
     }
 }
@@ -165,7 +165,7 @@
     }
 }
 
-/* Counts a granted pre-vote; a majority starts the election. */
+/* Counts a granted pre-vote; a quorum starts the election. */
 static void
 handle_pre_vote_reply(struct rp_replica *replica, int64_t now,
                       struct rp_peer *peer,
@@ -176,12 +176,12 @@
         return;
     }
     peer->vote_granted = true;
-    if (RpReplica_CountVotes(replica) >= RpReplica_Quorum(replica)) {
+    if (RpReplica_HasVotes(replica)) {
         RpReplica_StartElection(replica, now, RP_VOTE_REAL);
     }
 }
 
-/* Counts a granted vote; a majority makes this replica the leader. */
+/* Counts a granted vote; a quorum makes this replica the leader. */
 static void
 handle_vote_reply(struct rp_replica *replica, int64_t now,
                   struct rp_peer *peer, const struct rp_msg_vote_reply *reply)
@@ -191,7 +191,7 @@
         return;
     }
     peer->vote_granted = true;
-    if (RpReplica_CountVotes(replica) >= RpReplica_Quorum(replica)) {
+    if (RpReplica_HasVotes(replica)) {
         RpReplica_BecomeLeader(replica, now);
     }
 }
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -174,6 +174,7 @@
     .applied = on_entry_applied,
     .restored = on_catalog_restored,
     .member_change = RpControl_LogMemberChange,
+    .disk_lost = RpControl_LogDiskLost,
     .snapshot_refused = on_snapshot_refused,
     .failed = on_storage_failed};
 
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -97,6 +97,9 @@
 void RpControl_LogMemberChange(void *user,
                                const struct rp_replica_action *action);
 
+/* Logs that the disk of a member is lost. */
+void RpControl_LogDiskLost(void *user, const struct rp_replica_member *member);
+
 /* Logs the voters, the learners and the quorum when this replica's list of
  * members has changed. */
 void RpControl_LogMembersIfChanged(struct control *control);
--- a/programs/daemon/control_members.c
+++ b/programs/daemon/control_members.c
@@ -49,6 +49,21 @@
                 action->member.name.data, silent_us / RP_US_PER_MS);
 }
 
+void
+RpControl_LogDiskLost(void *user, const struct rp_replica_member *member)
+{
+    struct control *control = user;
+    const struct rp_replica *replica = get_replica(control);
+    char address[RP_ENDPOINT_TEXT_MAX];
+
+    RpLog_Event(control->daemon.log, RP_LOG_WARN, "replica_disk_lost",
+                "replica=%016" G_GINT64_MODIFIER "x address=%s name=%s "
+                "voters=%zu lost=%zu quorum=%zu",
+                member->id, format_address(member, address), member->name.data,
+                RpReplica_VoterCount(replica),
+                RpReplica_LostVoterCount(replica), RpReplica_Quorum(replica));
+}
+
 /* Returns a number that changes when the list does. */
 static uint64_t
 digest_members(const struct rp_replica *replica)
--- a/programs/daemon/control_replica.c
+++ b/programs/daemon/control_replica.c
@@ -448,6 +448,9 @@
     case RP_REPLICA_REPORT_CHANGE:
         self->ops->member_change(self->user, action);
         break;
+    case RP_REPLICA_REPORT_LOST:
+        self->ops->disk_lost(self->user, &action->member);
+        break;
     case RP_REPLICA_REPORT_BAD_SNAPSHOT:
         self->ops->snapshot_refused(self->user, action->index);
         break;
--- a/programs/daemon/control_replica.h
+++ b/programs/daemon/control_replica.h
@@ -35,6 +35,8 @@
     /* This replica, the leader, changes the members: an action of the kind
      * RP_REPLICA_REPORT_CHANGE. */
     void (*member_change)(void *user, const struct rp_replica_action *action);
+    /* The disk of `member` is lost: another replica has taken its place. */
+    void (*disk_lost)(void *user, const struct rp_replica_member *member);
     /* The leader's snapshot up to this log index does not decode. */
     void (*snapshot_refused)(void *user, uint64_t index);
     /* Writing to the disk failed. Acknowledged changes are safe. The replica
--- a/tests/unit/replica_sim.c
+++ b/tests/unit/replica_sim.c
@@ -330,6 +330,7 @@
             check_and_apply_entry(sim, instance, act->entry);
             break;
         case RP_REPLICA_REPORT_CHANGE:
+        case RP_REPLICA_REPORT_LOST:
         case RP_REPLICA_REPORT_BAD_SNAPSHOT:
             break;
         }
@@ -505,7 +506,7 @@
         /* In a group, each instance knows two others from its settings, and
          * the leader may be neither of them. One that is added later is given
          * the addresses of all. */
-        bool is_known = !sim->is_group ||
+        bool is_known = !sim->is_group || sim->all_are_known ||
                         instance_index >= sim->initial_count ||
                         i == (instance_index + 1) % sim->initial_count ||
                         i == (instance_index + 2) % sim->initial_count;
@@ -563,6 +564,75 @@
     }
 }
 
+void
+sim_run(struct sim *sim, int steps)
+{
+    for (int i = 0; i < steps; i++) {
+        sim_step(sim);
+    }
+}
+
+/* Checks the states after the faults. */
+static void
+check_states(struct sim *sim)
+{
+    const GString *state = NULL;
+    GHashTableIter iter;
+    gpointer key;
+
+    for (unsigned i = 0; i < sim->instance_count; i++) {
+        struct instance *instance = &sim->instances[i];
+        if (instance->absent) {
+            continue;
+        }
+        CHECK(sim, instance->replica && RpReplica_IsMember(instance->replica),
+              "a replica is not running or not a member after the faults");
+        state = state ? state : instance->state;
+        CHECK(sim, g_string_equal(instance->state, state),
+              "replicas have different states after the faults");
+        CHECK(sim,
+              RpReplica_IsFresh(instance->replica,
+                                sim_instance_clock(sim, instance)),
+              "a replica is not fresh after the faults");
+    }
+    g_hash_table_iter_init(&iter, sim->acknowledged);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        CHECK(sim, sim_count_command(state, GPOINTER_TO_UINT(key)) == 1,
+              "an acknowledged command is lost or applied twice");
+    }
+}
+
+unsigned
+sim_recover(struct sim *sim, int steps)
+{
+    unsigned before = g_hash_table_size(sim->acknowledged);
+
+    sim->inject_faults = false;
+    memset(sim->link_is_cut, 0, sizeof sim->link_is_cut);
+    for (unsigned i = 0; i < sim->instance_count; i++) {
+        sim->instances[i].frozen_steps = 0;
+        sim->instances[i].down_steps = 0;
+    }
+    sim_run(sim, steps);
+    unsigned acknowledged = g_hash_table_size(sim->acknowledged);
+    CHECK(sim, acknowledged > before,
+          "no command is committed after the faults");
+    /* Let the next heartbeats carry the commit index to all followers. */
+    for (int i = 0; i < 100; i++) {
+        sim->now += STEP_US;
+        for (unsigned j = 0; j < sim->instance_count; j++) {
+            if (!sim->instances[j].absent) {
+                RpReplica_Tick(sim->instances[j].replica,
+                               sim_instance_clock(sim, &sim->instances[j]));
+                sim_carry_out_actions(sim, j);
+            }
+        }
+        sim_deliver_messages(sim);
+    }
+    check_states(sim);
+    return acknowledged;
+}
+
 /* Bootstraps all instances with the same list of members. */
 static void
 bootstrap_group(struct sim *sim)
--- a/tests/unit/replica_sim.h
+++ b/tests/unit/replica_sim.h
@@ -81,8 +81,9 @@
     GArray *acknowledged_times;    /* of the same, as int64_t */
     unsigned next_command;
     bool inject_faults;
-    bool is_group; /* all are bootstrapped together as members */
-    bool idle;     /* no proposals and reads */
+    bool is_group;      /* all are bootstrapped together as members */
+    bool idle;          /* no proposals and reads */
+    bool all_are_known; /* each instance is given the addresses of all */
 };
 
 #define CHECK(sim, condition, text)                                           \
@@ -104,8 +105,10 @@
 /* Frees what the simulation holds. */
 void sim_end(struct sim *sim);
 
-/* Simulates STEP_US: instances run, propose and read, and messages arrive. */
+/* Simulates STEP_US: instances run, propose and read, and messages arrive.
+ * sim_run does so `steps` times. */
 void sim_step(struct sim *sim);
+void sim_run(struct sim *sim, int steps);
 
 /* Parts of a step, for runs without proposals: carries out the actions of one
  * instance; delivers the messages whose delay has passed. */
@@ -136,6 +139,12 @@
 int64_t sim_instance_clock(const struct sim *sim,
                            const struct instance *instance);
 
+/* Ends all faults, runs `steps` steps, and checks that commands are committed
+ * again, that all instances that are not absent are members with the same,
+ * fresh state, and that it has every acknowledged command once. Returns how
+ * many commands were acknowledged. */
+unsigned sim_recover(struct sim *sim, int steps);
+
 /* Counts how often a state contains a command. */
 unsigned sim_count_command(const GString *state, guint number);
 
--- a/tests/unit/test_control_calls.c
+++ b/tests/unit/test_control_calls.c
@@ -104,6 +104,7 @@
     .applied = on_applied,
     .restored = on_restored,
     .member_change = RpControl_LogMemberChange,
+    .disk_lost = RpControl_LogDiskLost,
     .failed = on_failed};
 
 /* Replies as a voter that grants every vote and stores every entry. */
--- a/tests/unit/test_member_losses.c
+++ b/tests/unit/test_member_losses.c
@@ -47,20 +47,18 @@
     {"6, two planned, then two wiped", 6, 2, 2, STOP_PLANNED, LOSS_WIPED, 0,
      50},
     {"3, killed, then wiped", 3, 1, 1, STOP_KILLED, LOSS_WIPED, 75, 125},
+    {"3, killed, then wiped at once", 3, 1, 1, STOP_KILLED, LOSS_WIPED, 0, 75},
+    {"4, killed, then wiped at once", 4, 1, 1, STOP_KILLED, LOSS_WIPED, 0, 75},
+    {"5, killed, then two wiped at once", 5, 2, 1, STOP_KILLED, LOSS_WIPED, 0,
+     75},
+    {"6, killed, then two wiped at once", 6, 2, 1, STOP_KILLED, LOSS_WIPED, 0,
+     75},
     {"3, killed, then gone", 3, 1, 1, STOP_KILLED, LOSS_GONE, 75, 125},
     {"5, killed, then two gone", 5, 2, 1, STOP_KILLED, LOSS_GONE, 75, 125},
 };
 
 static const struct scenario *scenario; /* the one that runs */
 
-static void
-run_steps(struct sim *sim, int steps)
-{
-    for (int i = 0; i < steps; i++) {
-        sim_step(sim);
-    }
-}
-
 static void
 start_group(struct sim *sim, uint32_t seed, unsigned instances,
             unsigned failures, unsigned replacements)
@@ -72,7 +70,7 @@
     sim->initial_count = instances;
     sim->instance_count = instances + replacements;
     sim_start(sim, seed);
-    run_steps(sim, SETTLE_STEPS);
+    sim_run(sim, SETTLE_STEPS);
 }
 
 static unsigned
@@ -131,9 +129,9 @@
 static void
 check_service(struct sim *sim)
 {
-    run_steps(sim, SERVICE_STEPS);
+    sim_run(sim, SERVICE_STEPS);
     unsigned before = g_hash_table_size(sim->acknowledged);
-    run_steps(sim, SETTLE_STEPS);
+    sim_run(sim, SETTLE_STEPS);
     CHECK(sim, g_hash_table_size(sim->acknowledged) > before,
           "no command is acknowledged after a loss that the group tolerates");
 }
@@ -148,7 +146,7 @@
     for (unsigned i = 0; i < scenario->replaced; i++) {
         unsigned old = choose_running(&sim);
         sim_add_instance(&sim, scenario->instances + i);
-        run_steps(&sim, CATCH_UP_STEPS);
+        sim_run(&sim, CATCH_UP_STEPS);
         if (scenario->stop == STOP_PLANNED) {
             stop_as_planned(&sim, old);
         }
@@ -156,9 +154,9 @@
             kill_without_notice(&sim, old);
         }
     }
-    run_steps(&sim, scenario->min_steps +
-                        sim_random_below(&sim, scenario->max_steps -
-                                                   scenario->min_steps));
+    sim_run(&sim, scenario->min_steps +
+                      sim_random_below(&sim, scenario->max_steps -
+                                                 scenario->min_steps));
     for (unsigned i = 0; i < scenario->failures; i++) {
         lose(&sim, choose_running(&sim));
     }
@@ -198,11 +196,11 @@
     for (unsigned i = 0; i < failures; i++) {
         sim_remove_instance(&sim, choose_running(&sim));
     }
-    run_steps(&sim, sim_random_below(&sim, 100));
+    sim_run(&sim, sim_random_below(&sim, 100));
     for (unsigned i = 0; i < failures; i++) {
         sim_add_instance(&sim, instances + i);
     }
-    run_steps(&sim, sim_random_below(&sim, 150));
+    sim_run(&sim, sim_random_below(&sim, 150));
     for (unsigned i = 0; i < failures; i++) {
         sim_remove_instance(&sim, instances + i);
     }
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -147,32 +147,6 @@
     }
 }
 
-static void
-check_recovered(struct sim *sim)
-{
-    const GString *state = sim->instances[0].state;
-    GHashTableIter iter;
-    gpointer key;
-
-    for (unsigned i = 0; i < sim->instance_count; i++) {
-        CHECK(sim,
-              sim->instances[i].replica &&
-                  RpReplica_IsMember(sim->instances[i].replica),
-              "a replica is not running or not a member after the faults");
-        CHECK(sim, g_string_equal(sim->instances[i].state, state),
-              "replicas have different states after the faults");
-        CHECK(sim,
-              RpReplica_IsFresh(sim->instances[i].replica,
-                                sim_instance_clock(sim, &sim->instances[i])),
-              "a replica is not fresh after the faults");
-    }
-    g_hash_table_iter_init(&iter, sim->acknowledged);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        CHECK(sim, sim_count_command(state, GPOINTER_TO_UINT(key)) == 1,
-              "an acknowledged command is lost or applied twice");
-    }
-}
-
 static unsigned
 run_simulation(uint32_t seed, bool group, bool planned_stops)
 {
@@ -195,31 +169,7 @@
         }
         sim_step(&sim);
     }
-    sim.inject_faults = false;
-    memset(sim.link_is_cut, 0, sizeof sim.link_is_cut);
-    for (unsigned i = 0; i < sim.instance_count; i++) {
-        sim.instances[i].frozen_steps = 0;
-        sim.instances[i].down_steps = 0;
-    }
-    unsigned acknowledged_before = g_hash_table_size(sim.acknowledged);
-    for (int i = 0; i < RECOVERY_STEPS; i++) {
-        sim_step(&sim);
-    }
-    unsigned acknowledged = g_hash_table_size(sim.acknowledged);
-    CHECK(&sim, acknowledged > acknowledged_before,
-          "no command is committed after the faults");
-    /* Let the next heartbeats carry the commit index to all followers. */
-    sim.next_command += 1000000;
-    for (int i = 0; i < 100; i++) {
-        sim.now += STEP_US;
-        for (unsigned j = 0; j < sim.instance_count; j++) {
-            RpReplica_Tick(sim.instances[j].replica,
-                           sim_instance_clock(&sim, &sim.instances[j]));
-            sim_carry_out_actions(&sim, j);
-        }
-        sim_deliver_messages(&sim);
-    }
-    check_recovered(&sim);
+    unsigned acknowledged = sim_recover(&sim, RECOVERY_STEPS);
     sim_end(&sim);
     return acknowledged;
 }
--- a/tests/unit/test_replica_members.c
+++ b/tests/unit/test_replica_members.c
@@ -53,14 +53,6 @@
 
 static const struct scenario *scenario; /* the one that runs */
 
-static void
-run_steps(struct sim *sim, int steps)
-{
-    for (int i = 0; i < steps; i++) {
-        sim_step(sim);
-    }
-}
-
 /* Chooses `count` different running instances. */
 static void
 choose_running(struct sim *sim, unsigned count, unsigned *chosen)
@@ -96,7 +88,7 @@
     choose_running(sim, scenario->at_once, old);
     if (scenario->how == HOW_PLANNED) {
         add_replacements(sim, next_instance);
-        run_steps(sim, PAUSE_STEPS);
+        sim_run(sim, PAUSE_STEPS);
     }
     for (unsigned i = 0; i < scenario->at_once; i++) {
         if (scenario->how == HOW_WIPED) {
@@ -111,11 +103,11 @@
         }
     }
     if (scenario->how == HOW_FROZEN) {
-        run_steps(sim, FREEZE_STEPS);
+        sim_run(sim, FREEZE_STEPS);
         started = sim->now;
     }
     else if (scenario->how != HOW_PLANNED) {
-        run_steps(sim, PAUSE_STEPS);
+        sim_run(sim, PAUSE_STEPS);
         started = sim->now;
     }
     if (scenario->how == HOW_GONE) {
@@ -166,9 +158,9 @@
         sim_stop_instance(sim, stopped[i]);
         sim->instances[stopped[i]].down_steps = LOSS_STEPS;
     }
-    run_steps(sim, SERVICE_STEPS);
+    sim_run(sim, SERVICE_STEPS);
     unsigned before = g_hash_table_size(sim->acknowledged);
-    run_steps(sim, LOSS_STEPS - SERVICE_STEPS);
+    sim_run(sim, LOSS_STEPS - SERVICE_STEPS);
     CHECK(sim, g_hash_table_size(sim->acknowledged) > before,
           "no command is acknowledged after a loss that the group tolerates");
 }
@@ -187,7 +179,7 @@
     sim.instance_count = scenario->instances +
                          scenario->at_once * REPLACEMENTS;
     sim_start(&sim, seed);
-    run_steps(&sim, SETTLE_STEPS);
+    sim_run(&sim, SETTLE_STEPS);
     for (unsigned i = 0; i < REPLACEMENTS; i++) {
         int64_t started = replace(&sim, &next_instance);
         while (sim.now < started + scenario->catch_up_us) {
@@ -195,7 +187,7 @@
         }
         check_members(&sim);
         check_loss(&sim);
-        run_steps(&sim, SETTLE_STEPS + sim_random_below(&sim, PAUSE_STEPS));
+        sim_run(&sim, SETTLE_STEPS + sim_random_below(&sim, PAUSE_STEPS));
     }
     unsigned acknowledged = g_hash_table_size(sim.acknowledged);
     sim_end(&sim);
