Replica: no vote for a successor until all voters have answered since it caught up

What callers would see (in the model only): no leader any more after an instance and, shortly after, its successor were lost, though all others run.

Cause: a learner gets its vote only while all voters answer, and a voter counted as answering for 0.5 s after its last message; a new leader counted every voter but its predecessor as heard at its election. So the successor of an instance that had just stopped could get a vote beside it, and the group needed every voter that was left.

Change: the leader notes its newest round when it finds that a learner has caught up, and promotes it once every voter has answered a later round. A voter that stopped before answers none, so it is found silent and demoted first.

--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -12,6 +12,9 @@
     uint64_t next_index;  /* of the next entry to send */
     uint64_t match_index; /* last entry known to be stored there */
     uint64_t acked_round; /* newest round that it has answered */
+    /* The newest round when the leader first found that the peer had caught
+     * up; 0: it has not. */
+    uint64_t caught_up_round;
     /* When that round was sent; at first, when the peer was added. */
     int64_t last_contact;
     int64_t last_heard; /* when its last reply of any kind came; same */
@@ -235,6 +238,9 @@
  * that has caught up a voter, takes the vote of a member that does not answer
  * or is about to stop, or removes a silent learner. */
 void RpReplica_UpdateMembers(struct rp_replica *replica, int64_t now);
+/* Whether the peer's log lags by a few entries at most. */
+bool RpReplica_IsCaughtUp(const struct rp_replica *replica,
+                          const struct rp_peer *peer);
 /* On the leader: once a change of the voters is committed, appends the list
  * once more, to show that to those that hold it. The entry goes out with the
  * next round. */
--- a/lib/state/rp_replica_lead.c
+++ b/lib/state/rp_replica_lead.c
@@ -340,6 +340,9 @@
     }
     peer->match_index = MAX(peer->match_index, reply->match);
     peer->next_index = MAX(peer->next_index, peer->match_index + 1);
+    if (peer->caught_up_round == 0 && RpReplica_IsCaughtUp(replica, peer)) {
+        peer->caught_up_round = replica->round;
+    }
     RpReplica_AdvanceCommit(replica);
     replica->lease_is_valid = RpReplica_IsFresh(replica, now);
     if (replica->lease_is_valid && !lease_was_valid) {
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -207,9 +207,9 @@
     }
 }
 
-/* Whether a member lags by at most CAUGHT_UP_MAX_LAG entries. */
-static bool
-is_caught_up(const struct rp_replica *replica, const struct rp_peer *peer)
+bool
+RpReplica_IsCaughtUp(const struct rp_replica *replica,
+                     const struct rp_peer *peer)
 {
     return peer->match_index > 0 && peer->match_index + CAUGHT_UP_MAX_LAG >=
                                         RpReplicaLog_LastIndex(replica);
@@ -232,7 +232,7 @@
     if (id == replica->id) {
         return !replica->leaving;
     }
-    return peer && is_caught_up(replica, peer) && answers(peer, now) &&
+    return peer && RpReplica_IsCaughtUp(replica, peer) && answers(peer, now) &&
            !peer->leaving;
 }
 
@@ -265,17 +265,40 @@
     return -1;
 }
 
+/* Whether every voter has answered a round that was sent after `round`. */
+static bool
+all_voters_answered_after(struct rp_replica *replica, uint64_t round)
+{
+    for (guint i = 0; i < replica->members->len; i++) {
+        const struct rp_replica_member *member = member_at(replica, i);
+        const struct rp_peer *peer = RpReplica_FindPeer(replica, member->id);
+        if (member->voter && peer && peer->acked_round <= round) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Returns the position of the learner to promote now; -1 if there is none.
  * Beside a voter that does not answer, another one raises the quorum: the
  * group would need each voter that is left, the new one included. Such a voter
- * either answers again or is demoted first. */
+ * either answers again or is demoted first. One that has answered before the
+ * learner was ready may have stopped since. */
 static int
 find_promotable_learner(struct rp_replica *replica, int64_t now)
 {
     bool lacks_voters = RpReplica_VoterCount(replica) < replica->min_voters;
+    int learner = find_caught_up_learner(replica, now);
 
-    return lacks_voters || find_unresponsive_voter(replica, now) < 0
-               ? find_caught_up_learner(replica, now)
+    if (learner < 0 || lacks_voters) {
+        return learner;
+    }
+    const struct rp_peer *peer = RpReplica_FindPeer(
+        replica, member_at(replica, (guint)learner)->id);
+    return find_unresponsive_voter(replica, now) < 0 &&
+                   all_voters_answered_after(replica,
+                                             peer ? peer->caught_up_round : 0)
+               ? learner
                : -1;
 }
 
--- a/lib/state/rp_replica_quorum.c
+++ b/lib/state/rp_replica_quorum.c
@@ -168,8 +168,8 @@
     size_t count = 0;
 
     for (guint i = 0; i < replica->lost->len; i++) {
-        count += RpReplica_IsVoter(
-            replica, g_array_index(replica->lost, uint64_t, i));
+        count += RpReplica_IsVoter(replica,
+                                   g_array_index(replica->lost, uint64_t, i));
     }
     return count;
 }
--- a/tests/unit/test_lost_disks.c
+++ b/tests/unit/test_lost_disks.c
@@ -50,8 +50,9 @@
         for (unsigned j = 0; j < sim->instance_count; j++) {
             const struct instance *other = &sim->instances[j];
             if (!other->absent &&
-                (!other->replica || !RpReplica_IsFresh(
-                    other->replica, sim_instance_clock(sim, other)) ||
+                (!other->replica ||
+                 !RpReplica_IsFresh(other->replica,
+                                    sim_instance_clock(sim, other)) ||
                  lists_as_voter(other, instance->id) == instance->absent)) {
                 return false;
             }
--- a/tests/unit/test_member_losses.c
+++ b/tests/unit/test_member_losses.c
@@ -186,7 +186,20 @@
 }
 
 static unsigned
-run_lost_successor(uint32_t seed)
+choose_leader(struct sim *sim)
+{
+    for (unsigned i = 0; i < sim->instance_count; i++) {
+        if (sim_is_running(sim, i) &&
+            RpReplica_Role(sim->instances[i].replica) == RP_REPLICA_LEADER) {
+            return i;
+        }
+    }
+    CHECK(sim, false, "there is no leader");
+    return 0;
+}
+
+static unsigned
+lose_successors(uint32_t seed, bool lose_leader)
 {
     static struct sim sim;
     unsigned failures = seed % 2 ? 1 : 2;
@@ -194,9 +207,11 @@
 
     start_group(&sim, seed, instances, failures, failures);
     for (unsigned i = 0; i < failures; i++) {
-        sim_remove_instance(&sim, choose_running(&sim));
+        sim_remove_instance(&sim, i == 0 && lose_leader
+                                      ? choose_leader(&sim)
+                                      : choose_running(&sim));
     }
-    sim_run(&sim, sim_random_below(&sim, 100));
+    sim_run(&sim, lose_leader ? 0 : sim_random_below(&sim, 100));
     for (unsigned i = 0; i < failures; i++) {
         sim_add_instance(&sim, instances + i);
     }
@@ -210,6 +225,18 @@
     return acknowledged;
 }
 
+static unsigned
+run_lost_successor(uint32_t seed)
+{
+    return lose_successors(seed, false);
+}
+
+static unsigned
+run_lost_leader_and_successor(uint32_t seed)
+{
+    return lose_successors(seed, true);
+}
+
 /* Guards against a successor that gets its vote beside the dead voter that it
  * replaces: if it was lost too, the two dead voters left no quorum for good,
  * though every instance that was not replaced still ran. */
@@ -224,12 +251,26 @@
     print_message("%u seeds, %u commands acknowledged\n", ran, acknowledged);
 }
 
+/* Guards against a new leader that takes a voter for alive before it has heard
+ * from it, and gives successors their vote beside it. */
+static void
+test_successor_of_the_leader_is_lost_too(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    unsigned acknowledged = run_seeds(run_lost_leader_and_successor,
+                                      20 * DEFAULT_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds, %u commands acknowledged\n", ran, acknowledged);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_loss_right_after_a_replacement),
         cmocka_unit_test(test_successor_is_lost_too),
+        cmocka_unit_test(test_successor_of_the_leader_is_lost_too),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
