Replica: a leader that has lost its quorum starts no change of the members

What callers would see (in the model only): no leader for good after a voter was frozen, another one cut off and the leader's disk lost, though the two that are left hold everything.

Cause: a leader that had heard from a quorum within 0.5 s took the vote of the voter that fell silent first, though the quorum had gone meanwhile. The change was stored on two of four and never committed. Those that store it need the voters after it, those that don't have the shorter log.

Change: a change starts only if a quorum has answered within two heartbeats.

--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -11,17 +11,32 @@
  * below this many: with fewer, one disk may hold the only copy of an entry. */
 #define DEFAULT_MIN_VOTERS 3
 
+/* How long ago a quorum must have answered when a change starts. */
+#define CHANGE_CONTACT_MAX_AGE_US (2 * RP_HEARTBEAT_INTERVAL_US)
+
+static bool
+was_heard_since(const struct rp_peer *peer, uint64_t time)
+{
+    return peer->last_heard >= (int64_t)time;
+}
+
 /* A leader may start a change once the previous one is committed and it has
- * committed an entry of its own term. */
+ * committed an entry of its own term. A quorum must be in contact: a change
+ * that is stored, but not committed, keeps the replicas that store it from
+ * electing a leader among the members before it. Voters that were cut off
+ * together fall silent together, so a leader that can reach no quorum must not
+ * go by the one that is found silent first. */
 static bool
-can_change_members(const struct rp_replica *replica)
+can_change_members(const struct rp_replica *replica, int64_t now)
 {
     uint64_t term = 0;
 
     return replica->role == RP_REPLICA_LEADER &&
            replica->members_index <= replica->commit_index &&
            RpReplicaLog_TermAt(replica, replica->commit_index, &term) &&
-           term == replica->term;
+           term == replica->term &&
+           RpReplica_HasQuorum(replica, was_heard_since,
+                               (uint64_t)(now - CHANGE_CONTACT_MAX_AGE_US));
 }
 
 const char *
@@ -192,7 +207,7 @@
         }
         return;
     }
-    if (!can_change_members(replica) || member->id == 0) {
+    if (!can_change_members(replica, now) || member->id == 0) {
         return;
     }
     int known = find_position(replica, member->id);
@@ -391,7 +406,7 @@
 void
 RpReplica_UpdateMembers(struct rp_replica *replica, int64_t now)
 {
-    if (!can_change_members(replica)) {
+    if (!can_change_members(replica, now)) {
         return;
     }
     int learner = find_promotable_learner(replica, now);
--- a/tests/unit/test_lost_disks.c
+++ b/tests/unit/test_lost_disks.c
@@ -254,6 +254,28 @@
     sim_end(&sim);
 }
 
+/* Guards against a change that a leader starts when it reaches no quorum any
+ * more: it is never committed, and those that store it can't elect a leader
+ * with those that don't. */
+static void
+test_no_change_without_a_quorum(void **state)
+{
+    static struct sim sim;
+    unsigned leader = start_four(&sim);
+    unsigned silent = (leader + 1) % 4;
+
+    (void)state;
+    sim.instances[silent].frozen_steps = 60;
+    sim_run(&sim, 10);
+    cut_off(&sim, (leader + 2) % 4);
+    sim_run(&sim, 50);
+    for (unsigned i = 0; i < 4; i++) {
+        CHECK(&sim, RpReplica_VoterCount(sim.instances[i].replica) == 4,
+              "a voter has become a learner, though no quorum was left");
+    }
+    sim_end(&sim);
+}
+
 /* Guards against voters before a change that are asked again after a restart,
  * when the change has long been committed and they are gone. */
 static void
@@ -282,6 +304,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_half_does_not_contradict_a_change),
+        cmocka_unit_test(test_no_change_without_a_quorum),
         cmocka_unit_test(test_change_outlives_a_restart),
         cmocka_unit_test(test_lost_disks_property),
     };
