Control: former targets are kept until every balancer has the table of the move

Cause: the leader forgot former targets one flow lifetime after it had seen them itself. Who opens flows there is the last balancer that routes by the table before the move, later by as long as it was paused or cut off. Once the target is forgotten, a search asks the other services only, and resets. Evidence: all 24 resets have reason=reset_owner_gone, 0.2 s after former_targets_expired; the same flows were answered until then. Ruled out: owners that lost the flows, owners that did not answer a search.

One that is no longer connected counts with the revision that it confirmed for 10 minutes, a replica that no longer reports with its last report. New gauge lowest_routed. The message between replicas has a new last field; a replica of an earlier version sends none, and nothing is forgotten meanwhile.

Test: test_former_targets_are_forgotten_in_time in test_route_moves.

--- a/lib/control/rp_distribution.c
+++ b/lib/control/rp_distribution.c
@@ -553,6 +553,26 @@
     return lowest;
 }
 
+uint64_t
+RpDistribution_LowestRouted(const struct rp_distribution *distribution,
+                            int64_t now)
+{
+    uint64_t lowest = RpCatalog_Revision(distribution->catalog);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, distribution->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct node *node = value;
+        bool may_route = node->connection != 0 ||
+                         now < node->disconnected_at + RP_NODE_ROUTING_US;
+        if (node->role == RP_ROLE_BALANCER && may_route) {
+            lowest = MIN(lowest, node->confirmed);
+        }
+    }
+    return lowest;
+}
+
 GArray *
 RpDistribution_ListConnections(const struct rp_distribution *distribution)
 {
--- a/lib/control/rp_distribution.h
+++ b/lib/control/rp_distribution.h
@@ -23,6 +23,9 @@
 /* A node that stays disconnected this long is removed from the list. */
 #define RP_NODE_RETENTION_US (3600 * RP_US_PER_SECOND)
 #define RP_NODE_MAX 65536
+/* A balancer that disconnected less than this long ago may have been cut off,
+ * and still route by the table that it had. */
+#define RP_NODE_ROUTING_US (600 * RP_US_PER_SECOND)
 /* How long after its start a replica waits for agents to announce their
  * upstreams to it: agents need 1.2 s to detect that their replica is gone,
  * and then try each of the other replicas. */
@@ -126,6 +129,13 @@
 uint64_t
 RpDistribution_LowestConfirmed(const struct rp_distribution *distribution);
 
+/* Returns the lowest of the catalogue's revision and the revisions that
+ * balancers may still route by: those that are connected, and those that
+ * disconnected less than RP_NODE_ROUTING_US ago. */
+uint64_t
+RpDistribution_LowestRouted(const struct rp_distribution *distribution,
+                            int64_t now);
+
 /* Lists all known nodes as struct rp_msg_node_info, for a STATUS message. The
  * caller frees the array. */
 GArray *RpDistribution_ListNodes(const struct rp_distribution *distribution,
--- a/lib/wire/rp_msg.c
+++ b/lib/wire/rp_msg.c
@@ -197,9 +197,14 @@
 
 static const struct rp_field confirm_fields[] = {
     UINT(rp_msg_confirm, revision),
-};
-static const struct rp_schema rp_msg_confirm_schema = RP_SCHEMA(
-    rp_msg_confirm, confirm_fields);
+    UINT(rp_msg_confirm, routed),
+};
+/* Earlier versions end after the first field. */
+static const struct rp_schema rp_msg_confirm_schema = {
+    .fields = confirm_fields,
+    .count = G_N_ELEMENTS(confirm_fields),
+    .required = G_N_ELEMENTS(confirm_fields) - 1,
+    .size = sizeof(struct rp_msg_confirm)};
 
 static const struct rp_field change_fields[] = {
     BLOB(rp_msg_change, id),       UINT(rp_msg_change, kind),
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -236,9 +236,13 @@
     uint16_t leader_port;
 };
 
-/* Node to control: the node has applied this configuration revision. */
+/* Node to control: the node has applied this configuration revision. Between
+ * replicas: the lowest revision that the sender's nodes have applied. */
 struct rp_msg_confirm {
     uint64_t revision;
+    /* Between replicas: the lowest revision that a balancer may still route
+     * by, also one that the sender has lost sight of; 0: not known. */
+    uint64_t routed;
 };
 
 /* What a change does. */
--- a/programs/daemon/control.c
+++ b/programs/daemon/control.c
@@ -192,28 +192,24 @@
 }
 
 /* Forgets former targets of virtual addresses once the flows of their time
- * must have ended. The flow lifetime is counted from when this leader first
- * sees them, so a change of the leader only makes it longer. */
+ * must have ended. */
 static void
 expire_former_targets(struct control *control, int64_t now)
 {
-    uint64_t revision = RpCatalog_FormerRevision(get_catalog(control));
+    uint64_t newest = RpCatalog_FormerRevision(get_catalog(control));
+    uint64_t routed = RpControlLinks_LowestRouted(
+        control->links, now,
+        RpDistribution_LowestRouted(control->distribution, now));
     int64_t lifetime = control->settings.flow_lifetime_seconds *
                        RP_US_PER_SECOND;
+    uint64_t due = lifetime == 0
+                       ? 0
+                       : RpFormerExpiry_Update(&control->former_expiry, now,
+                                               newest, routed, lifetime);
 
-    if (lifetime == 0) {
-        return;
-    }
-    if (control->former_revision == 0 && revision > 0) {
-        control->former_revision = revision;
-        control->former_deadline = now + lifetime;
-    }
-    if (control->former_revision == 0 || now < control->former_deadline) {
-        return;
+    if (due > 0) {
+        propose_command(control, RpCatalog_EncodeExpireFormer(due));
     }
-    propose_command(control,
-                    RpCatalog_EncodeExpireFormer(control->former_revision));
-    control->former_revision = 0;
 }
 
 /* Runs the leader's own duties: gives a new system its hash key, releases the
@@ -244,8 +240,8 @@
 }
 
 /* Runs once per REPORT_INTERVAL_US: sends the other replicas the lowest
- * revision that this replica's nodes have confirmed, and runs the leader's
- * duties. */
+ * revisions that this replica's nodes have confirmed and may route by, and
+ * runs the leader's duties. */
 static void
 run_periodic_tasks(struct control *control, int64_t now)
 {
@@ -255,15 +251,17 @@
     control->next_periodic_run = now + REPORT_INTERVAL_US;
     const struct rp_msg msg = {
         .type = RP_MSG_CONFIRM,
-        .confirm = {.revision = RpDistribution_LowestConfirmed(
-                        control->distribution)}};
+        .confirm = {
+            .revision = RpDistribution_LowestConfirmed(control->distribution),
+            .routed = RpDistribution_LowestRouted(control->distribution,
+                                                  now)}};
     RpControlLinks_SendAll(control->links, &msg);
     RpControl_LogMemoryIfChanged(control);
     if (RpReplica_Role(get_replica(control)) == RP_REPLICA_LEADER) {
         run_leader_duties(control, now);
     }
     else {
-        control->former_revision = 0;
+        control->former_expiry = (struct rp_former_expiry){0};
     }
 }
 
@@ -425,11 +423,13 @@
     g_string_append_printf(
         out,
         "revision %" G_GUINT64_FORMAT "\nlowest_confirmed %" G_GUINT64_FORMAT
+        "\nlowest_routed %" G_GUINT64_FORMAT
         "\nconnections %u\nterm %" G_GUINT64_FORMAT
         "\ncommitted %" G_GUINT64_FORMAT
         "\nleads %d\nfresh %d\nreplica_links %u\nzones_evacuated %u\n",
         RpCatalog_Revision(get_catalog(control)),
         RpDistribution_LowestConfirmed(control->distribution),
+        RpDistribution_LowestRouted(control->distribution, RpClock_Now()),
         g_hash_table_size(control->clients), RpReplica_Term(replica),
         RpReplica_CommitIndex(replica),
         RpReplica_Role(replica) == RP_REPLICA_LEADER,
--- a/programs/daemon/control.h
+++ b/programs/daemon/control.h
@@ -6,6 +6,7 @@
 #include "control_replica.h"
 #include "rp_daemon.h"
 #include "rp_distribution.h"
+#include "rp_former_expiry.h"
 #include "rp_platform.h"
 #include "rp_registry.h"
 #include "rp_disconnect_policy.h"
@@ -61,10 +62,7 @@
     struct rp_listener *listener;
     GHashTable *clients; /* connection number -> struct client */
     GHashTable *pending; /* log index -> struct pending_change */
-    /* Leader: former targets up to this revision are forgotten at the
-     * deadline; 0: none are waiting. */
-    uint64_t former_revision;
-    int64_t former_deadline;
+    struct rp_former_expiry former_expiry; /* used by the leader */
     int64_t leave_deadline; /* of a planned stop; 0: none was requested */
     int64_t ticked_at;      /* when the last tick ran; 0: none yet */
     int64_t changed_at;     /* when the newest change was applied; 0: none */
@@ -300,15 +298,20 @@
 void RpControlLinks_SendAll(struct control_links *links,
                             const struct rp_msg *msg);
 
-/* Records the lowest revision that all nodes of another replica have
- * confirmed. */
+/* Records what another replica tells of its nodes. */
 void RpControlLinks_SetConfirmed(struct control_links *links, int64_t now,
                                  const struct rp_name *name,
-                                 uint64_t revision);
+                                 const struct rp_msg_confirm *confirm);
 
 /* Returns the minimum of `own` and the revisions that replicas have reported
  * within the last 5 s. */
 uint64_t RpControlLinks_LowestConfirmed(const struct control_links *links,
                                         int64_t now, uint64_t own);
 
+/* Returns the minimum of `own` and the revisions that balancers of the other
+ * replicas may still route by. A replica that reports no longer counts with
+ * its last report for RP_NODE_ROUTING_US. */
+uint64_t RpControlLinks_LowestRouted(const struct control_links *links,
+                                     int64_t now, uint64_t own);
+
 #endif
--- a/programs/daemon/control_links.c
+++ b/programs/daemon/control_links.c
@@ -28,8 +28,8 @@
 /* How long a link is kept after its address has left the settings and the log.
  * A replica that is taken out must still be told so. */
 #define FORGET_US (10 * RP_US_PER_SECOND)
-/* Reported revisions older than this are ignored: their replica counts as
- * unreachable. */
+/* Confirmed revisions reported before this are ignored: their replica counts
+ * as unreachable. */
 #define REPORT_TTL_US (5 * RP_US_PER_SECOND)
 /* A leader sends a member that is down ten heartbeats a second. */
 #define UNREACHED_LINES_PER_SECOND 2
@@ -51,10 +51,11 @@
     bool forgotten;          /* freed once its connection is closed */
 };
 
-/* The lowest revision that all nodes of a replica have confirmed. */
+/* What a replica has told of its nodes. */
 struct report {
-    uint64_t revision;
-    int64_t keep_until;
+    uint64_t confirmed; /* the lowest revision of all that are connected */
+    uint64_t routed;    /* the lowest that a balancer may still route by */
+    int64_t at;         /* when it came */
 };
 
 /* What is known of a replica from its messages of the replicated log. */
@@ -537,12 +538,14 @@
 
 void
 RpControlLinks_SetConfirmed(struct control_links *links, int64_t now,
-                            const struct rp_name *name, uint64_t revision)
+                            const struct rp_name *name,
+                            const struct rp_msg_confirm *confirm)
 {
     struct report *report = g_new0(struct report, 1);
 
-    report->revision = revision;
-    report->keep_until = now + REPORT_TTL_US;
+    report->confirmed = confirm->revision;
+    report->routed = confirm->routed;
+    report->at = now;
     g_hash_table_replace(links->reports, g_strdup(name->data), report);
 }
 
@@ -556,8 +559,25 @@
     g_hash_table_iter_init(&iter, links->reports);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct report *report = value;
-        if (now < report->keep_until) {
-            own = MIN(own, report->revision);
+        if (now < report->at + REPORT_TTL_US) {
+            own = MIN(own, report->confirmed);
+        }
+    }
+    return own;
+}
+
+uint64_t
+RpControlLinks_LowestRouted(const struct control_links *links, int64_t now,
+                            uint64_t own)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, links->reports);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct report *report = value;
+        if (now < report->at + RP_NODE_ROUTING_US) {
+            own = MIN(own, report->routed);
         }
     }
     return own;
--- a/programs/daemon/control_nodes.c
+++ b/programs/daemon/control_nodes.c
@@ -559,19 +559,20 @@
 
 static void
 on_confirm(struct control *control, const struct client *client,
-           uint64_t revision)
+           const struct rp_msg_confirm *confirm)
 {
     int64_t now = RpClock_Now();
 
     if (client->hello.role == RP_ROLE_CONTROL) {
         RpControlLinks_SetConfirmed(control->links, now, &client->hello.name,
-                                    revision);
+                                    confirm);
         RpRegistry_RecordReplicaMessage(control->registry, now,
                                         &client->hello.name);
         return;
     }
     if (RpDistribution_Confirm(control->distribution, now,
-                               RpConn_Number(client->conn), revision) &&
+                               RpConn_Number(client->conn),
+                               confirm->revision) &&
         control->changed_at) {
         RpCounters_AddDuration(&control->daemon.counters,
                                RP_HISTOGRAM_IN_FORCE,
@@ -626,7 +627,7 @@
         on_subscribe(control, client, &msg->subscribe);
         break;
     case RP_MSG_CONFIRM:
-        on_confirm(control, client, msg->confirm.revision);
+        on_confirm(control, client, &msg->confirm);
         break;
     case RP_MSG_JOIN:
         RpControl_OnJoin(control, client->conn, &client->hello,
--- a/tests/unit/test_distribution.c
+++ b/tests/unit/test_distribution.c
@@ -180,6 +180,18 @@
     GArray *nodes = RpDistribution_ListNodes(distribution, 4);
     assert_int_equal(nodes->len, 2);
     g_array_free(nodes, TRUE);
+    /* But it may still route by the table that it had. */
+    assert_int_equal(RpDistribution_LowestRouted(distribution, 4), 1);
+    assert_int_equal(
+        RpDistribution_LowestRouted(distribution, 3 + RP_NODE_ROUTING_US), 2);
+    /* It comes back with that table, and then gets the present one. */
+    subscribe(fixture, 5, 3, "balancer-2", "", 1);
+    assert_int_equal(RpDistribution_LowestRouted(distribution, 5), 1);
+    RpDistribution_Confirm(distribution, 6, 3, 2);
+    assert_int_equal(RpDistribution_LowestRouted(distribution, 6), 2);
+    /* An agent places no new flows. */
+    subscribe_as(fixture, 7, 4, RP_ROLE_AGENT, "up-1", "lens-desk", 0);
+    assert_int_equal(RpDistribution_LowestRouted(distribution, 7), 2);
 }
 
 /* Which nodes get a full table from a replica that is not fresh, or whose
--- a/tests/unit/test_route_moves.c
+++ b/tests/unit/test_route_moves.c
@@ -3,7 +3,8 @@
  * different times, agents and control replicas restart, machines fall silent
  * and come back, services leave the edition and come back. In every second
  * seed all hosts lose their flows at once, as after a loss of power. No
- * edition drops an address.
+ * edition drops an address. In one test, time passes in which flows end and
+ * former targets are forgotten.
  *
  * Checked for every seed: no packet ever makes an agent reset a flow that its
  * host has; once every table is up to date, a packet of each open flow reaches
@@ -20,6 +21,7 @@
 #include "rp_bytes.h"
 #include "rp_distribution.h"
 #include "rp_flow_chart.h"
+#include "rp_former_expiry.h"
 #include "rp_platform.h"
 #include "rp_time.h"
 #include "seeds.h"
@@ -32,6 +34,7 @@
 #define FLOWS 24
 #define STEPS 250
 #define DEFAULT_SEEDS 400
+#define FLOW_LIFETIME_US (60 * RP_US_PER_SECOND)
 #define MAX_HOPS 64
 #define FIRST_IP 0x0a010001 /* of the virtual addresses */
 #define HEADER_SIZE 31      /* of the platform's packets */
@@ -47,6 +50,7 @@
     struct rp_flow_key key;
     int owner;
     bool died; /* with its host */
+    int64_t ends_at;
     uint32_t sequence;
 };
 
@@ -68,6 +72,7 @@
     struct node nodes[NODES];
     struct rp_owner_hints *hints[BALANCERS]; /* NULL: takes no hints */
     struct open_flow flows[FLOWS];
+    struct rp_former_expiry former_expiry;
     unsigned uses[ADDRESSES]; /* bit set: services that the edition names */
     unsigned next_port;
     unsigned hinted; /* hints that balancers got */
@@ -95,13 +100,25 @@
     return agent / AGENTS;
 }
 
+static void
+apply_command(struct simulation *sim, GString *command)
+{
+    struct rp_msg_change_reply reply = {0};
+
+    RpCatalog_Apply(sim->catalog,
+                    (struct rp_str){.data = command->str, .len = command->len},
+                    &reply);
+    CHECK(sim, reply.code == RP_OK, "a command is refused");
+    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
+    g_string_free(command, TRUE);
+}
+
 /* Applies a random edition: each address goes to one service or is split, and
  * only the services that it names are listed. */
 static void
 apply_edition(struct simulation *sim)
 {
     struct rp_edition edition;
-    struct rp_msg_change_reply reply = {0};
     unsigned listed = 0;
 
     RpEdition_Init(&edition);
@@ -133,13 +150,7 @@
             g_array_append_val(edition.services, service);
         }
     }
-    GString *command = RpCatalog_EncodeEdition(&edition);
-    RpCatalog_Apply(sim->catalog,
-                    (struct rp_str){.data = command->str, .len = command->len},
-                    &reply);
-    CHECK(sim, reply.code == RP_OK, "an edition is refused");
-    RpSchema_Clear(&rp_msg_change_reply_schema, &reply);
-    g_string_free(command, TRUE);
+    apply_command(sim, RpCatalog_EncodeEdition(&edition));
     RpEdition_Clear(&edition);
 }
 
@@ -427,6 +438,7 @@
                 .dst_ip = FIRST_IP + number % ADDRESSES,
                 .dst_port = 443},
         .owner = -1,
+        .ends_at = sim->now + FLOW_LIFETIME_US,
         .sequence = 100};
     int taker = deliver(sim, flow, true);
     flow->owner = taker == RESET ? NOT_DELIVERED : taker;
@@ -467,6 +479,46 @@
     }
 }
 
+/* Returns the lowest revision that a balancer routes by. */
+static uint64_t
+lowest_routed(const struct simulation *sim)
+{
+    uint64_t lowest = UINT64_MAX;
+
+    for (int i = 0; i < BALANCERS; i++) {
+        lowest = MIN(lowest, RpTable_Revision(sim->nodes[i].table));
+    }
+    return lowest;
+}
+
+/* Lets up to 90 s pass: flows that are too old end, and the leader forgets
+ * former targets. */
+static void
+pass_time(struct simulation *sim)
+{
+    for (int seconds = random_below(sim, 90); seconds > 0; seconds--) {
+        sim->now += RP_US_PER_SECOND;
+        uint64_t due = RpFormerExpiry_Update(
+            &sim->former_expiry, sim->now,
+            RpCatalog_FormerRevision(sim->catalog), lowest_routed(sim),
+            FLOW_LIFETIME_US);
+        if (due > 0) {
+            apply_command(sim, RpCatalog_EncodeExpireFormer(due));
+        }
+    }
+    for (unsigned i = 0; i < FLOWS; i++) {
+        if (sim->now >= sim->flows[i].ends_at) {
+            sim->flows[i].owner = -1;
+        }
+    }
+}
+
+/* Whether balancers take hints about the owners of flows, and whether time
+ * passes in which flows end. */
+static bool takes_hints;
+static bool passes_time;
+static unsigned hinted;
+
 static void
 step(struct simulation *sim)
 {
@@ -474,7 +526,7 @@
     struct node *node = &sim->nodes[random_below(sim, NODES)];
 
     sim->now += random_below(sim, 60) * RP_US_PER_MS;
-    switch (random_below(sim, 14)) {
+    switch (random_below(sim, passes_time ? 15 : 14)) {
     case 0:
         apply_edition(sim);
         break;
@@ -499,6 +551,9 @@
         }
         sim->now += RP_US_PER_SECOND;
         break;
+    case 14:
+        pass_time(sim);
+        break;
     default:
         if (sim->flows[number].owner < 0) {
             open_flow(sim, number);
@@ -545,10 +600,6 @@
     return open;
 }
 
-/* Whether balancers take hints about the owners of flows. */
-static bool takes_hints;
-static unsigned hinted;
-
 static unsigned
 run_seed(uint32_t seed)
 {
@@ -627,12 +678,28 @@
     assert_true(hinted > ran);
 }
 
+/* Guards against a former target that is forgotten while flows are open that a
+ * balancer with an older table has placed there. */
+static void
+test_former_targets_are_forgotten_in_time(void **state)
+{
+    uint32_t ran;
+
+    (void)state;
+    takes_hints = false;
+    passes_time = true;
+    unsigned open = run_seeds(run_seed, DEFAULT_SEEDS, NULL, 0, &ran);
+    print_message("%u seeds, %u open flows, each reached\n", ran, open);
+    passes_time = false;
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_moved_addresses_keep_their_flows),
         cmocka_unit_test(test_moved_addresses_with_hints),
+        cmocka_unit_test(test_former_targets_are_forgotten_in_time),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
