Catalogue: a list of former targets that is cut short says so, and resets nobody

Cause: an address kept three former targets; a fourth pushed the earliest out without a trace, and a search took the list for complete. The service that the address went back to was taken out only after the new row had been added. Evidence: the three services that are left answer truthfully that they have no such flow, and reset_owner_gone follows; the owner is never asked. Ruled out: the owner, tables of different age.

Change: seven former targets, and above that a row with the service id 0 in place of the earliest, so that an agent neither searches nor resets. The service that the address goes back to is taken out first. A search covers eight services, and begins also where nobody could be reset if the address has more services than a chain can name.

--- a/lib/control/rp_catalog.h
+++ b/lib/control/rp_catalog.h
@@ -38,7 +38,7 @@
 #include "rp_msg.h"
 
 #define RP_CATALOG_MAX_ANSWERS 65536 /* change ids */
-#define RP_CATALOG_MAX_FORMER 3      /* former targets of one address */
+#define RP_CATALOG_MAX_FORMER 7      /* former targets of one address */
 #define RP_CATALOG_MAX_ZONES 64      /* data centres, evacuated or restored */
 
 /* A service in the catalogue. */
@@ -54,7 +54,7 @@
 
 /* A service to which an earlier edition sent flows of a virtual address. */
 struct rp_former_target {
-    uint32_t service_id;
+    uint32_t service_id; /* RP_TARGET_UNLISTED: services that are not kept */
     uint64_t revision; /* at which an edition changed the address's targets */
 };
 
--- a/lib/control/rp_catalog_former.c
+++ b/lib/control/rp_catalog_former.c
@@ -36,6 +36,29 @@
     }
 }
 
+/* If the list is too long, merges the earliest target into the row of those
+ * that are not listed, which is the first. Until they would have expired it is
+ * thus known that they are missing. */
+static void
+unlist_earliest(GArray *list)
+{
+    struct rp_former_target *first = &g_array_index(
+        list, struct rp_former_target, 0);
+
+    if (list->len <= RP_CATALOG_MAX_FORMER) {
+        return;
+    }
+    if (first->service_id != RP_TARGET_UNLISTED) {
+        first->service_id = RP_TARGET_UNLISTED;
+    }
+    else if (list->len > RP_CATALOG_MAX_FORMER + 1) {
+        const struct rp_former_target *second = &g_array_index(
+            list, struct rp_former_target, 1);
+        first->revision = MAX(first->revision, second->revision);
+        g_array_remove_index(list, 1);
+    }
+}
+
 void
 RpCatalog_AddFormer(struct rp_catalog *catalog, guint64 key,
                     uint32_t service_id, uint64_t revision)
@@ -51,9 +74,7 @@
     }
     remove_service_row(list, service_id);
     g_array_append_val(list, row);
-    if (list->len > RP_CATALOG_MAX_FORMER) {
-        g_array_remove_index(list, 0);
-    }
+    unlist_earliest(list);
 }
 
 static bool
@@ -84,25 +105,27 @@
                const struct rp_edition_vip *new, uint64_t revision)
 {
     guint64 key = vip_key(old);
-
+    GArray *list = g_hash_table_lookup(catalog->former, &key);
+    const struct rp_catalog_entry *only =
+        new->targets->len == 1
+            ? RpCatalog_Find(
+                  catalog,
+                  &g_array_index(new->targets, struct rp_edition_target, 0)
+                       .service)
+            : NULL;
+
+    /* Before the others are added: its row may be the one too many. */
+    if (only && list) {
+        remove_service_row(list, only->id);
+    }
     for (guint i = 0; i < old->targets->len; i++) {
         const struct rp_catalog_entry *entry = RpCatalog_Find(
             catalog,
             &g_array_index(old->targets, struct rp_edition_target, i).service);
-        if (entry) {
+        if (entry && entry != only) {
             RpCatalog_AddFormer(catalog, key, entry->id, revision);
         }
     }
-    if (new->targets->len != 1) {
-        return;
-    }
-    const struct rp_catalog_entry *only = RpCatalog_Find(
-        catalog,
-        &g_array_index(new->targets, struct rp_edition_target, 0).service);
-    GArray *list = g_hash_table_lookup(catalog->former, &key);
-    if (only && list) {
-        remove_service_row(list, only->id);
-    }
 }
 
 void
--- a/lib/control/rp_catalog_internal.h
+++ b/lib/control/rp_catalog_internal.h
@@ -48,8 +48,9 @@
 /* rp_catalog_former.c: frees a list in `former`; a GDestroyNotify. */
 void RpCatalog_FreeFormerList(gpointer data);
 
-/* Adds a former target of the virtual address with this key, as its latest,
- * and drops the earliest one above RP_CATALOG_MAX_FORMER. */
+/* Adds a former target of the virtual address with this key, as its latest.
+ * Above RP_CATALOG_MAX_FORMER, RP_TARGET_UNLISTED takes the place of the
+ * earliest one. */
 void RpCatalog_AddFormer(struct rp_catalog *catalog, guint64 key,
                          uint32_t service_id, uint64_t revision);
 
--- a/lib/flow/rp_agent.h
+++ b/lib/flow/rp_agent.h
@@ -26,7 +26,7 @@
 #include "rp_packet.h"
 #include "rp_table.h"
 
-#define RP_MAX_ACTIONS 6 /* of one call */
+#define RP_MAX_ACTIONS 8 /* of one call */
 /* Bytes that a packet made by the agent fits into. */
 #define RP_SCRATCH_SIZE RP_CODEC_SCRATCH
 
--- a/lib/flow/rp_agent_internal.h
+++ b/lib/flow/rp_agent_internal.h
@@ -314,6 +314,11 @@
                                 const struct rp_chain *chain,
                                 struct rp_actions *actions);
 
+/* rp_agent_search.c: whether the table has every service that the address has
+ * or had; a flow of another one must not be taken for lost. */
+bool RpAgent_ListsAllServices(const struct rp_agent *agent,
+                              struct rp_endpoint address);
+
 /* rp_agent_search.c: asks every agent that may own the packet's flow whether
  * it does, and the owner to handle the packet. Returns false if nothing is
  * sent: the table may lack agents, or there are too many searches. */
--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -481,7 +481,8 @@
     bool keep_waiting = flow &&
                         now < flow->host_seen + RP_OWNER_SEARCH_TIMEOUT_US;
     if (keep_waiting || !RpAgent_CanMakeSegments(agent) ||
-        (packet->flags & RP_TCP_RST)) {
+        (packet->flags & RP_TCP_RST) ||
+        !RpAgent_ListsAllServices(agent, RpFlowKey_Destination(packet->key))) {
         RpAgent_AddAction(agent, actions, RP_ACTION_DROP,
                           RP_COUNT_DROP_NO_OWNER);
         return;
--- a/lib/flow/rp_agent_search.c
+++ b/lib/flow/rp_agent_search.c
@@ -16,12 +16,15 @@
 #define MEMBERS_RETURN_US (2500 * RP_US_PER_MS)
 #define FIRST_TABLE_SETTLE_US (200 * RP_US_PER_MS)
 
+/* Services of one search: the agents of each are asked by one action. */
+#define MAX_SERVICES RP_MAX_ACTIONS
+
 /* The services whose agents are asked, and the agents in groups by service. */
 struct search_plan {
     GArray *agents; /* of struct rp_endpoint */
     size_t service_count;
-    const struct rp_service *service[RP_CHAIN_MAX_SERVICES];
-    guint first[RP_CHAIN_MAX_SERVICES]; /* index in `agents` */
+    const struct rp_service *service[MAX_SERVICES];
+    guint first[MAX_SERVICES]; /* index in `agents` */
 };
 
 /* Whether the table surely lists each agent that may own a flow. */
@@ -80,7 +83,8 @@
 }
 
 /* Collects the agents of every service that the address has or had. Returns
- * false if the table does not have one of these services. */
+ * false if the table does not have one of these services, or does not list all
+ * that the address had. */
 static bool
 make_plan(const struct rp_agent *agent, struct rp_endpoint address,
           struct search_plan *plan)
@@ -98,7 +102,7 @@
         if (is_listed) {
             continue;
         }
-        if (!service || plan->service_count == RP_CHAIN_MAX_SERVICES) {
+        if (!service || plan->service_count == MAX_SERVICES) {
             return false;
         }
         add_service(agent, plan, service);
@@ -106,6 +110,30 @@
     return vip || agent->service->address.port != 0;
 }
 
+/* Whether the address has or had more services than a chain can name: only a
+ * search reaches the owners of the flows that are longest open. */
+static bool
+exceeds_chain(const struct rp_agent *agent, struct rp_endpoint address)
+{
+    const struct rp_vip *vip = RpTable_FindVip(agent->table, address);
+
+    return vip && vip->count > RP_CHAIN_MAX_SERVICES;
+}
+
+bool
+RpAgent_ListsAllServices(const struct rp_agent *agent,
+                         struct rp_endpoint address)
+{
+    const struct rp_vip *vip = RpTable_FindVip(agent->table, address);
+
+    for (size_t i = 0; vip && i < vip->count; i++) {
+        if (!RpTable_FindById(agent->table, vip->targets[i].service_id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Whether the plan has every candidate of the chain that brought the packet
  * here. A candidate that it lacks may be newer than the table. */
 static bool
@@ -160,10 +188,12 @@
     struct search_plan plan = {.service_count = 0};
     bool maybe_own = flow && (flow->state != RP_FLOW_REDIRECTED ||
                               (flow->flags & RP_FLOW_MAYBE_AT_HOST));
+    bool has_purpose =
+        find_reset_reason(agent, now, packet) != RP_COUNT_DROP_NO_OWNER ||
+        exceeds_chain(agent, RpFlowKey_Destination(packet->key));
     uint32_t id = 0;
 
-    if (maybe_own || (packet->flags & RP_TCP_RST) ||
-        find_reset_reason(agent, now, packet) == RP_COUNT_DROP_NO_OWNER) {
+    if (maybe_own || (packet->flags & RP_TCP_RST) || !has_purpose) {
         return false;
     }
     plan.agents = g_array_new(FALSE, FALSE, sizeof(struct rp_endpoint));
--- a/lib/wire/rp_msg.h
+++ b/lib/wire/rp_msg.h
@@ -102,6 +102,10 @@
     RP_REQUEST_UPLOAD
 };
 
+/* The service id that stands for former targets which a table has no room for.
+ * No service has it, so an agent knows that it can't ask all owners. */
+#define RP_TARGET_UNLISTED 0
+
 /* A service behind a virtual address. */
 struct rp_msg_target {
     uint32_t service_id;
--- a/tests/golden/agent_session.c
+++ b/tests/golden/agent_session.c
@@ -20,6 +20,8 @@
  *                                    adds a second service, with member NAME,
  *                                    and a virtual address for both, whose
  *                                    requests have this target latency
+ *   unlisted                         the address of the sibling had further
+ *                                    services, which tables do not list
  *   at MS                            sets the time, in milliseconds
  *   connected | disconnected         sets whether control is connected
  *   gathering | complete             whether later tables may lack members;
@@ -335,6 +337,16 @@
     set_table(session);
 }
 
+/* The address had more services than tables list. */
+static void
+do_unlisted(struct session *session)
+{
+    const struct rp_msg_target target = {.service_id = RP_TARGET_UNLISTED};
+
+    g_array_append_val(session->vip.targets, target);
+    set_table(session);
+}
+
 static void
 do_agent(struct session *session, const char **words, bool with_table)
 {
@@ -658,6 +670,9 @@
         session->gathering = words[0][0] == 'g';
         set_table(session);
     }
+    else if (!strcmp(words[0], "unlisted")) {
+        do_unlisted(session);
+    }
     else if (!strcmp(words[0], "connected")) {
         RpAgent_SetControlConnected(session->agent, true);
     }
--- a/tests/unit/test_edition.c
+++ b/tests/unit/test_edition.c
@@ -759,6 +759,77 @@
     RpCatalog_Free(catalog);
 }
 
+/* Sends the address to the service number `service` of ten. */
+static void
+move_address(struct rp_catalog *catalog, unsigned version, unsigned service)
+{
+    GString *body = g_string_new(NULL);
+
+    g_string_printf(body,
+                    "{\"version\":%u,\"routes\":[{\"name\":\"r\","
+                    "\"host\":\"10.1.0.1\",\"path-prefix\":\"/443/\","
+                    "\"route-type\":\"idempotent\",\"timeout-ms\":9,"
+                    "\"target-latency-ms\":250,\"priority\":2,"
+                    "\"service\":\"s%u\"}],\"services\":[",
+                    version, service);
+    for (unsigned i = 1; i <= 10; i++) {
+        g_string_append_printf(body, "%s{\"name\":\"s%u\"}", i > 1 ? "," : "",
+                               i);
+    }
+    g_string_append(body, "]}");
+    apply_and_check(catalog, body->str, RP_OK, false, version);
+    g_string_free(body, TRUE);
+}
+
+/* Guards against a list of former targets that drops one unnoticed, or one
+ * more than it must when a move is taken back. */
+static void
+test_many_former_targets(void **state)
+{
+    static const struct {
+        unsigned service;
+        const char *former; /* ids, the latest last; 0: not listed */
+    } moves[] = {
+        {1, ""},
+        {2, "1 "},
+        {3, "1 2 "},
+        {4, "1 2 3 "},
+        {5, "1 2 3 4 "},
+        {6, "1 2 3 4 5 "},
+        {7, "1 2 3 4 5 6 "},
+        {8, "1 2 3 4 5 6 7 "},
+        {7, "1 2 3 4 5 6 8 "},
+        {9, "0 2 3 4 5 6 8 7 "},
+        {10, "0 3 4 5 6 8 7 9 "},
+        {0, "3 4 5 6 8 7 9 "}, /* those before are forgotten */
+    };
+    struct rp_catalog *catalog = RpCatalog_Create();
+    const struct rp_endpoint address = {.ip = 0x0a010001, .port = 443};
+
+    (void)state;
+    for (unsigned i = 0; i < G_N_ELEMENTS(moves); i++) {
+        const GArray *former = RpCatalog_FormerTargets(catalog, address);
+        GString *text = g_string_new(NULL);
+        if (moves[i].service > 0) {
+            move_address(catalog, i + 1, moves[i].service);
+        }
+        else {
+            expire_former(
+                catalog,
+                g_array_index(former, struct rp_former_target, 0).revision);
+        }
+        former = RpCatalog_FormerTargets(catalog, address);
+        for (guint j = 0; former && j < former->len; j++) {
+            g_string_append_printf(
+                text, "%u ",
+                g_array_index(former, struct rp_former_target, j).service_id);
+        }
+        assert_string_equal(text->str, moves[i].former);
+        g_string_free(text, TRUE);
+    }
+    RpCatalog_Free(catalog);
+}
+
 int
 main(void)
 {
@@ -776,6 +847,7 @@
         cmocka_unit_test(test_gathering_tables),
         cmocka_unit_test(test_weights),
         cmocka_unit_test(test_moved_address),
+        cmocka_unit_test(test_many_former_targets),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
