Agent: an old copy of a SYN does not show that a flow is another host's

Cause: the restarted agent takes the copy for a new flow, its host repeats the SYN-ACK, and the caller's next packet acknowledges more, what the host sent before the agent's start. The agent took that for proof that the caller had connected to another host, and answered a search with "not owned". Every other way to a redirected entry marks one that may be at the host; this one did not. Ruled out: the search, the host.

Change: the entry is marked if its SYN may be older than the agent, in formats in which hosts repeat their SYN-ACK on open flows.

--- a/lib/flow/rp_agent_open.c
+++ b/lib/flow/rp_agent_open.c
@@ -397,6 +397,10 @@
         /* No reset can be made in this format. The host drops its half-open
          * connection when its own timeout ends. */
         RpCounters_Add(agent->counters, RP_COUNT_FLOW_YIELDED);
+        /* If the SYN may be an old copy, its answer may be one, too: the host
+         * may have sent what the caller acknowledges before this agent's
+         * start. */
+        mark_if_unsure(agent, flow, flow->caller_seen);
     }
     flow->next_hop = (struct rp_endpoint){0};
     RpAgent_ForwardToNextAgent(agent, now, flow, packet, chain, actions);
