Host reports: a gap after the first report shows that others heard the run before

Cause: an agent that has accepted the first report of a run, and then any later one, took its empty flow table for complete. The later one shows that the run lives on, not that nobody heard it before: reports 2 to 4 went to the agent before, which admitted flows. The new one passed their packets on and denied them in searches.

Change: only the second report, directly after the first, shows that the agent has seen the run from its start.

--- a/lib/control/rp_host.c
+++ b/lib/control/rp_host.c
@@ -115,8 +115,19 @@
 {
     accept_report(host, now, report);
     host->is_deregistered = false;
-    host->has_first_report = report->sequence <= RP_HOST_FIRST_SEQUENCE;
-    host->knows_run = host->has_first_report && began_with_us(host, report);
+    host->knows_run = report->sequence <= RP_HOST_FIRST_SEQUENCE &&
+                      began_with_us(host, report);
+}
+
+/* Returns whether the last report was the first of the run and this one the
+ * second. If there were others in between, they went to a process before this
+ * one, which may have admitted flows, and the first one came late. */
+static bool
+follows_first_report(const struct rp_host *host,
+                     const struct rp_host_report *report)
+{
+    return host->last_report.sequence <= RP_HOST_FIRST_SEQUENCE &&
+           report->sequence == host->last_report.sequence + 1;
 }
 
 /* Returns whether a newer report of a run that has deregistered shows that the
@@ -160,9 +171,9 @@
                      report->slots == host->last_report.slots &&
                      (report->cold_left_ms > 0) ==
                          (host->last_report.cold_left_ms > 0);
+    host->knows_run = host->knows_run || follows_first_report(host, report);
     accept_report(host, now, report);
     host->is_deregistered = false;
-    host->knows_run = host->has_first_report;
     return unchanged ? RP_HOST_REPORT_UNCHANGED : RP_HOST_REPORT_CHANGED;
 }
 
--- a/lib/control/rp_host.h
+++ b/lib/control/rp_host.h
@@ -58,11 +58,10 @@
     struct rp_name service;     /* reports of other services and addresses */
     struct rp_endpoint address; /* are ignored */
     int64_t report_interval;
-    uint64_t started_ms;   /* start of this process by the wall clock */
-    bool has_report;       /* a report has been accepted */
-    bool has_first_report; /* the first report of the run was accepted */
-    bool knows_run;        /* and it was not a late one */
-    bool is_deregistered;  /* since its latest report */
+    uint64_t started_ms; /* start of this process by the wall clock */
+    bool has_report;     /* a report has been accepted */
+    bool knows_run;      /* this process has run since before its first flow */
+    bool is_deregistered;            /* since its latest report */
     uint64_t contradicting_sequence; /* of a report after that; 0: none */
     struct rp_host_report last_report;
     int64_t last_report_at; /* time of the latest report or deregistration */
@@ -112,9 +111,9 @@
 
 /* Returns whether this process has run since before the first flow of the
  * host's latest run: it has accepted the run's first report, and that was not
- * a late one of a run that has crashed. It was not if the run began with this
- * process or later, or if a later report followed. The time of day alone
- * proves nothing, as it may have been stepped. */
+ * a late one. It was not if the run began with this process or later, or if
+ * the second report followed it. The time of day alone proves nothing, as it
+ * may have been stepped. */
 bool RpHost_KnowsRunFromStart(const struct rp_host *host);
 
 /* Returns when the host times out if it sends no report before. */
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -474,6 +474,9 @@
     report.sequence = 2;
     RpHost_HandleReport(&host, INTERVAL_US, &report);
     assert_true(RpHost_KnowsRunFromStart(&host));
+    report.sequence = 4;
+    RpHost_HandleReport(&host, 2 * INTERVAL_US, &report);
+    assert_true(RpHost_KnowsRunFromStart(&host));
     /* One that began just before the agent, as after a loss of power. */
     init_host(&host);
     report.host_start_ms = STARTED_MS - INTERVAL_US / RP_US_PER_MS;
@@ -482,6 +485,28 @@
     assert_true(RpHost_KnowsRunFromStart(&host));
 }
 
+/* Guards against an agent that reads a late first report of its living host
+ * first, and then takes its empty flow table for complete: the reports in
+ * between went to the agent before it, which admitted flows. */
+static void
+test_late_first_report_of_living_host(void **state)
+{
+    struct rp_host_report report = {.id = make_name("i-1"),
+                                    .service = make_name("lens-desk"),
+                                    .address = make_address(HOST_ADDRESS),
+                                    .host_start_ms = 1000,
+                                    .sequence = 1};
+    struct rp_host host;
+
+    (void)state;
+    init_host(&host);
+    RpHost_HandleReport(&host, 1, &report);
+    for (report.sequence = 5; report.sequence < 8; report.sequence++) {
+        RpHost_HandleReport(&host, INTERVAL_US, &report);
+        assert_false(RpHost_KnowsRunFromStart(&host));
+    }
+}
+
 /* Guards against a late deregistration of an earlier run with the same id: the
  * living host gets new flows again, and a stop is not its end. */
 static void
@@ -575,6 +600,7 @@
         cmocka_unit_test(test_knows_run_from_start),
         cmocka_unit_test(test_late_report_after_agent_start),
         cmocka_unit_test(test_first_report_with_stepped_clock),
+        cmocka_unit_test(test_late_first_report_of_living_host),
         cmocka_unit_test(test_late_deregistration),
         cmocka_unit_test(test_earlier_start_time),
         cmocka_unit_test(test_decode_reports),
