Replica: a member that has moved to another's address proves no lost disk

Change: only a replica that is no member proves it. The older rule of the startup election, that the process at that address is gone, is as it was.

--- a/lib/state/rp_replica_internal.h
+++ b/lib/state/rp_replica_internal.h
@@ -28,7 +28,9 @@
     uint64_t snapshot_offset;   /* of the next chunk to send */
     bool leaving;               /* it says that it is about to stop */
     bool vote_granted;          /* in the current vote or pre-vote */
-    /* Its vote reply says that it has heard from no leader since its start. */
+    /* Its vote reply says that it has heard from no leader since its start, or
+     * its process is gone, because another one asks to join from its
+     * address. */
     bool restarted;
 };
 
@@ -153,13 +155,12 @@
 /* Records that the disk of `member` is lost, and reports it. */
 void RpReplica_MarkLost(struct rp_replica *replica,
                         const struct rp_replica_member *member);
-/* Records that the disk of any other member at the address of `successor` is
- * lost, because another replica started there. */
-void RpReplica_MarkReplacedMembers(struct rp_replica *replica,
-                                   const struct rp_replica_member *successor);
+/* Records that the disk of a member is lost if `newcomer`, a replica that is
+ * no member, asks to join from its address. */
+void RpReplica_MarkLostMembers(struct rp_replica *replica,
+                               const struct rp_replica_member *newcomer);
 /* Records that the replica with this id has its disk: it sent a message. */
 void RpReplica_UnmarkLost(struct rp_replica *replica, uint64_t id);
-bool RpReplica_IsLost(const struct rp_replica *replica, uint64_t id);
 
 /* rp_replica_vote.c: pre-votes and elections. */
 /* Whether a quorum has granted the current vote or pre-vote; this replica
@@ -195,10 +196,13 @@
                                 const struct rp_msg_vote *vote);
 void RpReplica_OnStartupPreVoteReply(struct rp_replica *replica, int64_t now,
                                      const struct rp_msg_vote_reply *reply);
-/* Starts the election if the startup pre-vote has succeeded, and this replica
- * has had no leader since its start. Call it when a member was marked lost. */
-void RpReplica_StartElectionIfAllRestarted(struct rp_replica *replica,
-                                           int64_t now);
+/* Records that the process of any other member at the address of `successor`
+ * is gone, because another process uses that address now. If that was the last
+ * member not known to have restarted, and the startup pre-vote has a majority,
+ * starts the election. Does nothing if this replica has had a leader since its
+ * start. */
+void RpReplica_MarkReplacedMembers(struct rp_replica *replica, int64_t now,
+                                   const struct rp_replica_member *successor);
 
 /* rp_replica_lead.c: the leader's side. */
 /* Becomes the leader of the current term and appends an empty entry, whose
--- a/lib/state/rp_replica_members.c
+++ b/lib/state/rp_replica_members.c
@@ -197,12 +197,10 @@
 RpReplica_HandleJoin(struct rp_replica *replica, int64_t now,
                      const struct rp_replica_member *member, bool forwarded)
 {
-    if (member->id != 0) {
-        RpReplica_MarkReplacedMembers(replica, member);
-    }
+    RpReplica_MarkLostMembers(replica, member);
     if (replica->role != RP_REPLICA_LEADER) {
-        RpReplica_StartElectionIfAllRestarted(replica, now);
         if (!forwarded) {
+            RpReplica_MarkReplacedMembers(replica, now, member);
             forward_join(replica, member);
         }
         return;
--- a/lib/state/rp_replica_quorum.c
+++ b/lib/state/rp_replica_quorum.c
@@ -8,9 +8,9 @@
  * such quorums share a replica that still has its disk: both are taken from
  * the 2 n - 1 voters that are left. So do such a quorum and an earlier
  * majority, n + 1 voters of which at most one is the lost one. What counts as
- * known is that another replica asks to join from the voter's address: its
- * process is gone, and the one in its place started with an empty disk. Its
- * disk must not come back later.
+ * known is that a replica which is no member asks to join from the voter's
+ * address: the voter's process is gone, and the one in its place started with
+ * an empty disk. The lost disk must not come back later.
  *
  * Between n of 2 n voters and a majority of the voters after a change of the
  * members, a shared replica is not certain. So until a change of the voters
@@ -45,8 +45,8 @@
     return voters;
 }
 
-bool
-RpReplica_IsLost(const struct rp_replica *replica, uint64_t id)
+static bool
+is_lost(const struct rp_replica *replica, uint64_t id)
 {
     for (guint i = 0; i < replica->lost->len; i++) {
         if (g_array_index(replica->lost, uint64_t, i) == id) {
@@ -62,7 +62,7 @@
     for (guint i = 0; i < members->len; i++) {
         const struct rp_replica_member *member = &g_array_index(
             members, struct rp_replica_member, i);
-        if (member->voter && RpReplica_IsLost(replica, member->id)) {
+        if (member->voter && is_lost(replica, member->id)) {
             return true;
         }
     }
@@ -128,7 +128,7 @@
         const struct rp_peer *peer = &g_array_index(replica->peers,
                                                     struct rp_peer, i);
         count += contains_voter(members, peer->id) &&
-                 !RpReplica_IsLost(replica, peer->id) && agrees(peer, value);
+                 !is_lost(replica, peer->id) && agrees(peer, value);
     }
     return count;
 }
@@ -191,7 +191,7 @@
 RpReplica_MarkLost(struct rp_replica *replica,
                    const struct rp_replica_member *member)
 {
-    if (member->id == replica->id || RpReplica_IsLost(replica, member->id)) {
+    if (member->id == replica->id || is_lost(replica, member->id)) {
         return;
     }
     forget_former_members(replica);
@@ -202,14 +202,17 @@
 }
 
 void
-RpReplica_MarkReplacedMembers(struct rp_replica *replica,
-                              const struct rp_replica_member *successor)
+RpReplica_MarkLostMembers(struct rp_replica *replica,
+                          const struct rp_replica_member *newcomer)
 {
+    /* A member at the address of another one has moved there. */
+    if (newcomer->id == 0 || RpReplica_FindMember(replica, newcomer->id)) {
+        return;
+    }
     for (guint i = 0; i < replica->members->len; i++) {
         const struct rp_replica_member *member = &g_array_index(
             replica->members, struct rp_replica_member, i);
-        if (member->id != successor->id && member->ip == successor->ip &&
-            member->port == successor->port) {
+        if (member->ip == newcomer->ip && member->port == newcomer->port) {
             RpReplica_MarkLost(replica, member);
         }
     }
--- a/lib/state/rp_replica_startup.c
+++ b/lib/state/rp_replica_startup.c
@@ -32,23 +32,19 @@
 all_restarted(const struct rp_replica *replica)
 {
     for (guint i = 0; i < replica->peers->len; i++) {
-        const struct rp_peer *peer = &g_array_index(replica->peers,
-                                                    struct rp_peer, i);
-        if (!peer->restarted && !RpReplica_IsLost(replica, peer->id)) {
+        if (!g_array_index(replica->peers, struct rp_peer, i).restarted) {
             return false;
         }
     }
     return true;
 }
 
-void
-RpReplica_StartElectionIfAllRestarted(struct rp_replica *replica, int64_t now)
+/* Starts the election if the startup pre-vote has succeeded. */
+static void
+start_election_if_all_restarted(struct rp_replica *replica, int64_t now)
 {
-    if (!replica->no_leader_since_start) {
-        return;
-    }
-    RpReplica_UpdatePeers(replica, now);
-    if (replica->role == RP_REPLICA_FOLLOWER &&
+    if (replica->no_leader_since_start &&
+        replica->role == RP_REPLICA_FOLLOWER &&
         RpReplica_MayVote(replica, replica->id) && all_restarted(replica) &&
         RpReplica_HasVotes(replica)) {
         RpReplica_StartElection(replica, now, RP_VOTE_ALL_RESTARTED);
@@ -102,6 +98,27 @@
     if (peer && reply->term == replica->term + 1) {
         peer->vote_granted = true;
         peer->restarted = true;
-        RpReplica_StartElectionIfAllRestarted(replica, now);
+        start_election_if_all_restarted(replica, now);
+    }
+}
+
+void
+RpReplica_MarkReplacedMembers(struct rp_replica *replica, int64_t now,
+                              const struct rp_replica_member *successor)
+{
+    if (!replica->no_leader_since_start) {
+        return;
+    }
+    RpReplica_UpdatePeers(replica, now);
+    for (guint i = 0; i < replica->peers->len; i++) {
+        struct rp_peer *peer = &g_array_index(replica->peers, struct rp_peer,
+                                              i);
+        const struct rp_replica_member *member = RpReplica_FindMember(
+            replica, peer->id);
+        if (member->id != successor->id && member->ip == successor->ip &&
+            member->port == successor->port) {
+            peer->restarted = true;
+        }
     }
+    start_election_if_all_restarted(replica, now);
 }
--- a/tests/unit/test_lost_disks.c
+++ b/tests/unit/test_lost_disks.c
@@ -222,6 +222,36 @@
     return find_leader(sim);
 }
 
+/* Guards against a member that counts as lost because another one has moved to
+ * its address, or that goes on counting as lost after it was heard. */
+static void
+test_what_proves_a_lost_disk(void **state)
+{
+    static struct sim sim;
+    unsigned leader = start_four(&sim);
+    const struct instance *own = &sim.instances[(leader + 1) % 4];
+    const struct instance *other = &sim.instances[(leader + 2) % 4];
+    unsigned other_ip = (leader + 2) % 4 + 1;
+    struct rp_replica_member moved = {
+        .id = sim.instances[(leader + 3) % 4].id, .ip = other_ip, .port = 1};
+    struct rp_replica_member newcomer = {.id = 99, .ip = other_ip, .port = 1};
+    const struct rp_msg message = {
+        .type = RP_MSG_VOTE_REPLY,
+        .vote_reply = {.from = other->id, .to = own->id}};
+    int64_t now = sim_instance_clock(&sim, own);
+
+    (void)state;
+    RpReplica_HandleJoin(own->replica, now, &moved, false);
+    assert_int_equal(RpReplica_LostVoterCount(own->replica), 0);
+    assert_int_equal(RpReplica_Quorum(own->replica), 3);
+    RpReplica_HandleJoin(own->replica, now, &newcomer, false);
+    assert_int_equal(RpReplica_LostVoterCount(own->replica), 1);
+    assert_int_equal(RpReplica_Quorum(own->replica), 2);
+    RpReplica_Receive(own->replica, now, &message);
+    assert_int_equal(RpReplica_LostVoterCount(own->replica), 0);
+    sim_end(&sim);
+}
+
 /* Guards against two groups that decide at the same time: the voters that are
  * left by a change which not all have seen, and half of the voters before it,
  * one of which has lost its disk. */
@@ -303,6 +333,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_what_proves_a_lost_disk),
         cmocka_unit_test(test_half_does_not_contradict_a_change),
         cmocka_unit_test(test_no_change_without_a_quorum),
         cmocka_unit_test(test_change_outlives_a_restart),
